--- /dev/null
+++ b/src/transport/store-client.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "base/status.h"
+
+/* Client of the platform's key-value service: the etcd v3 JSON gateway
+ * (POST /v3/kv/range, /v3/kv/txn, /v3/watch) over HTTP/1.1. One client belongs
+ * to one task. */
+
+#define STORE_KEY_SIZE 192 /* bytes with the final NUL */
+
+struct store_client;
+
+/* A key with its value; valid during the callback only. */
+struct store_entry {
+    const char *key;
+    uint64_t mod_revision;
+    const char *value;
+    size_t value_len;
+};
+
+/* Result of a range read. "revision" is the store's at that moment. */
+typedef void (*store_range_cb)(void *ctx, const struct status *st,
+                               uint64_t revision,
+                               const struct store_entry *entries,
+                               size_t count);
+
+/* Result of a compare-and-swap: ERR_NONE with the new mod_revision;
+ * ERR_CONFLICT; ERR_STORE_DOWN when nothing can have been written;
+ * ERR_STORE_UNKNOWN when the answer was lost and it may have been. */
+typedef void (*store_cas_cb)(void *ctx, const struct status *st,
+                             uint64_t mod_revision);
+
+/* Changes seen by a watch. A failure ends the watch; ERR_NOT_FOUND means that
+ * the start revision was compacted and a range read is needed. */
+typedef void (*store_watch_cb)(void *ctx, const struct status *st,
+                               uint64_t revision,
+                               const struct store_entry *entries,
+                               size_t count);
+
+/* "endpoints" are "a.b.c.d:port" strings, copied. Returns NULL with "st" set.
+ */
+struct store_client *store_client_new(struct event_base *base,
+                                      const char *const *endpoints,
+                                      size_t endpoint_count,
+                                      struct status *st);
+void store_client_destroy(struct store_client *sc);
+
+/* Reads one key (range_end NULL) or all keys that start with "key" (prefix
+ * set), in pages; the callback runs once with everything. */
+void store_client_range(struct store_client *sc, const char *key, bool prefix,
+                        store_range_cb cb, void *ctx);
+
+/* Puts "value" if the key's mod_revision is "expected"; 0 means absent. */
+void store_client_cas(struct store_client *sc, const char *key,
+                      const char *value, size_t value_len, uint64_t expected,
+                      store_cas_cb cb, void *ctx);
+
+/* Watches all keys that start with "prefix" from "start_revision" on. One
+ * watch per client; a silent connection is found by a progress timeout. */
+void store_client_watch(struct store_client *sc, const char *prefix,
+                        uint64_t start_revision, store_watch_cb cb, void *ctx);
+void store_client_watch_stop(struct store_client *sc);
+
+/* Calls made so far, a watch counted as one. */
+uint64_t store_client_calls(const struct store_client *sc);
