--- /dev/null
+++ b/src/protocol/sse-parser.c
@@ -0,0 +1,115 @@
+#include "protocol/sse-parser.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+sse_parser_init(struct sse_parser *parser)
+{
+    memset(parser, 0, sizeof(*parser));
+}
+
+/* An empty line ends an event. One without data is dropped, as the standard
+ * says. */
+static void
+dispatch(struct sse_parser *parser, sse_event_cb cb, void *ctx)
+{
+    if (parser->has_data) {
+        struct sse_event event = {
+            .id = parser->id,
+            .has_id = parser->has_id,
+            .data = parser->data,
+            .data_len = parser->data_len,
+        };
+
+        cb(ctx, &event);
+    }
+    parser->data_len = 0;
+    parser->has_data = false;
+    parser->has_id = false;
+}
+
+static bool
+append_data(struct sse_parser *parser, const char *value, size_t len)
+{
+    size_t needed = len + (parser->has_data ? 1 : 0);
+
+    if (needed > sizeof(parser->data) - parser->data_len) {
+        return false;
+    }
+    if (parser->has_data) {
+        parser->data[parser->data_len] = '\n';
+        parser->data_len++;
+    }
+    memcpy(parser->data + parser->data_len, value, len);
+    parser->data_len += len;
+    parser->has_data = true;
+    return true;
+}
+
+static bool
+set_id(struct sse_parser *parser, const char *value)
+{
+    char *end;
+
+    parser->id = strtoull(value, &end, 10);
+    parser->has_id = true;
+    return end != value && *end == '\0';
+}
+
+/* Handles one line, which ends with a NUL. */
+static bool
+parse_line(struct sse_parser *parser, sse_event_cb cb, void *ctx)
+{
+    char *line = parser->line;
+    char *value = strchr(line, ':');
+
+    if (parser->line_len == 0) {
+        dispatch(parser, cb, ctx);
+        return true;
+    }
+    if (value == line || value == NULL) {
+        /* A comment, or a field without a value. */
+        return true;
+    }
+    *value = '\0';
+    value++;
+    if (*value == ' ') {
+        value++;
+    }
+    if (strcmp(line, "data") == 0) {
+        return append_data(parser, value,
+                           parser->line_len - (size_t)(value - line));
+    }
+    if (strcmp(line, "id") == 0) {
+        return set_id(parser, value);
+    }
+    return true;
+}
+
+bool
+sse_parser_feed(struct sse_parser *parser, const uint8_t *data, size_t size,
+                sse_event_cb cb, void *ctx)
+{
+    for (size_t i = 0; i < size; i++) {
+        char c = (char)data[i];
+
+        if (c == '\r') {
+            continue;
+        }
+        if (c == '\n') {
+            parser->line[parser->line_len] = '\0';
+            if (!parse_line(parser, cb, ctx)) {
+                return false;
+            }
+            parser->line_len = 0;
+            continue;
+        }
+        if (parser->line_len == sizeof(parser->line) - 1) {
+            return false;
+        }
+        parser->line[parser->line_len] = c;
+        parser->line_len++;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/state/flow-table.c
@@ -0,0 +1,293 @@
+#include "state/flow-table.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct flow_table {
+    uint32_t size;
+    uint32_t used;
+    uint64_t evicted;
+    struct flow *flows;
+    struct list free_slots;
+    /* Least recently used first. Slots without a first request go before all
+     * others when one has to be evicted. */
+    struct list unproven;
+    struct list proven;
+    struct list records_by_age; /* oldest first */
+    size_t record_bytes;
+    size_t record_bytes_max;
+};
+
+static size_t
+record_size(const struct request_record *record)
+{
+    return sizeof(*record) + record->answer.payload_len;
+}
+
+struct flow_table *
+flow_table_new(uint32_t slots, size_t record_bytes)
+{
+    struct flow_table *table = calloc(1, sizeof(*table));
+
+    if (table == NULL) {
+        return NULL;
+    }
+    table->flows = calloc(slots, sizeof(*table->flows));
+    if (table->flows == NULL) {
+        free(table);
+        return NULL;
+    }
+    table->size = slots;
+    table->record_bytes_max = record_bytes;
+    list_init(&table->free_slots);
+    list_init(&table->unproven);
+    list_init(&table->proven);
+    list_init(&table->records_by_age);
+    for (uint32_t i = 0; i < slots; i++) {
+        list_init(&table->flows[i].records);
+        list_push_back(&table->free_slots, &table->flows[i].link);
+    }
+    return table;
+}
+
+/* Unlinks and frees a record. Its id stays marked in the flow. */
+static void
+drop_record(struct flow_table *table, struct request_record *record)
+{
+    list_remove(&record->in_flow);
+    list_remove(&record->in_age);
+    table->record_bytes -= record_size(record);
+    free(record->answer.payload);
+    free(record);
+}
+
+static void
+drop_records(struct flow_table *table, struct flow *flow)
+{
+    list_for_each_safe(it, &flow->records)
+    {
+        drop_record(table, container_of(it, struct request_record, in_flow));
+    }
+}
+
+void
+flow_table_destroy(struct flow_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < table->size; i++) {
+        drop_records(table, &table->flows[i]);
+    }
+    free(table->flows);
+    free(table);
+}
+
+/* Ends a flow. Raising the generation makes every token that names the slot
+ * invalid for good, so nothing sent under it can be delivered later. A slot
+ * whose generation would wrap is never used again. */
+static void
+evict(struct flow_table *table, struct flow *flow)
+{
+    assert(flow->running == 0);
+    drop_records(table, flow);
+    list_remove(&flow->link);
+    flow->in_use = false;
+    flow->generation++;
+    table->used--;
+    table->evicted++;
+    if (flow->generation != UINT32_MAX) {
+        list_push_back(&table->free_slots, &flow->link);
+    }
+}
+
+static bool
+evict_idle(struct flow_table *table, struct list *flows)
+{
+    list_for_each(it, flows)
+    {
+        struct flow *flow = container_of(it, struct flow, link);
+
+        if (flow->running == 0) {
+            evict(table, flow);
+            return true;
+        }
+    }
+    return false;
+}
+
+struct flow *
+flow_table_open(struct flow_table *table, uint32_t service, uint64_t now,
+                uint32_t *slot)
+{
+    struct flow *flow;
+
+    if (list_empty(&table->free_slots) &&
+        !evict_idle(table, &table->unproven) &&
+        !evict_idle(table, &table->proven)) {
+        return NULL;
+    }
+    if (list_empty(&table->free_slots)) {
+        /* The evicted slot was retired. */
+        return NULL;
+    }
+    flow = container_of(table->free_slots.next, struct flow, link);
+    list_remove(&flow->link);
+    flow->service = service;
+    flow->target = 0;
+    flow->floor = 0;
+    flow->window = 0;
+    flow->used_us = now;
+    flow->in_use = true;
+    flow->active = false;
+    flow->single_used = false;
+    list_push_back(&table->unproven, &flow->link);
+    table->used++;
+    *slot = (uint32_t)(flow - table->flows);
+    return flow;
+}
+
+struct flow *
+flow_table_get(struct flow_table *table, uint32_t slot, uint32_t generation)
+{
+    struct flow *flow;
+
+    if (slot >= table->size) {
+        return NULL;
+    }
+    flow = &table->flows[slot];
+    if (!flow->in_use || flow->generation != generation) {
+        return NULL;
+    }
+    return flow;
+}
+
+void
+flow_table_touch(struct flow_table *table, struct flow *flow, uint64_t now)
+{
+    flow->used_us = now;
+    flow->active = true;
+    list_remove(&flow->link);
+    list_push_back(&table->proven, &flow->link);
+}
+
+enum flow_verdict
+flow_check(const struct flow *flow, uint64_t id,
+           struct request_record **record)
+{
+    list_for_each(it, &flow->records)
+    {
+        struct request_record *r =
+            container_of(it, struct request_record, in_flow);
+
+        if (r->id == id) {
+            *record = r;
+            return FLOW_DUPLICATE;
+        }
+    }
+    if (id <= flow->floor) {
+        return FLOW_FORGOTTEN;
+    }
+    if (id - flow->floor <= FLOW_WINDOW_IDS &&
+        (flow->window >> (id - flow->floor - 1) & 1) != 0) {
+        return FLOW_FORGOTTEN;
+    }
+    return FLOW_NEW;
+}
+
+/* Raises the floor so that "id" is the last one inside the window. */
+static void
+slide_window(struct flow *flow, uint64_t id)
+{
+    uint64_t shift;
+
+    if (id - flow->floor <= FLOW_WINDOW_IDS) {
+        return;
+    }
+    shift = id - flow->floor - FLOW_WINDOW_IDS;
+    flow->window = shift < FLOW_WINDOW_IDS ? flow->window >> shift : 0;
+    flow->floor += shift;
+}
+
+struct request_record *
+flow_table_begin(struct flow_table *table, struct flow *flow, uint64_t id)
+{
+    struct request_record *record = calloc(1, sizeof(*record));
+
+    assert(id > flow->floor);
+    if (record == NULL) {
+        return NULL;
+    }
+    slide_window(flow, id);
+    flow->window |= 1ULL << (id - flow->floor - 1);
+    flow->running++;
+    record->slot = (uint32_t)(flow - table->flows);
+    record->id = id;
+    record->state = RECORD_RUNNING;
+    list_init(&record->in_age);
+    list_push_front(&flow->records, &record->in_flow);
+    table->record_bytes += record_size(record);
+    return record;
+}
+
+static void
+trim_records(struct flow_table *table)
+{
+    while (table->record_bytes > table->record_bytes_max &&
+           !list_empty(&table->records_by_age)) {
+        drop_record(table, container_of(table->records_by_age.next,
+                                        struct request_record, in_age));
+    }
+}
+
+static bool
+copy_answer(struct request_record *record,
+            const struct recorded_answer *answer)
+{
+    uint8_t *payload = NULL;
+
+    if (answer->payload_len > 0) {
+        payload = malloc(answer->payload_len);
+        if (payload == NULL) {
+            return false;
+        }
+        memcpy(payload, answer->payload, answer->payload_len);
+    }
+    record->answer = *answer;
+    record->answer.payload = payload;
+    return true;
+}
+
+void
+flow_table_finish(struct flow_table *table, struct request_record *record,
+                  const struct recorded_answer *answer)
+{
+    assert(record->state == RECORD_RUNNING);
+    /* Room is made before this record joins the list, so that it is not the
+     * one dropped. */
+    trim_records(table);
+    record->state = RECORD_ANSWERED;
+    record->exchange = NULL;
+    table->flows[record->slot].running--;
+    list_push_back(&table->records_by_age, &record->in_age);
+    if (!copy_answer(record, answer)) {
+        /* A copy of the request must not get a part of the answer; without
+         * the record it is told that the outcome is unknown. */
+        drop_record(table, record);
+        return;
+    }
+    table->record_bytes += record->answer.payload_len;
+}
+
+uint32_t
+flow_table_in_use(const struct flow_table *table)
+{
+    return table->used;
+}
+
+uint64_t
+flow_table_evicted(const struct flow_table *table)
+{
+    return table->evicted;
+}
--- /dev/null
+++ b/src/transport/udp-socket.c
@@ -0,0 +1,223 @@
+#include "transport/udp-socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+
+#define UDP_BATCH_DATAGRAMS 32
+#define UDP_DATAGRAM_SIZE 2048           /* bytes */
+#define UDP_RECEIVE_BUFFER (4 * 1048576) /* bytes asked of the kernel */
+/* Rounds of one readiness event; the loop's other events get their turn. */
+#define UDP_ROUNDS_PER_EVENT 4
+
+struct udp_socket {
+    int fd;
+    struct event *readable;
+    udp_socket_cb cb;
+    void *ctx;
+    struct mmsghdr headers[UDP_BATCH_DATAGRAMS];
+    struct iovec vectors[UDP_BATCH_DATAGRAMS];
+    struct sockaddr_in from[UDP_BATCH_DATAGRAMS];
+    char control[UDP_BATCH_DATAGRAMS][CMSG_SPACE(sizeof(struct timeval))];
+    uint8_t data[UDP_BATCH_DATAGRAMS][UDP_DATAGRAM_SIZE];
+};
+
+bool
+endpoint_parse_addr(const char *text, uint32_t *addr)
+{
+    struct in_addr in;
+
+    if (inet_pton(AF_INET, text, &in) != 1) {
+        return false;
+    }
+    *addr = ntohl(in.s_addr);
+    return true;
+}
+
+void
+endpoint_format(const struct endpoint *ep, char *out, size_t size)
+{
+    snprintf(out, size, "%u.%u.%u.%u:%u", ep->addr >> 24,
+             ep->addr >> 16 & 0xff, ep->addr >> 8 & 0xff, ep->addr & 0xff,
+             ep->port);
+}
+
+static struct sockaddr_in
+to_sockaddr(const struct endpoint *ep)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET};
+
+    sin.sin_addr.s_addr = htonl(ep->addr);
+    sin.sin_port = htons(ep->port);
+    return sin;
+}
+
+/* Microseconds since the kernel's receive stamp of a message, 0 without
+ * one. */
+static uint64_t
+queued_time(struct msghdr *hdr, uint64_t wall_now)
+{
+    for (struct cmsghdr *c = CMSG_FIRSTHDR(hdr); c != NULL;
+         c = CMSG_NXTHDR(hdr, c)) {
+        if (c->cmsg_level == SOL_SOCKET && c->cmsg_type == SCM_TIMESTAMP) {
+            struct timeval tv;
+            uint64_t stamp;
+
+            memcpy(&tv, CMSG_DATA(c), sizeof(tv));
+            stamp = (uint64_t)tv.tv_sec * USEC_PER_SEC + (uint64_t)tv.tv_usec;
+            return wall_now > stamp ? wall_now - stamp : 0;
+        }
+    }
+    return 0;
+}
+
+static void
+reset_batch(struct udp_socket *sock)
+{
+    for (size_t i = 0; i < UDP_BATCH_DATAGRAMS; i++) {
+        struct msghdr *hdr = &sock->headers[i].msg_hdr;
+
+        hdr->msg_namelen = sizeof(sock->from[i]);
+        hdr->msg_controllen = sizeof(sock->control[i]);
+    }
+}
+
+/* Receives one batch and returns how many datagrams it held. */
+static int
+receive_batch(struct udp_socket *sock)
+{
+    uint64_t wall_now;
+    int count;
+
+    reset_batch(sock);
+    count = recvmmsg(sock->fd, sock->headers, UDP_BATCH_DATAGRAMS,
+                     MSG_DONTWAIT, NULL);
+    if (count <= 0) {
+        return 0;
+    }
+    wall_now = clock_wall_us();
+    for (int i = 0; i < count; i++) {
+        struct endpoint from = {
+            .addr = ntohl(sock->from[i].sin_addr.s_addr),
+            .port = ntohs(sock->from[i].sin_port),
+        };
+        uint64_t queued = queued_time(&sock->headers[i].msg_hdr, wall_now);
+
+        sock->cb(sock->ctx, &from, sock->data[i], sock->headers[i].msg_len,
+                 queued);
+    }
+    return count;
+}
+
+static void
+on_readable(evutil_socket_t fd, short what, void *arg)
+{
+    struct udp_socket *sock = arg;
+
+    for (int i = 0; i < UDP_ROUNDS_PER_EVENT; i++) {
+        if (receive_batch(sock) < UDP_BATCH_DATAGRAMS) {
+            return;
+        }
+    }
+}
+
+static void
+init_batch(struct udp_socket *sock)
+{
+    for (size_t i = 0; i < UDP_BATCH_DATAGRAMS; i++) {
+        struct msghdr *hdr = &sock->headers[i].msg_hdr;
+
+        sock->vectors[i].iov_base = sock->data[i];
+        sock->vectors[i].iov_len = UDP_DATAGRAM_SIZE;
+        hdr->msg_iov = &sock->vectors[i];
+        hdr->msg_iovlen = 1;
+        hdr->msg_name = &sock->from[i];
+        hdr->msg_control = sock->control[i];
+    }
+}
+
+static int
+open_bound(const struct endpoint *local)
+{
+    struct sockaddr_in sin = to_sockaddr(local);
+    int buffer = UDP_RECEIVE_BUFFER;
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    /* Both are hints: without them the socket still serves. */
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    setsockopt(fd, SOL_SOCKET, SO_TIMESTAMP, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/* Opens and binds a socket and starts to receive. Returns NULL with "st" set
+ * when the address cannot be bound. */
+struct udp_socket *
+udp_socket_new(struct event_base *base, const struct endpoint *local,
+               udp_socket_cb cb, void *ctx, struct status *st)
+{
+    struct udp_socket *sock = calloc(1, sizeof(*sock));
+    char where[32];
+
+    if (sock == NULL) {
+        status_set(st, ERR_NO_MEMORY, "UDP socket: out of memory");
+        return NULL;
+    }
+    sock->cb = cb;
+    sock->ctx = ctx;
+    sock->fd = open_bound(local);
+    if (sock->fd < 0) {
+        endpoint_format(local, where, sizeof(where));
+        status_set(st, ERR_SYSTEM, "UDP %s: %s", where, strerror(errno));
+        free(sock);
+        return NULL;
+    }
+    init_batch(sock);
+    sock->readable =
+        event_new(base, sock->fd, EV_READ | EV_PERSIST, on_readable, sock);
+    if (sock->readable == NULL || event_add(sock->readable, NULL) < 0) {
+        status_set(st, ERR_NO_MEMORY, "UDP socket: out of memory");
+        udp_socket_destroy(sock);
+        return NULL;
+    }
+    return sock;
+}
+
+void
+udp_socket_destroy(struct udp_socket *sock)
+{
+    if (sock == NULL) {
+        return;
+    }
+    if (sock->readable != NULL) {
+        event_free(sock->readable);
+    }
+    close(sock->fd);
+    free(sock);
+}
+
+bool
+udp_socket_send(struct udp_socket *sock, const struct endpoint *to,
+                const uint8_t *data, size_t size)
+{
+    struct sockaddr_in sin = to_sockaddr(to);
+    ssize_t sent = sendto(sock->fd, data, size, MSG_DONTWAIT,
+                          (struct sockaddr *)&sin, sizeof(sin));
+
+    return sent == (ssize_t)size;
+}
--- /dev/null
+++ b/src/transport/udp-socket.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "base/status.h"
+
+/* A bound UDP socket driven from an event loop. */
+struct udp_socket;
+
+/* An IPv4 endpoint in host byte order. */
+struct endpoint {
+    uint32_t addr;
+    uint16_t port;
+};
+
+/* Called for each datagram; "data" is valid during the call only.
+ * "queued_us" is how long the datagram waited in the kernel's queue, in
+ * microseconds, 0 when the kernel did not say. */
+typedef void (*udp_socket_cb)(void *ctx, const struct endpoint *from,
+                              const uint8_t *data, size_t size,
+                              uint64_t queued_us);
+
+struct udp_socket *udp_socket_new(struct event_base *base,
+                                  const struct endpoint *local,
+                                  udp_socket_cb cb, void *ctx,
+                                  struct status *st);
+void udp_socket_destroy(struct udp_socket *sock);
+
+/* Sends a datagram. Returns false when the kernel did not take it. */
+bool udp_socket_send(struct udp_socket *sock, const struct endpoint *to,
+                     const uint8_t *data, size_t size);
+
+/* Parses a dotted IPv4 address into host byte order. */
+bool endpoint_parse_addr(const char *text, uint32_t *addr);
+/* Writes "a.b.c.d:port". */
+void endpoint_format(const struct endpoint *ep, char *out, size_t size);
