--- /dev/null
+++ b/src/coordination/dispatch.c
@@ -0,0 +1,495 @@
+#include "coordination/dispatch.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "coordination/health.h"
+#include "coordination/slot-window.h"
+
+/* A tick follows at the latest after this time while jobs are in hand. */
+#define TICK_BUSY_US (5 * USEC_PER_MSEC)
+#define TICK_IDLE_US (200 * USEC_PER_MSEC)
+/* A deadline shorter than this says nothing of the target's health. */
+#define TIMEOUT_EVIDENCE_US USEC_PER_SEC
+
+static void pump(struct dispatch *d, struct dispatch_service *svc,
+                 uint64_t now);
+
+static void
+service_destroy(void *arg)
+{
+    struct dispatch_service *svc = arg;
+
+    assert(svc->jobs == 0);
+    list_remove(&svc->active);
+    admission_destroy(svc->admission);
+    free(svc);
+}
+
+bool
+dispatch_init(struct dispatch *d, const struct dispatch_ops *ops, void *ctx,
+              struct random *random, uint32_t queue_limit)
+{
+    memset(d, 0, sizeof(*d));
+    d->ops = ops;
+    d->ctx = ctx;
+    d->random = random;
+    d->queue_limit = queue_limit;
+    list_init(&d->active);
+    d->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_destroy);
+    d->targets = target_table_new();
+    return d->targets != NULL && balance_init(&d->balance, "load", random);
+}
+
+void
+dispatch_destroy(struct dispatch *d)
+{
+    g_hash_table_destroy(d->services);
+    target_table_destroy(d->targets);
+}
+
+struct dispatch_service *
+dispatch_find(struct dispatch *d, const char *id)
+{
+    return g_hash_table_lookup(d->services, id);
+}
+
+static struct dispatch_service *
+service_new(struct dispatch *d, const char *id)
+{
+    struct dispatch_service *svc = calloc(1, sizeof(*svc));
+    struct admission_limits limits = {.queue = d->queue_limit};
+
+    if (svc == NULL) {
+        return NULL;
+    }
+    svc->admission = admission_new(&limits, d->random);
+    if (svc->admission == NULL) {
+        free(svc);
+        return NULL;
+    }
+    memcpy(svc->id, id, sizeof(svc->id));
+    list_init(&svc->active);
+    list_init(&svc->running);
+    retry_budget_init(&svc->retries);
+    g_hash_table_insert(d->services, svc->id, svc);
+    return svc;
+}
+
+/* Makes what is missing for the services of a view. */
+static bool
+ensure_services(struct dispatch *d, const struct config_view *view)
+{
+    for (size_t i = 0; i < view->service_count; i++) {
+        const char *id = view->services[i].id;
+
+        if (dispatch_find(d, id) == NULL && service_new(d, id) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Points every service at its targets of the new view. A service that is
+ * gone from it stays until its last job has ended. */
+static void
+refresh_services(struct dispatch *d, uint64_t now)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, d->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct dispatch_service *svc = value;
+
+        svc->targets = target_table_service(d->targets, svc->id);
+        if (svc->targets == NULL && svc->jobs == 0) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    list_for_each_safe(it, &d->active)
+    {
+        pump(d, container_of(it, struct dispatch_service, active), now);
+    }
+}
+
+bool
+dispatch_apply_view(struct dispatch *d, const struct config_view *view,
+                    uint64_t now)
+{
+    if (!ensure_services(d, view) ||
+        !target_table_apply_view(d->targets, view, now)) {
+        return false;
+    }
+    refresh_services(d, now);
+    return true;
+}
+
+/* Unlinks a job from its service; it is the owner's again. */
+static void
+release(struct job *job)
+{
+    list_remove(&job->link);
+    job->state = JOB_IDLE;
+    job->svc->jobs--;
+    if (job->svc->jobs == 0) {
+        list_remove(&job->svc->active);
+    }
+}
+
+static void
+fail(struct dispatch *d, struct job *job, enum error_kind kind, bool not_run,
+     uint32_t retry_after_ms)
+{
+    release(job);
+    d->ops->failed(d->ctx, job, kind, not_run, retry_after_ms);
+}
+
+/* Remembers the target of a try, so that no other try goes there. */
+static void
+mark_tried(struct job *job)
+{
+    struct balance_request *pick = &job->pick;
+
+    if (pick->tried_count < BALANCE_TRIED_MAX) {
+        pick->tried[pick->tried_count] = job->target;
+        pick->tried_count++;
+    }
+}
+
+/* A target that a running download is read from; it may be leaving. */
+static struct target_state *
+pick_pinned(const struct job *job, uint64_t now)
+{
+    struct target_state *t;
+
+    if (!job->pinned || job->bound == 0 || job->pick.tried_count > 0) {
+        return NULL;
+    }
+    t = service_targets_by_hash(job->svc->targets, job->bound);
+    if (t == NULL || !t->leaving || t->health.wrong_service ||
+        !slot_window_open(t, now)) {
+        return NULL;
+    }
+    return t;
+}
+
+static struct target_state *
+pick_target(struct dispatch *d, struct job *job, uint64_t now,
+            enum balance_result *result)
+{
+    struct target_state *t;
+
+    if (job->svc->targets == NULL || job->svc->targets->count == 0) {
+        *result = BALANCE_NO_TARGET;
+        return NULL;
+    }
+    t = pick_pinned(job, now);
+    if (t != NULL) {
+        *result = BALANCE_PICKED;
+        return t;
+    }
+    return balance_pick(&d->balance, job->svc->targets, &job->pick, now,
+                        result);
+}
+
+/* Undoes a start that sent nothing. */
+static void
+undo_start(struct job *job)
+{
+    target_finish(job->target);
+    job->target = NULL;
+}
+
+/* Sends a job to a target. Returns false when nothing was sent. */
+static bool
+start(struct dispatch *d, struct job *job, struct target_state *t,
+      uint64_t now)
+{
+    job->target = t;
+    job->started_us = now;
+    target_start(t);
+    slot_window_on_start(t, now);
+    health_on_start(t, now);
+    if (!d->ops->send(d->ctx, job)) {
+        mark_tried(job);
+        undo_start(job);
+        return false;
+    }
+    job->state = JOB_RUNNING;
+    list_remove(&job->link);
+    list_push_back(&job->svc->running, &job->link);
+    return true;
+}
+
+/* Tries to start a job now. BALANCE_FULL and BALANCE_NO_TARGET leave it
+ * where it was. */
+static enum balance_result
+try_start(struct dispatch *d, struct job *job, uint64_t now)
+{
+    enum balance_result result;
+
+    for (size_t i = 0; i <= BALANCE_TRIED_MAX; i++) {
+        struct target_state *t = pick_target(d, job, now, &result);
+
+        if (t == NULL) {
+            return result;
+        }
+        if (start(d, job, t, now)) {
+            return BALANCE_PICKED;
+        }
+    }
+    return BALANCE_FULL;
+}
+
+static void
+expire(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
+{
+    struct admission_entry *entry;
+
+    while ((entry = admission_expired(svc->admission, now)) != NULL) {
+        struct job *job = container_of(entry, struct job, entry);
+
+        fail(d, job, ERR_DEADLINE, true,
+             admission_retry_after_ms(svc->admission, job->class, now));
+    }
+}
+
+/* Starts waiting jobs while targets can take them. */
+static void
+pump(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
+{
+    struct admission_entry *entry;
+
+    expire(d, svc, now);
+    while ((entry = admission_next(svc->admission, now)) != NULL) {
+        struct job *job = container_of(entry, struct job, entry);
+        enum balance_result result = try_start(d, job, now);
+
+        if (result == BALANCE_PICKED) {
+            continue;
+        }
+        if (result == BALANCE_FULL) {
+            admission_unget(svc->admission, entry, now);
+            return;
+        }
+        fail(d, job, ERR_NO_TARGET, true,
+             admission_retry_after_ms(svc->admission, job->class, now));
+    }
+}
+
+static void
+init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc, uint64_t now)
+{
+    list_init(&job->link);
+    list_init(&job->entry.link);
+    job->svc = svc;
+    job->target = NULL;
+    job->arrived_us = now;
+    job->started_us = 0;
+    job->state = JOB_WAITING;
+    memset(&job->pick, 0, sizeof(job->pick));
+    job->pick.flow_hash = job->flow_hash;
+    job->pick.class = job->class;
+    job->pick.bound = job->bound;
+    if (svc->jobs == 0) {
+        list_push_back(&d->active, &svc->active);
+    }
+    svc->jobs++;
+}
+
+void
+dispatch_submit(struct dispatch *d, struct dispatch_service *svc,
+                struct job *job, uint64_t now)
+{
+    uint32_t retry_after_ms = 0;
+    enum error_kind kind;
+
+    init_job(d, job, svc, now);
+    if (svc->targets == NULL) {
+        fail(d, job, ERR_NO_SERVICE, true, 0);
+        return;
+    }
+    kind = admission_offer(svc->admission, &job->entry, job->tenant,
+                           job->class, job->deadline_us, now, &retry_after_ms);
+    if (kind != ERR_NONE) {
+        fail(d, job, kind, true, retry_after_ms);
+        return;
+    }
+    retry_budget_deposit(&svc->retries);
+    pump(d, svc, now);
+}
+
+/* Feeds what a try has shown to the target's live state. */
+static void
+learn(struct dispatch *d, struct job *job, const struct job_result *result,
+      uint64_t now)
+{
+    struct target_state *t = job->target;
+    uint64_t took = now - job->started_us;
+    enum health_change change;
+
+    target_finish(t);
+    if (result->kind == ERR_TARGET_TIMEOUT && took < TIMEOUT_EVIDENCE_US) {
+        return;
+    }
+    if (result->kind != ERR_NONE) {
+        change = health_on_failure(t, d->random, now);
+        if (change == HEALTH_DOWN) {
+            d->ops->health(d->ctx, t, false, error_kind_name(result->kind));
+        }
+        return;
+    }
+    if (result->has_load) {
+        target_record_load(t, result->running, result->slots, result->queued,
+                           now);
+    }
+    change = health_on_success(t);
+    if (change == HEALTH_UP) {
+        d->ops->health(d->ctx, t, true, "request answered");
+    }
+    if (result->refused) {
+        slot_window_on_shed(t, d->random, now);
+        return;
+    }
+    target_record_latency(t, took);
+    slot_window_on_answer(t, now);
+    admission_completed(job->svc->admission, job->class, took);
+}
+
+/* Whether another target may get the request: one that may not be repeated
+ * only when the first provably did not take it. */
+static bool
+may_try_again(const struct job *job, const struct job_result *result,
+              uint64_t now)
+{
+    bool untouched = result->refused || !result->sent;
+
+    if (now >= job->deadline_us) {
+        return false;
+    }
+    if (job->pick.tried_count >= BALANCE_TRIED_MAX) {
+        return false;
+    }
+    return untouched || job->repeatable;
+}
+
+/* Puts a job back to wait for another target. Returns false when it ended
+ * instead. */
+static bool
+try_again(struct dispatch *d, struct job *job, uint64_t now)
+{
+    enum balance_result result;
+
+    job->state = JOB_WAITING;
+    list_remove(&job->link);
+    result = try_start(d, job, now);
+    if (result == BALANCE_PICKED) {
+        return true;
+    }
+    return false;
+}
+
+bool
+dispatch_result(struct dispatch *d, struct job *job,
+                const struct job_result *result, uint64_t now)
+{
+    struct dispatch_service *svc = job->svc;
+    bool untouched = result->refused || !result->sent;
+    bool answered = result->kind == ERR_NONE && !result->refused;
+    struct target_state *t = job->target;
+
+    assert(job->state == JOB_RUNNING);
+    target_ref(t);
+    learn(d, job, result, now);
+    mark_tried(job);
+    job->target = NULL;
+    if (answered) {
+        release(job);
+        pump(d, svc, now);
+    }
+    else if (may_try_again(job, result, now) &&
+             retry_budget_withdraw(&svc->retries) && try_again(d, job, now)) {
+        answered = false;
+    }
+    else {
+        fail(d, job, result->refused ? ERR_TARGET_REFUSED : result->kind,
+             untouched,
+             admission_retry_after_ms(svc->admission, job->class, now));
+        pump(d, svc, now);
+    }
+    target_unref(t);
+    return answered;
+}
+
+void
+dispatch_cancel(struct dispatch *d, struct job *job, uint64_t now)
+{
+    struct dispatch_service *svc = job->svc;
+
+    if (job->state == JOB_IDLE) {
+        return;
+    }
+    if (job->state == JOB_WAITING) {
+        admission_remove(svc->admission, &job->entry);
+        release(job);
+        return;
+    }
+    d->ops->cancel(d->ctx, job);
+    target_finish(job->target);
+    job->target = NULL;
+    release(job);
+    pump(d, svc, now);
+}
+
+/* Ends running jobs past their deadline: the target may still be at work, so
+ * one that may not be repeated has an unknown outcome. */
+static void
+expire_running(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
+{
+    list_for_each_safe(it, &svc->running)
+    {
+        struct job *job = container_of(it, struct job, link);
+        struct job_result result = {.kind = ERR_TARGET_TIMEOUT, .sent = true};
+
+        if (now < job->deadline_us) {
+            continue;
+        }
+        d->ops->cancel(d->ctx, job);
+        dispatch_result(d, job, &result, now);
+    }
+}
+
+uint64_t
+dispatch_tick(struct dispatch *d, uint64_t now)
+{
+    list_for_each_safe(it, &d->active)
+    {
+        struct dispatch_service *svc =
+            container_of(it, struct dispatch_service, active);
+
+        expire_running(d, svc, now);
+        pump(d, svc, now);
+        if (svc->targets == NULL && svc->jobs == 0) {
+            g_hash_table_remove(d->services, svc->id);
+        }
+    }
+    return now + (list_empty(&d->active) ? TICK_IDLE_US : TICK_BUSY_US);
+}
+
+struct target_state *
+dispatch_pick_stream(struct dispatch *d, struct dispatch_service *svc,
+                     uint64_t flow_hash, uint32_t bound, uint64_t now)
+{
+    struct balance_request pick = {
+        .flow_hash = flow_hash, .class = CLASS_STREAM, .bound = bound};
+    enum balance_result result;
+
+    if (svc->targets == NULL || svc->targets->count == 0) {
+        return NULL;
+    }
+    return balance_pick(&d->balance, svc->targets, &pick, now, &result);
+}
--- /dev/null
+++ b/src/coordination/home.c
@@ -0,0 +1,112 @@
+#include "coordination/home.h"
+
+/* Without a Request-Tag a flow carries one request, recorded under this
+ * id. */
+#define SINGLE_REQUEST_ID 1
+
+static bool
+is_own_address(const struct home *home, const struct flow_token *token)
+{
+    return token->home_addr == home->addr && token->home_port == home->port;
+}
+
+/* A request without an id: the flow covers just one, and a second one under
+ * the same token was not run and gets a token of its own. */
+static enum home_action
+check_single(const struct flow *flow, const struct home_request *request)
+{
+    if (flow->single_used && flow->single_key != request->single_key) {
+        return HOME_CHALLENGE;
+    }
+    return HOME_DELIVER;
+}
+
+static enum home_action
+action_of_record(const struct request_record *record)
+{
+    return record->state == RECORD_RUNNING ? HOME_IN_PROGRESS : HOME_REPEAT;
+}
+
+/* Decides on a request whose flow is held here. */
+static void
+decide_on_flow(const struct home *home, const struct home_request *request,
+               struct home_verdict *verdict)
+{
+    struct flow *flow = verdict->flow;
+
+    verdict->id = request->id;
+    if (request->id == 0) {
+        verdict->action = check_single(flow, request);
+        if (verdict->action != HOME_DELIVER) {
+            return;
+        }
+        verdict->id = SINGLE_REQUEST_ID;
+    }
+    switch (flow_check(flow, verdict->id, &verdict->record)) {
+    case FLOW_DUPLICATE:
+        verdict->action = action_of_record(verdict->record);
+        return;
+    case FLOW_FORGOTTEN:
+        verdict->action = HOME_UNKNOWN;
+        return;
+    case FLOW_NEW:
+        break;
+    }
+    verdict->action =
+        home->stopping || home->stale ? HOME_REFUSE : HOME_DELIVER;
+}
+
+/* Decides on one request. A token of an earlier incarnation or generation
+ * gets no fresh token with a 4.01, because a caller may then send the same
+ * request again although its first copy ran. */
+struct home_verdict
+home_decide(struct home *home, const struct home_request *request)
+{
+    const struct flow_token *token = request->token;
+    struct home_verdict verdict = {.action = HOME_CHALLENGE};
+
+    if (token == NULL) {
+        return verdict;
+    }
+    if (token->service != request->service) {
+        verdict.action = HOME_WRONG_SERVICE;
+        return verdict;
+    }
+    if (!is_own_address(home, token)) {
+        verdict.action = HOME_RELAY;
+        return verdict;
+    }
+    if (token->incarnation == home->incarnation) {
+        verdict.flow =
+            flow_table_get(home->flows, token->slot, token->generation);
+    }
+    if (verdict.flow == NULL || verdict.flow->service != token->service) {
+        verdict.action = HOME_UNKNOWN;
+        return verdict;
+    }
+    decide_on_flow(home, request, &verdict);
+    return verdict;
+}
+
+bool
+home_open_flow(struct home *home, uint32_t service, uint32_t target,
+               uint64_t now, struct flow_token *token)
+{
+    struct flow *flow;
+
+    if (home->stopping) {
+        return false;
+    }
+    flow = flow_table_open(home->flows, service, now, &token->slot);
+    if (flow == NULL) {
+        return false;
+    }
+    flow->target = target;
+    token->service = service;
+    token->target = target;
+    token->home_addr = home->addr;
+    token->home_port = home->port;
+    token->incarnation = home->incarnation;
+    token->generation = flow->generation;
+    return true;
+}
--- /dev/null
+++ b/src/daemon/data.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "base/list.h"
+#include "base/random.h"
+#include "base/settings.h"
+#include "coordination/dispatch.h"
+#include "coordination/home.h"
+#include "protocol/packet.h"
+#include "state/config-view.h"
+#include "transport/mailbox.h"
+#include "transport/udp-socket.h"
+
+/* What the parts of the data task share. Only the data task's thread touches
+ * it. */
+
+struct answers;
+struct data_metrics;
+struct fetches;
+struct probes;
+struct relays;
+struct commands;
+struct streams;
+struct target_links;
+
+/* The socket of one service on this host. */
+struct service_port {
+    struct data_task *task;
+    uint16_t port;
+    struct udp_socket *sock;
+    char service[ID_SIZE];
+    const struct service_view *view; /* NULL once the service is gone */
+};
+
+struct data_task {
+    const struct settings *settings;
+    void *zmq_ctx;
+    pthread_t thread;
+    bool started;
+
+    struct event_base *base;
+    struct mailbox *control;
+    struct event *tick;
+    struct udp_socket *relay_sock;
+    GHashTable *ports; /* port -> struct service_port, owned */
+
+    struct config_view *view; /* NULL before the first one */
+    struct random random;
+    struct home home;
+    struct dispatch dispatch;
+
+    struct answers *answers;
+    struct commands *commands;
+    struct fetches *fetches;
+    struct probes *probes;
+    struct relays *relays;
+    struct streams *streams;
+    struct target_links *links;
+
+    uint64_t turned_us; /* last turn of the loop, for pauses */
+    uint64_t stale_until_us;
+    uint64_t stop_by_us; /* planned stop, at the latest */
+};
+
+/* Where an answer goes, and what it answers. */
+struct caller {
+    struct endpoint addr;
+    uint16_t service_port;
+    enum packet_type type;
+    uint8_t code;
+    uint16_t message_id;
+    uint8_t token[PACKET_TOKEN_MAX];
+    uint8_t token_len;
+    bool acked;         /* an empty ACK was sent: the answer is separate */
+    bool verified;      /* sent a token of ours */
+    bool relayed;       /* came through another balancer */
+    size_t request_size; /* bytes */
+    uint64_t received_us;
+};
+
+/* A caller's request as the parts get it. */
+struct inbound {
+    struct caller caller;
+    struct packet packet;
+    const struct service_port *port;
+    bool has_token;
+    struct flow_token token;
+    const uint8_t *raw; /* the datagram */
+    size_t raw_len;
+};
+
+/* Sends an event to the control task. */
+void data_event(struct data_task *task, const char *kind, const char *subject,
+                const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+/* Handles a datagram that a service's port, or another balancer, received. */
+void data_handle_datagram(struct data_task *task,
+                          const struct service_port *port,
+                          const struct endpoint *from, const uint8_t *raw,
+                          size_t size, uint64_t received_us, bool relayed);
+/* Serves a request here that needs no home, or whose home is lost. */
+void data_serve_repeatable(struct data_task *task, const struct inbound *in);
+
+const struct service_port *data_port(const struct data_task *task,
+                                     uint16_t port);
--- a/src/protocol/http-map.c
+++ b/src/protocol/http-map.c
@@ -13,8 +13,8 @@
     uint8_t code;
     const char *method;
 } methods[] = {
-    {CODE_GET, "GET"},    {CODE_FETCH, "GET"},   {CODE_POST, "POST"},
-    {CODE_PUT, "PUT"},    {CODE_PATCH, "PATCH"}, {CODE_IPATCH, "PATCH"},
+    {CODE_GET, "GET"},       {CODE_FETCH, "GET"},   {CODE_POST, "POST"},
+    {CODE_PUT, "PUT"},       {CODE_PATCH, "PATCH"}, {CODE_IPATCH, "PATCH"},
     {CODE_DELETE, "DELETE"},
 };
 
--- a/src/state/flow-table.c
+++ b/src/state/flow-table.c
@@ -65,8 +65,7 @@
 static void
 drop_records(struct flow_table *table, struct flow *flow)
 {
-    list_for_each_safe(it, &flow->records)
-    {
+    list_for_each_safe (it, &flow->records) {
         drop_record(table, container_of(it, struct request_record, in_flow));
     }
 }
@@ -105,8 +104,7 @@
 static bool
 evict_idle(struct flow_table *table, struct list *flows)
 {
-    list_for_each(it, flows)
-    {
+    list_for_each (it, flows) {
         struct flow *flow = container_of(it, struct flow, link);
 
         if (flow->running == 0) {
@@ -176,8 +174,7 @@
 flow_check(const struct flow *flow, uint64_t id,
            struct request_record **record)
 {
-    list_for_each(it, &flow->records)
-    {
+    list_for_each (it, &flow->records) {
         struct request_record *r =
             container_of(it, struct request_record, in_flow);
 
--- a/src/state/flow-table.h
+++ b/src/state/flow-table.h
@@ -53,17 +53,17 @@
 struct flow {
     struct list link; /* idle lists of the table, or free list */
     uint32_t generation;
-    uint32_t service;  /* hash of the service id */
-    uint32_t target;   /* hash of the target it is bound to, 0: none */
-    uint32_t running;  /* records in RECORD_RUNNING */
-    uint64_t floor;    /* highest id known to be too old */
-    uint64_t window;   /* bit i: id floor + 1 + i was seen */
-    uint64_t used_us;  /* monotonic time of the last use */
+    uint32_t service; /* hash of the service id */
+    uint32_t target;  /* hash of the target it is bound to, 0: none */
+    uint32_t running; /* records in RECORD_RUNNING */
+    uint64_t floor;   /* highest id known to be too old */
+    uint64_t window;  /* bit i: id floor + 1 + i was seen */
+    uint64_t used_us; /* monotonic time of the last use */
     struct list records;
     uint32_t single_key; /* message id and token of the one request that a
                           * caller without Request-Tag may send */
     bool in_use;
-    bool active;      /* got a first request under its token */
+    bool active; /* got a first request under its token */
     bool single_used;
 };
 
--- a/src/transport/target-client.c
+++ b/src/transport/target-client.c
@@ -67,8 +67,7 @@
 static void
 free_list(struct list *conns)
 {
-    list_for_each_safe(it, conns)
-    {
+    list_for_each_safe (it, conns) {
         connection_free(container_of(it, struct connection, link));
     }
 }
@@ -375,8 +374,8 @@
         const char *name;
         enum evhttp_cmd_type type;
     } methods[] = {
-        {"GET", EVHTTP_REQ_GET},       {"POST", EVHTTP_REQ_POST},
-        {"PUT", EVHTTP_REQ_PUT},       {"DELETE", EVHTTP_REQ_DELETE},
+        {"GET", EVHTTP_REQ_GET},     {"POST", EVHTTP_REQ_POST},
+        {"PUT", EVHTTP_REQ_PUT},     {"DELETE", EVHTTP_REQ_DELETE},
         {"PATCH", EVHTTP_REQ_PATCH},
     };
 
@@ -460,8 +459,7 @@
 void
 target_client_close_idle(struct target_client *tc)
 {
-    list_for_each_safe(it, &tc->idle)
-    {
+    list_for_each_safe (it, &tc->idle) {
         end_connection(container_of(it, struct connection, link));
     }
     tc->idle_count = 0;
