--- /dev/null
+++ b/tests/standins/target-conn.c
@@ -0,0 +1,172 @@
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+#include <glib.h>
+
+#include "target.h"
+
+#define STALE_SAMPLES 50    /* 5 s of samples */
+#define LENGTH_SURPLUS 64   /* bytes promised and not sent */
+#define RAW_HEADER_SIZE 256 /* bytes */
+
+static void
+conn_closed(struct evhttp_connection *evcon, void *ctx)
+{
+    struct target_conn *conn = ctx;
+
+    if (conn->work != NULL) {
+        target_work_cancel(conn->work);
+    }
+    if (conn->stream != NULL) {
+        target_stream_end(conn->stream);
+    }
+    list_remove(&conn->link);
+    conn->target->connection_count--;
+    g_free(conn);
+}
+
+/* The record of a request's connection, made on its first request. The end of
+ * the connection is watched for from then on. */
+struct target_conn *
+target_conn_of(struct target *target, struct evhttp_request *req)
+{
+    struct evhttp_connection *evcon = evhttp_request_get_connection(req);
+    struct target_conn *conn = NULL;
+
+    list_for_each (it, &target->connections) {
+        struct target_conn *c = container_of(it, struct target_conn, link);
+
+        if (c->evcon == evcon) {
+            conn = c;
+            break;
+        }
+    }
+    if (conn == NULL) {
+        conn = g_new0(struct target_conn, 1);
+        conn->target = target;
+        conn->evcon = evcon;
+        list_push_front(&target->connections, &conn->link);
+        target->connection_count++;
+    }
+    standin_request_watch_close(req, conn_closed, conn);
+    return conn;
+}
+
+/* Makes all connections of this moment silent: nothing more is read from or
+ * written to them, and they stay open. */
+void
+target_silence(struct target *target)
+{
+    list_for_each (it, &target->connections) {
+        struct target_conn *conn = container_of(it, struct target_conn, link);
+        struct bufferevent *bev =
+            evhttp_connection_get_bufferevent(conn->evcon);
+
+        conn->silent = true;
+        bufferevent_disable(bev, EV_READ | EV_WRITE);
+    }
+}
+
+void
+target_load_text(const struct target *target, char *text, size_t size)
+{
+    snprintf(text, size, "%d/%d/%d", target->running_count, target->slots,
+             target->queued_count);
+}
+
+void
+target_load_sample(struct target *target)
+{
+    target->load_head = (target->load_head + 1) % TARGET_LOAD_HISTORY;
+    target_load_text(target, target->load_history[target->load_head],
+                     TARGET_LOAD_TEXT_SIZE);
+}
+
+void
+target_add_load_header(struct target *target, struct evhttp_request *req)
+{
+    char text[TARGET_LOAD_TEXT_SIZE];
+    const char *load = text;
+
+    target_load_text(target, text, sizeof(text));
+    if (target->faults.lie_load[0] != '\0') {
+        load = target->faults.lie_load;
+    }
+    else if (target->faults.stale_load) {
+        unsigned past =
+            target->load_head + TARGET_LOAD_HISTORY - STALE_SAMPLES;
+
+        load = target->load_history[past % TARGET_LOAD_HISTORY];
+    }
+    evhttp_add_header(evhttp_request_get_output_headers(req), "X-Load",
+                      load[0] != '\0' ? load : text);
+}
+
+/* Writes an answer that ends too early: half of the body, or all of it under
+ * a Content-Length that is too large. */
+static void
+reply_broken(struct target *target, struct evhttp_request *req, int code,
+             struct evbuffer *body)
+{
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
+    int fd = bufferevent_getfd(bev);
+    size_t len = evbuffer_get_length(body);
+    size_t sent = target->faults.reset ? len / 2 : len;
+    size_t promised = target->faults.reset ? len : len + LENGTH_SURPLUS;
+    char header[RAW_HEADER_SIZE];
+    int n = snprintf(header, sizeof(header),
+                     "HTTP/1.1 %d OK\r\nContent-Length: %zu\r\n\r\n", code,
+                     promised);
+
+    if (send(fd, header, (size_t)n, MSG_NOSIGNAL) > 0) {
+        (void)!send(fd, evbuffer_pullup(body, -1), sent, MSG_NOSIGNAL);
+    }
+    standin_request_abort(req);
+}
+
+/* Sends an answer with the headers set so far. The body is left empty. */
+void
+target_reply(struct target *target, struct evhttp_request *req, int code,
+             struct evbuffer *body)
+{
+    struct target_conn *conn;
+
+    if (evhttp_request_get_connection(req) == NULL) {
+        evhttp_send_reply_end(req);
+        return;
+    }
+    conn = target_conn_of(target, req);
+    conn->work = NULL;
+    if (conn->silent) {
+        bufferevent_disable(evhttp_connection_get_bufferevent(conn->evcon),
+                            EV_READ | EV_WRITE);
+        return;
+    }
+    if ((target->faults.reset || target->faults.wrong_length) &&
+        code < HTTP_BADREQUEST) {
+        reply_broken(target, req, code, body);
+        return;
+    }
+    bufferevent_disable(evhttp_connection_get_bufferevent(conn->evcon),
+                        EV_READ);
+    evhttp_add_header(evhttp_request_get_output_headers(req), "X-Target",
+                      target->id);
+    target_add_load_header(target, req);
+    evhttp_send_reply(req, code, NULL, body);
+}
+
+/* Sheds a request that has not been begun. */
+void
+target_refuse(struct target *target, struct evhttp_request *req)
+{
+    struct evbuffer *body = evbuffer_new();
+
+    evhttp_add_header(evhttp_request_get_output_headers(req), "X-Outcome",
+                      "not_run");
+    evbuffer_add_printf(body, "not run\n");
+    target_reply(target, req, HTTP_UNAVAILABLE, body);
+    evbuffer_free(body);
+}
