--- a/tests/standins/target.h
+++ b/tests/standins/target.h
@@ -12,8 +12,7 @@
 #include "standin-common.h"
 
 #define TARGET_LOAD_TEXT_SIZE 48
-#define TARGET_LOAD_HISTORY 64 /* samples of the load, LOAD_SAMPLE_MS apart   \
-                                */
+#define TARGET_LOAD_HISTORY 64 /* samples of the load */
 
 #define HTTP_PARTIAL 206
 #define HTTP_PRECONDITION 412
