--- a/src/protocol/token.h
+++ b/src/protocol/token.h
@@ -8,7 +8,8 @@
 
 /* The flow token: the value of the Echo option (RFC 9175). It names the
  * flow's home and its slot there and is authenticated with a keyed MAC
- * (libsodium), so any balancer can route by it without a table. */
+ * (libsodium), so any balancer can route by it without a table. The process
+ * calls sodium_init() before its tasks start. */
 
 #define TOKEN_SIZE 39 /* bytes, sealed */
 
--- /dev/null
+++ b/tests/unit/test-error-table.c
@@ -0,0 +1,70 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "protocol/error-table.h"
+
+#define CODE_CLASS(code) ((code) >> 5)
+
+/* Every kind has a row whose parts agree with each other. */
+static void
+test_rows(void **state)
+{
+    for (int kind = 0; kind < ERR_KIND_COUNT; kind++) {
+        const struct error_answer *row = error_answer((enum error_kind)kind);
+
+        assert_non_null(row->text);
+        if (kind == ERR_NONE) {
+            continue;
+        }
+        assert_in_range(row->http_status, 400, 504);
+        if (row->coap_code == 0) {
+            assert_int_equal(row->outcome, OUTCOME_NONE);
+            continue;
+        }
+        assert_in_range(CODE_CLASS(row->coap_code), 4, 5);
+        if (row->outcome == OUTCOME_UNKNOWN) {
+            assert_int_equal(CODE_CLASS(row->coap_code), 5);
+        }
+    }
+}
+
+/* Kinds of which it matters for safety what they say. */
+static const struct {
+    enum error_kind kind;
+    enum packet_outcome outcome;
+} outcomes[] = {
+    {ERR_TARGET_REFUSED, OUTCOME_NOT_RUN},
+    {ERR_OVERLOADED, OUTCOME_NOT_RUN},
+    {ERR_STOPPING, OUTCOME_NOT_RUN},
+    {ERR_TARGET_LOST, OUTCOME_UNKNOWN},
+    {ERR_TARGET_TIMEOUT, OUTCOME_UNKNOWN},
+    {ERR_TARGET_BAD_ANSWER, OUTCOME_UNKNOWN},
+    {ERR_HOME_LOST, OUTCOME_UNKNOWN},
+    {ERR_NO_MEMORY, OUTCOME_UNKNOWN},
+    {ERR_BAD_OPTION, OUTCOME_NONE},
+    {ERR_WRONG_SERVICE, OUTCOME_NONE},
+};
+
+static void
+test_outcomes(void **state)
+{
+    for (size_t i = 0; i < sizeof(outcomes) / sizeof(*outcomes); i++) {
+        assert_int_equal(error_answer(outcomes[i].kind)->outcome,
+                         outcomes[i].outcome);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_rows),
+        cmocka_unit_test(test_outcomes),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test-token.c
@@ -0,0 +1,137 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "protocol/token.h"
+
+#define COUNT(array) (sizeof(array) / sizeof(*(array)))
+
+static const struct key_ring ring_old = {
+    .count = 1, .keys = {{.id = 1, .secret = "the old secret"}}};
+static const struct key_ring ring_both = {
+    .count = 2,
+    .keys = {{.id = 2, .secret = "the new secret"},
+             {.id = 1, .secret = "the old secret"}}};
+static const struct key_ring ring_new = {
+    .count = 1, .keys = {{.id = 2, .secret = "the new secret"}}};
+static const struct key_ring ring_reused_id = {
+    .count = 1, .keys = {{.id = 1, .secret = "another secret"}}};
+static const struct key_ring ring_empty = {.count = 0};
+
+static const struct token tokens[] = {
+    {0},
+    {.service = 0x01020304,
+     .target = 0x0a0b0c,
+     .home_addr = 0x7f000102,
+     .home_port = 7401,
+     .incarnation = 0x1122334455,
+     .slot = 299999,
+     .generation = 7},
+    {.service = UINT32_MAX,
+     .target = 0xffffff,
+     .home_addr = UINT32_MAX,
+     .home_port = UINT16_MAX,
+     .incarnation = 0xffffffffffULL,
+     .slot = UINT32_MAX,
+     .generation = UINT32_MAX},
+};
+
+static void
+assert_tokens_equal(const struct token *a, const struct token *b)
+{
+    assert_int_equal(a->service, b->service);
+    assert_int_equal(a->target, b->target);
+    assert_int_equal(a->home_addr, b->home_addr);
+    assert_int_equal(a->home_port, b->home_port);
+    assert_true(a->incarnation == b->incarnation);
+    assert_int_equal(a->slot, b->slot);
+    assert_int_equal(a->generation, b->generation);
+}
+
+static void
+test_round_trips(void **state)
+{
+    for (size_t i = 0; i < COUNT(tokens); i++) {
+        uint8_t sealed[TOKEN_SIZE];
+        struct token opened;
+
+        token_seal(&tokens[i], &ring_both, sealed);
+        assert_true(token_open(&opened, &ring_both, sealed, TOKEN_SIZE));
+        assert_tokens_equal(&opened, &tokens[i]);
+    }
+}
+
+/* Which ring opens what another ring sealed. */
+static const struct {
+    const struct key_ring *sealer;
+    const struct key_ring *opener;
+    bool opens;
+} key_cases[] = {
+    {&ring_old, &ring_old, true},    {&ring_old, &ring_both, true},
+    {&ring_old, &ring_new, false},   {&ring_old, &ring_reused_id, false},
+    {&ring_both, &ring_new, true},   {&ring_both, &ring_old, false},
+    {&ring_old, &ring_empty, false},
+};
+
+static void
+test_keys(void **state)
+{
+    for (size_t i = 0; i < COUNT(key_cases); i++) {
+        uint8_t sealed[TOKEN_SIZE];
+        struct token opened;
+
+        token_seal(&tokens[1], key_cases[i].sealer, sealed);
+        assert_int_equal(
+            token_open(&opened, key_cases[i].opener, sealed, TOKEN_SIZE),
+            key_cases[i].opens);
+    }
+}
+
+/* Any single flipped bit, the key id and the MAC included, is refused. */
+static void
+test_forged(void **state)
+{
+    uint8_t sealed[TOKEN_SIZE];
+    struct token opened;
+
+    token_seal(&tokens[1], &ring_both, sealed);
+    for (size_t bit = 0; bit < TOKEN_SIZE * 8; bit++) {
+        sealed[bit / 8] ^= (uint8_t)(1 << bit % 8);
+        assert_false(token_open(&opened, &ring_both, sealed, TOKEN_SIZE));
+        sealed[bit / 8] ^= (uint8_t)(1 << bit % 8);
+    }
+}
+
+static void
+test_sizes(void **state)
+{
+    uint8_t sealed[TOKEN_SIZE + 1] = {0};
+    struct token opened;
+
+    token_seal(&tokens[1], &ring_both, sealed);
+    for (size_t size = 0; size <= sizeof(sealed); size++) {
+        assert_int_equal(token_open(&opened, &ring_both, sealed, size),
+                         size == TOKEN_SIZE);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_round_trips),
+        cmocka_unit_test(test_keys),
+        cmocka_unit_test(test_forged),
+        cmocka_unit_test(test_sizes),
+    };
+
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
