--- /dev/null
+++ b/src/state/config-store.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/resource.h"
+
+/* The configuration that this balancer knows: every resource by its name,
+ * tombstones included. Records are packed, about a hundred bytes each; the
+ * ids of recent writes are not kept. */
+
+#define RESOURCE_NAME_SIZE 160 /* bytes, "target/<service>/<id>" and NUL */
+#define CONFIG_BUCKETS 64      /* digest buckets, a power of two */
+
+enum config_result {
+    CONFIG_APPLIED,
+    CONFIG_SAME,  /* this version is held already */
+    CONFIG_OLDER, /* a higher version is held; refused */
+    CONFIG_NO_MEMORY,
+};
+
+/* Summary of a store, for cheap comparison between two peers. Each bucket is
+ * the exclusive or of the hashes of its (name, version) pairs. */
+struct config_digest {
+    uint64_t buckets[CONFIG_BUCKETS];
+};
+
+struct config_store;
+
+/* Called for each resource; "r" is valid during the call only. Returning
+ * false ends the walk. "revision" is the store's at the write. */
+typedef bool (*config_store_cb)(void *ctx, const struct resource *r,
+                                uint64_t revision);
+
+/* Returns NULL when memory is short. */
+struct config_store *config_store_new(void);
+void config_store_destroy(struct config_store *cs);
+
+/* Takes a copy of "r" when its version is higher than the one held.
+ * "revision" is the store's mod_revision of that write. */
+enum config_result config_store_apply(struct config_store *cs,
+                                      const struct resource *r,
+                                      uint64_t revision);
+
+/* Looks a resource up by name. Returns false when it was never seen; a
+ * tombstone is found. "revision" may be NULL. */
+bool config_store_get(const struct config_store *cs, const char *name,
+                      struct resource *out, uint64_t *revision);
+
+/* Version held under the hash of a name, 0 when none. */
+uint64_t config_store_version(const struct config_store *cs,
+                              uint64_t name_hash);
+
+void config_store_each(const struct config_store *cs, config_store_cb cb,
+                       void *ctx);
+void config_store_each_of_kind(const struct config_store *cs,
+                               enum resource_kind kind, config_store_cb cb,
+                               void *ctx);
+/* Walks one digest bucket. */
+void config_store_each_in_bucket(const struct config_store *cs,
+                                 unsigned bucket, config_store_cb cb,
+                                 void *ctx);
+
+const struct config_digest *config_store_digest(const struct config_store *cs);
+/* One number for the whole store, 0 when it is empty. */
+uint64_t config_store_checksum(const struct config_store *cs);
+
+size_t config_store_count(const struct config_store *cs);
+/* Highest revision among the resources held. */
+uint64_t config_store_revision(const struct config_store *cs);
+/* Updates refused because a higher version is held. */
+uint64_t config_store_older_count(const struct config_store *cs);
+/* Bytes of memory in use. */
+size_t config_store_bytes(const struct config_store *cs);
+
+/* Writes the name of a resource, which is also its key below the prefix in
+ * the platform's store: "service/<id>", "target/<service>/<id>". */
+void resource_name(const struct resource *r, char out[RESOURCE_NAME_SIZE]);
+uint64_t resource_name_hash(const struct resource *r);
--- /dev/null
+++ b/src/state/domain-floors.c
@@ -0,0 +1,47 @@
+#include "state/domain-floors.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static struct domain_floor *
+find(struct domain_floors *df, const char *domain)
+{
+    for (size_t i = 0; i < df->count; i++) {
+        if (strcmp(df->floors[i].domain, domain) == 0) {
+            return &df->floors[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+domain_floors_raise(struct domain_floors *df, const char *domain,
+                    uint64_t revision)
+{
+    struct domain_floor *floor = find(df, domain);
+
+    if (floor == NULL) {
+        if (df->count == DOMAIN_FLOORS_MAX) {
+            return false;
+        }
+        floor = &df->floors[df->count];
+        df->count++;
+        snprintf(floor->domain, sizeof(floor->domain), "%s", domain);
+        floor->revision = revision;
+        return true;
+    }
+    if (revision <= floor->revision) {
+        return false;
+    }
+    floor->revision = revision;
+    return true;
+}
+
+uint64_t
+domain_floors_get(const struct domain_floors *df, const char *domain)
+{
+    const struct domain_floor *floor =
+        find((struct domain_floors *)df, domain);
+
+    return floor == NULL ? 0 : floor->revision;
+}
--- /dev/null
+++ b/tests/unit/test-config-store.c
@@ -0,0 +1,168 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "config-fixture.h"
+#include "state/config-store.h"
+
+#define RESOURCES_MANY 30000
+#define BYTES_MANY_MAX (6 * 1024 * 1024) /* "a few MB" */
+
+struct step {
+    uint64_t version;
+    bool deleted;
+    enum config_result result;
+    uint64_t held; /* version afterwards */
+};
+
+/* Only a higher version is taken, also over a tombstone and in any order. */
+static void
+test_only_higher_versions(void **state)
+{
+    const struct step steps[] = {
+        {2, false, CONFIG_APPLIED, 2}, {2, false, CONFIG_SAME, 2},
+        {1, false, CONFIG_OLDER, 2},   {4, true, CONFIG_APPLIED, 4},
+        {3, false, CONFIG_OLDER, 4},   {4, false, CONFIG_SAME, 4},
+        {5, false, CONFIG_APPLIED, 5},
+    };
+    struct config_store *cs = config_store_new();
+    struct resource got;
+    uint64_t revision = 0;
+
+    assert_false(config_store_get(cs, "target/s/t", &got, NULL));
+    for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
+        const struct step *s = &steps[i];
+        struct resource r = make_target("s", "t", s->version, 7, s->deleted);
+
+        assert_int_equal(config_store_apply(cs, &r, 100 + s->version),
+                         s->result);
+        assert_true(config_store_get(cs, "target/s/t", &got, &revision));
+        assert_int_equal(got.version, s->held);
+        assert_int_equal(revision, 100 + s->held);
+        assert_int_equal(config_store_version(cs, id_hash("target/s/t")),
+                         s->held);
+    }
+    assert_int_equal(config_store_older_count(cs), 2);
+    assert_int_equal(config_store_count(cs), 1);
+    assert_int_equal(config_store_revision(cs), 105);
+    config_store_destroy(cs);
+}
+
+/* Every field of every kind survives packing. */
+static void
+test_fields_survive(void **state)
+{
+    struct resource rs[4] = {make_service("live", 3, "karen,westlands"),
+                             make_target("live", "t1", 9, 0x7f000001, true)};
+    struct config_store *cs = config_store_new();
+
+    rs[0].service.tenant_in_path = true;
+    rs[1].target.state = ADMIN_DRAINING;
+    rs[2].kind = RESOURCE_HOST;
+    rs[2].version = 1;
+    strcpy(rs[2].id, "host-1");
+    strcpy(rs[2].host.domain, "karen");
+    rs[2].host.addr = 0x7f000101;
+    rs[2].host.state = ADMIN_DRAINING;
+    rs[3].kind = RESOURCE_KEY_RING;
+    rs[3].version = 2;
+    strcpy(rs[3].id, "tokens");
+    rs[3].key_ring.count = 2;
+    rs[3].key_ring.keys[1].id = 200;
+    memset(rs[3].key_ring.keys[1].secret, 0xa5, KEY_SECRET_SIZE);
+    for (size_t i = 0; i < 4; i++) {
+        char name[RESOURCE_NAME_SIZE];
+        struct resource got;
+
+        assert_int_equal(config_store_apply(cs, &rs[i], i + 1),
+                         CONFIG_APPLIED);
+        resource_name(&rs[i], name);
+        assert_true(config_store_get(cs, name, &got, NULL));
+        got.link = rs[i].link;
+        assert_memory_equal(&got, &rs[i], sizeof(got));
+    }
+    config_store_destroy(cs);
+}
+
+static bool
+count_one(void *ctx, const struct resource *r, uint64_t revision)
+{
+    (*(size_t *)ctx)++;
+    return true;
+}
+
+/* Two stores that took the same versions in another order, with detours,
+ * have the same digest; one version apart they differ in one bucket. */
+static void
+test_digest(void **state)
+{
+    struct config_store *a = config_store_new();
+    struct config_store *b = config_store_new();
+    struct resource r;
+    size_t differing = 0;
+    size_t walked = 0;
+    char id[ID_SIZE];
+
+    assert_int_equal(config_store_checksum(a), 0);
+    for (int i = 0; i < 1000; i++) {
+        snprintf(id, sizeof(id), "t%d", i);
+        r = make_target("s", id, 2, 1, false);
+        config_store_apply(a, &r, 1);
+        snprintf(id, sizeof(id), "t%d", 999 - i);
+        r = make_target("s", id, 1, 1, false);
+        config_store_apply(b, &r, 1);
+        r = make_target("s", id, 2, 1, false);
+        config_store_apply(b, &r, 1);
+    }
+    assert_int_equal(config_store_checksum(a), config_store_checksum(b));
+    r = make_target("s", "t500", 3, 1, true);
+    config_store_apply(b, &r, 2);
+    assert_int_not_equal(config_store_checksum(a), config_store_checksum(b));
+    for (unsigned i = 0; i < CONFIG_BUCKETS; i++) {
+        differing += config_store_digest(a)->buckets[i] !=
+                     config_store_digest(b)->buckets[i];
+        config_store_each_in_bucket(a, i, count_one, &walked);
+    }
+    assert_int_equal(differing, 1);
+    assert_int_equal(walked, 1000);
+    config_store_destroy(a);
+    config_store_destroy(b);
+}
+
+static void
+test_memory(void **state)
+{
+    struct config_store *cs = config_store_new();
+    size_t walked = 0;
+
+    for (int i = 0; i < RESOURCES_MANY; i++) {
+        char id[ID_SIZE];
+        struct resource r;
+
+        snprintf(id, sizeof(id), "target-%05d", i);
+        r = make_target("jibu-live", id, 1, (uint32_t)i, false);
+        config_store_apply(cs, &r, (uint64_t)i);
+    }
+    config_store_each_of_kind(cs, RESOURCE_TARGET, count_one, &walked);
+    assert_int_equal(walked, RESOURCES_MANY);
+    print_message("%zu bytes a resource\n",
+                  config_store_bytes(cs) / RESOURCES_MANY);
+    assert_true(config_store_bytes(cs) <= BYTES_MANY_MAX);
+    config_store_destroy(cs);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_only_higher_versions),
+        cmocka_unit_test(test_fields_survive),
+        cmocka_unit_test(test_digest),
+        cmocka_unit_test(test_memory),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
