--- a/src/state/resource.h
+++ b/src/state/resource.h
@@ -80,8 +80,10 @@
     struct list link;
     enum resource_kind kind;
     char id[ID_SIZE];
+    /* A tombstone. It keeps its fields: the address of a deleted target must
+     * be known until no balancer can still use it. */
+    bool deleted;
     uint64_t version; /* rises by one with each accepted write, from 1 */
-    bool deleted;     /* a tombstone: id and version count, the rest not */
     size_t write_count;
     char writes[RECENT_WRITES_MAX][WRITE_ID_SIZE]; /* newest first */
     union {
