--- a/src/main.c
+++ b/src/main.c
@@ -1,8 +1,54 @@
 #include <stdio.h>
+#include <string.h>
+
+#include "daemon/commands.h"
+
+#define EXIT_USAGE 2
+
+struct command {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *summary;
+};
+
+static const struct command commands[] = {
+    {"serve", cmd_serve, "run a balancer"},
+    {"check-config", cmd_check_config, "check a settings file"},
+};
+
+static void
+print_usage(FILE *out)
+{
+    fprintf(out, "usage: pimentohaven COMMAND [ARGUMENT...]\n"
+                 "       pimentohaven --help | --version\n\n"
+                 "commands:\n");
+    for (size_t i = 0; i < sizeof(commands) / sizeof(*commands); i++) {
+        fprintf(out, "  %-14s%s\n", commands[i].name, commands[i].summary);
+    }
+    fprintf(out, "\n\"pimentohaven COMMAND --help\" describes a command.\n");
+}
 
 int
 main(int argc, char **argv)
 {
-    printf("pimentohaven %s\n", PIMENTOHAVEN_VERSION);
-    return 0;
+    if (argc < 2) {
+        print_usage(stderr);
+        return EXIT_USAGE;
+    }
+    if (strcmp(argv[1], "--help") == 0) {
+        print_usage(stdout);
+        return 0;
+    }
+    if (strcmp(argv[1], "--version") == 0) {
+        printf("pimentohaven %s\n", PIMENTOHAVEN_VERSION);
+        return 0;
+    }
+    for (size_t i = 0; i < sizeof(commands) / sizeof(*commands); i++) {
+        if (strcmp(argv[1], commands[i].name) == 0) {
+            return commands[i].run(argc - 1, argv + 1);
+        }
+    }
+    fprintf(stderr, "pimentohaven: unknown command \"%s\"\n", argv[1]);
+    print_usage(stderr);
+    return EXIT_USAGE;
 }
