--- /dev/null
+++ b/src/coordination/health.c
@@ -0,0 +1,172 @@
+#include "coordination/health.h"
+
+#include "base/clock.h"
+
+#define FAILURES_TO_EJECT 3  /* consecutive, on real requests */
+#define PROBE_FAILURES_MAX 3 /* consecutive */
+#define EJECTION_BASE_US (2 * USEC_PER_SEC)
+#define EJECTION_DOUBLINGS_MAX 5 /* 64 s at most, without jitter */
+
+/* True while real requests keep the target out: during the back-off, and
+ * during the one trial request that follows it. */
+static bool
+is_ejected(const struct target_health *h, uint64_t now)
+{
+    return h->trial || now < h->ejected_until_us;
+}
+
+/* A balancer that cannot reach most targets, or a health endpoint that broke
+ * everywhere at once, must not empty the service. */
+struct health_trust
+health_trust_of(struct target_state *const *targets, size_t count,
+                uint64_t now)
+{
+    size_t present = 0;
+    size_t probe_bad = 0;
+    size_t ejected = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct target_state *t = targets[i];
+
+        if (t->leaving || !t->health.verified) {
+            continue;
+        }
+        present++;
+        probe_bad += t->health.probe_bad ? 1 : 0;
+        ejected += is_ejected(&t->health, now) ? 1 : 0;
+    }
+    return (struct health_trust){
+        .probes = probe_bad * 2 <= present,
+        .ejections = ejected * 2 <= present,
+    };
+}
+
+bool
+health_usable(const struct target_state *t, const struct health_trust *trust,
+              uint64_t now)
+{
+    const struct target_health *h = &t->health;
+
+    if (t->removed || t->leaving || !h->verified || h->wrong_service) {
+        return false;
+    }
+    if (trust->ejections && is_ejected(h, now)) {
+        return false;
+    }
+    return !trust->probes || !h->probe_bad;
+}
+
+void
+health_on_start(struct target_state *t, uint64_t now)
+{
+    struct target_health *h = &t->health;
+
+    if (h->ejected_until_us != 0 && now >= h->ejected_until_us) {
+        h->trial = true;
+    }
+}
+
+enum health_change
+health_on_success(struct target_state *t)
+{
+    struct target_health *h = &t->health;
+    bool was_ejected = h->ejected_until_us != 0;
+
+    h->failures = 0;
+    h->ejections = 0;
+    h->ejected_until_us = 0;
+    h->trial = false;
+    return was_ejected ? HEALTH_UP : HEALTH_SAME;
+}
+
+/* Back-off of the next ejection, with jitter of a quarter either way so that
+ * balancers do not try a target again at the same moment. */
+static uint64_t
+ejection_us(const struct target_health *h, struct random *random)
+{
+    uint32_t doublings = h->ejections;
+    double jitter = 0.75 + random_unit(random) / 2;
+
+    if (doublings > EJECTION_DOUBLINGS_MAX) {
+        doublings = EJECTION_DOUBLINGS_MAX;
+    }
+    return (uint64_t)((double)(EJECTION_BASE_US << doublings) * jitter);
+}
+
+/* A failed trial ejects at once; requests that were under way when the target
+ * was ejected do not prolong the back-off. */
+enum health_change
+health_on_failure(struct target_state *t, struct random *random, uint64_t now)
+{
+    struct target_health *h = &t->health;
+    bool was_ejected = h->ejected_until_us != 0;
+
+    h->failures++;
+    if (was_ejected && !h->trial) {
+        return HEALTH_SAME;
+    }
+    if (!h->trial && h->failures < FAILURES_TO_EJECT) {
+        return HEALTH_SAME;
+    }
+    h->ejected_until_us = now + ejection_us(h, random);
+    h->ejections++;
+    h->trial = false;
+    return was_ejected ? HEALTH_SAME : HEALTH_DOWN;
+}
+
+static enum health_change
+on_probe_failure(struct target_health *h)
+{
+    h->probe_failures++;
+    if (h->probe_bad || h->probe_failures < PROBE_FAILURES_MAX) {
+        return HEALTH_SAME;
+    }
+    h->probe_bad = true;
+    return HEALTH_DOWN;
+}
+
+/* A good probe never ends an ejection: only a real request does. */
+enum health_change
+health_on_probe(struct target_state *t, const struct health_probe *probe,
+                uint64_t now)
+{
+    struct target_health *h = &t->health;
+    bool was_up = h->verified && !h->probe_bad;
+
+    if (!probe->answered) {
+        return on_probe_failure(h);
+    }
+    if (!probe->names_service) {
+        bool first = !h->wrong_service;
+
+        h->verified = false;
+        h->wrong_service = true;
+        return first ? HEALTH_WRONG_SERVICE : HEALTH_SAME;
+    }
+    h->verified = true;
+    h->wrong_service = false;
+    h->probe_bad = false;
+    h->probe_failures = 0;
+    t->warming = probe->warming;
+    t->leaving = t->leaving || probe->leaving;
+    if (probe->load_known) {
+        target_record_load(t, probe->running, probe->slots, probe->queued,
+                           now);
+    }
+    return was_up ? HEALTH_SAME : HEALTH_UP;
+}
+
+bool
+health_is_prober(const struct target_state *t, uint64_t self,
+                 const uint64_t *members, size_t member_count, size_t copies)
+{
+    uint64_t own = random_mix(t->hash, self);
+    size_t ahead = 0;
+
+    for (size_t i = 0; i < member_count; i++) {
+        if (members[i] != self && random_mix(t->hash, members[i]) > own) {
+            ahead++;
+        }
+    }
+    return ahead < copies;
+}
--- /dev/null
+++ b/src/coordination/health.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/random.h"
+#include "state/target-table.h"
+
+/* Which targets may be used. Three sources, in order of weight: the service
+ * named by the health endpoint (binding), failures seen on real requests, and
+ * what the health endpoint says of itself. */
+
+/* Outcome of one probe of the health endpoint. */
+struct health_probe {
+    bool answered;
+    bool names_service; /* the answer names the target's service */
+    bool leaving;       /* the answer says that the target is leaving */
+    bool warming;
+    bool load_known;
+    uint32_t running;
+    uint32_t slots;
+    uint32_t queued;
+};
+
+enum health_change {
+    HEALTH_SAME,
+    HEALTH_UP,
+    HEALTH_DOWN,
+    HEALTH_WRONG_SERVICE,
+};
+
+/* What to distrust when choosing among "targets": a source that calls more
+ * than half of them bad says more of itself than of them. */
+struct health_trust {
+    bool probes;
+    bool ejections;
+};
+
+struct health_trust health_trust_of(struct target_state *const *targets,
+                                    size_t count, uint64_t now);
+
+/* True when a new request may go to the target. A leaving or removed target
+ * and one whose endpoint has not named the service are never usable. */
+bool health_usable(const struct target_state *t,
+                   const struct health_trust *trust, uint64_t now);
+
+/* A request was sent to the target: ends the back-off of an ejected one for a
+ * trial. */
+void health_on_start(struct target_state *t, uint64_t now);
+
+/* A real request was answered (also by a refusal), or failed (no connection,
+ * connection lost, no answer in time). */
+enum health_change health_on_success(struct target_state *t);
+enum health_change health_on_failure(struct target_state *t,
+                                     struct random *random, uint64_t now);
+enum health_change health_on_probe(struct target_state *t,
+                                   const struct health_probe *probe,
+                                   uint64_t now);
+
+/* True when the member "self" of a domain is among the "copies" that probe
+ * the target: the first by rendezvous rank of "members", which holds the
+ * hashes of the live balancers, with or without "self". */
+bool health_is_prober(const struct target_state *t, uint64_t self,
+                      const uint64_t *members, size_t member_count,
+                      size_t copies);
--- /dev/null
+++ b/src/state/target-table.c
@@ -0,0 +1,362 @@
+#include "state/target-table.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LATENCY_EWMA_WEIGHT 0.125 /* of the newest sample */
+#define WINDOW_INITIAL 1.0        /* requests in flight */
+
+struct target_table *
+target_table_new(void)
+{
+    struct target_table *table = calloc(1, sizeof(*table));
+
+    if (table == NULL) {
+        return NULL;
+    }
+    list_init(&table->services);
+    list_init(&table->removed);
+    return table;
+}
+
+static void
+service_targets_destroy(struct service_targets *svc)
+{
+    list_remove(&svc->link);
+    free(svc->targets);
+    free(svc);
+}
+
+/* Frees the table and all targets, also those still referred to: the requests
+ * that refer to them must be gone. */
+void
+target_table_destroy(struct target_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    list_for_each_safe (it, &table->services) {
+        struct service_targets *svc =
+            container_of(it, struct service_targets, link);
+
+        for (size_t i = 0; i < svc->count; i++) {
+            free(svc->targets[i]);
+        }
+        service_targets_destroy(svc);
+    }
+    list_for_each_safe (it, &table->removed) {
+        list_remove(it);
+        free(container_of(it, struct target_state, link));
+    }
+    free(table);
+}
+
+static struct target_state *
+target_new(const char *service, const struct target_view *tv, uint64_t now)
+{
+    struct target_state *t = calloc(1, sizeof(*t));
+
+    if (t == NULL) {
+        return NULL;
+    }
+    list_init(&t->link);
+    t->refs = 1;
+    memcpy(t->id, tv->id, sizeof(t->id));
+    memcpy(t->service, service, sizeof(t->service));
+    t->hash = tv->hash;
+    t->addr = tv->addr;
+    t->port = tv->port;
+    t->first_seen_us = now;
+    t->window.size = WINDOW_INITIAL;
+    return t;
+}
+
+struct target_state *
+target_ref(struct target_state *t)
+{
+    t->refs++;
+    return t;
+}
+
+/* Drops a reference; the last one frees the target. The table holds one for
+ * as long as the target is in the view. */
+void
+target_unref(struct target_state *t)
+{
+    assert(t->refs > 0);
+    t->refs--;
+    if (t->refs == 0) {
+        list_remove(&t->link);
+        free(t);
+    }
+}
+
+static void
+target_mark_removed(struct target_table *table, struct target_state *t)
+{
+    t->removed = true;
+    list_push_back(&table->removed, &t->link);
+    target_unref(t);
+}
+
+struct service_targets *
+target_table_service(struct target_table *table, const char *service)
+{
+    list_for_each (it, &table->services) {
+        struct service_targets *svc =
+            container_of(it, struct service_targets, link);
+
+        if (strcmp(svc->id, service) == 0) {
+            return svc;
+        }
+    }
+    return NULL;
+}
+
+static int
+compare_target_id(const void *key, const void *item)
+{
+    const struct target_state *const *t = item;
+
+    return strcmp(key, (*t)->id);
+}
+
+struct target_state *
+service_targets_find(const struct service_targets *svc, const char *id)
+{
+    struct target_state **found;
+
+    if (svc->count == 0) {
+        return NULL;
+    }
+    found = bsearch(id, svc->targets, svc->count,
+                    sizeof(struct target_state *), compare_target_id);
+    return found != NULL ? *found : NULL;
+}
+
+struct target_state *
+service_targets_by_hash(const struct service_targets *svc, uint32_t hash)
+{
+    for (size_t i = 0; hash != 0 && i < svc->count; i++) {
+        if (svc->targets[i]->hash == hash) {
+            return svc->targets[i];
+        }
+    }
+    return NULL;
+}
+
+/* Finds the live state that a target of the new view keeps, or NULL. */
+static struct target_state *
+find_kept(const struct service_targets *old, const struct target_view *tv)
+{
+    struct target_state *t = NULL;
+
+    if (old != NULL) {
+        t = service_targets_find(old, tv->id);
+    }
+    if (t == NULL || t->addr != tv->addr || t->port != tv->port) {
+        return NULL;
+    }
+    return t;
+}
+
+/* Drops what build_service() made, but none of what it kept. */
+static void
+discard_service(struct service_targets *svc, const struct service_targets *old)
+{
+    for (size_t i = 0; i < svc->count; i++) {
+        struct target_state *t = svc->targets[i];
+
+        if (old == NULL || service_targets_find(old, t->id) != t) {
+            free(t);
+        }
+    }
+    service_targets_destroy(svc);
+}
+
+/* Makes the target list of a service of the new view from kept and new
+ * states, without touching the old one. */
+static struct service_targets *
+build_service(const struct service_targets *old, const struct service_view *sv,
+              uint64_t now)
+{
+    struct service_targets *svc = calloc(1, sizeof(*svc));
+
+    if (svc == NULL) {
+        return NULL;
+    }
+    list_init(&svc->link);
+    memcpy(svc->id, sv->id, sizeof(svc->id));
+    svc->targets = calloc(sv->target_count + 1, sizeof(struct target_state *));
+    for (size_t i = 0; svc->targets != NULL && i < sv->target_count; i++) {
+        struct target_state *t = find_kept(old, &sv->targets[i]);
+
+        if (t == NULL) {
+            t = target_new(sv->id, &sv->targets[i], now);
+        }
+        if (t == NULL) {
+            break;
+        }
+        svc->targets[i] = t;
+        svc->count++;
+    }
+    if (svc->targets == NULL || svc->count < sv->target_count) {
+        discard_service(svc, old);
+        return NULL;
+    }
+    return svc;
+}
+
+/* Makes all lists of the new view on "built". Returns false when memory is
+ * short, with nothing changed. */
+static bool
+build_services(struct target_table *table, const struct config_view *view,
+               struct list *built, uint64_t now)
+{
+    for (size_t i = 0; i < view->service_count; i++) {
+        const struct service_view *sv = &view->services[i];
+        struct service_targets *svc =
+            build_service(target_table_service(table, sv->id), sv, now);
+
+        if (svc != NULL) {
+            list_push_back(built, &svc->link);
+            continue;
+        }
+        list_for_each_safe (it, built) {
+            svc = container_of(it, struct service_targets, link);
+            discard_service(svc, target_table_service(table, svc->id));
+        }
+        return false;
+    }
+    return true;
+}
+
+static const struct service_view *
+find_service_view(const struct config_view *view, const char *id)
+{
+    for (size_t i = 0; i < view->service_count; i++) {
+        if (strcmp(view->services[i].id, id) == 0) {
+            return &view->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* Copies the declared values, which may change while the target stays. */
+static void
+update_declared(struct service_targets *svc, const struct service_view *sv)
+{
+    for (size_t i = 0; i < svc->count; i++) {
+        struct target_state *t = svc->targets[i];
+        const struct target_view *tv = &sv->targets[i];
+
+        t->slots = tv->slots;
+        t->connections_max = tv->connections;
+        t->leaving = tv->state == ADMIN_DRAINING;
+    }
+}
+
+/* Marks the targets of "old" that the new list does not keep. */
+static void
+remove_missing(struct target_table *table, const struct service_targets *old,
+               const struct service_targets *svc)
+{
+    for (size_t i = 0; i < old->count; i++) {
+        struct target_state *t = old->targets[i];
+
+        if (svc == NULL || service_targets_find(svc, t->id) != t) {
+            target_mark_removed(table, t);
+        }
+    }
+}
+
+/* Puts the new list in place. The structure of a service that stays keeps its
+ * address; only its contents are exchanged. */
+static void
+replace_service(struct target_table *table, struct service_targets *svc,
+                const struct config_view *view)
+{
+    struct service_targets *old = target_table_service(table, svc->id);
+
+    update_declared(svc, find_service_view(view, svc->id));
+    list_remove(&svc->link);
+    if (old == NULL) {
+        list_push_back(&table->services, &svc->link);
+        return;
+    }
+    remove_missing(table, old, svc);
+    free(old->targets);
+    old->targets = svc->targets;
+    old->count = svc->count;
+    free(svc);
+}
+
+bool
+target_table_apply_view(struct target_table *table,
+                        const struct config_view *view, uint64_t now)
+{
+    struct list built;
+
+    list_init(&built);
+    if (!build_services(table, view, &built, now)) {
+        return false;
+    }
+    list_for_each_safe (it, &built) {
+        replace_service(table, container_of(it, struct service_targets, link),
+                        view);
+    }
+    list_for_each_safe (it, &table->services) {
+        struct service_targets *svc =
+            container_of(it, struct service_targets, link);
+
+        if (find_service_view(view, svc->id) == NULL) {
+            remove_missing(table, svc, NULL);
+            service_targets_destroy(svc);
+        }
+    }
+    return true;
+}
+
+void
+target_start(struct target_state *t)
+{
+    t->in_flight++;
+    target_ref(t);
+}
+
+void
+target_finish(struct target_state *t)
+{
+    assert(t->in_flight > 0);
+    t->in_flight--;
+    target_unref(t);
+}
+
+void
+target_record_load(struct target_state *t, uint32_t running, uint32_t slots,
+                   uint32_t queued, uint64_t now)
+{
+    uint32_t busy = running + queued;
+
+    t->load = (struct target_load){
+        .known = true,
+        .at_us = now,
+        .running = running,
+        .slots = slots,
+        .queued = queued,
+        .others = busy > t->in_flight ? busy - t->in_flight : 0,
+    };
+}
+
+void
+target_record_latency(struct target_state *t, uint64_t latency_us)
+{
+    double sample = (double)latency_us;
+
+    if (t->latency_us == 0) {
+        t->latency_us = sample;
+        return;
+    }
+    t->latency_us += LATENCY_EWMA_WEIGHT * (sample - t->latency_us);
+}
