--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -265,17 +265,18 @@
     struct admission_entry *entry;
 
     expire(d, svc, now);
-    while ((entry = admission_next(svc->admission, now)) != NULL) {
+    while ((entry = admission_peek(svc->admission)) != NULL) {
         struct job *job = container_of(entry, struct job, entry);
         enum balance_result result = try_start(d, job, now);
 
-        if (result == BALANCE_PICKED) {
-            continue;
-        }
         if (result == BALANCE_FULL) {
-            admission_unget(svc->admission, entry, now);
             return;
         }
+        if (result == BALANCE_PICKED) {
+            admission_start(svc->admission, entry, now);
+            continue;
+        }
+        admission_remove(svc->admission, entry);
         fail(d, job, ERR_NO_TARGET, true,
              admission_retry_after_ms(svc->admission, job->class, now));
     }
@@ -357,7 +358,7 @@
     }
     target_record_latency(t, took);
     slot_window_on_answer(t, now);
-    admission_completed(job->svc->admission, job->class, took);
+    admission_completed(job->svc->admission, job->class, job->tenant, took);
 }
 
 /* Whether another target may get the request: one that may not be repeated
@@ -387,10 +388,7 @@
     job->state = JOB_WAITING;
     list_remove(&job->link);
     result = try_start(d, job, now);
-    if (result == BALANCE_PICKED) {
-        return true;
-    }
-    return false;
+    return result == BALANCE_PICKED;
 }
 
 bool
--- /dev/null
+++ b/src/daemon/command.c
@@ -0,0 +1,461 @@
+#include "daemon/command.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "daemon/answer.h"
+#include "daemon/inbound.h"
+#include "daemon/relay.h"
+#include "daemon/work.h"
+#include "protocol/http-map.h"
+
+/* After this time without an answer the caller gets an empty ACK, before its
+ * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
+#define ACK_AFTER_US (1200 * USEC_PER_MSEC)
+#define FLOW_ID_SIZE 48
+#define BLOCK_SZX_MAX 6 /* 1024 bytes */
+
+struct commands {
+    struct data_task *task;
+    struct list running; /* struct command, oldest first */
+};
+
+/* A request on its way, from delivery to its recorded answer. */
+struct command {
+    struct work work;
+    struct list link;
+    struct commands *commands;
+    struct request_record *record;
+    struct caller caller; /* the latest copy's */
+    struct packet_block block2;
+    uint32_t method_code;
+    char service[ID_SIZE];
+    char tenant[ID_SIZE];
+    char flow_id[FLOW_ID_SIZE];
+    char path[PACKET_PATH_MAX + PACKET_QUERY_MAX + 2];
+    size_t body_len;
+    uint8_t body[];
+};
+
+struct commands *
+commands_new(struct data_task *task)
+{
+    struct commands *commands = calloc(1, sizeof(*commands));
+
+    if (commands == NULL) {
+        return NULL;
+    }
+    commands->task = task;
+    list_init(&commands->running);
+    return commands;
+}
+
+static void
+command_free(struct command *cmd)
+{
+    list_remove(&cmd->link);
+    free(cmd);
+}
+
+/* Drops what is in hand; the dispatcher must not be used after this. */
+void
+commands_destroy(struct commands *commands)
+{
+    if (commands == NULL) {
+        return;
+    }
+    list_for_each_safe(it, &commands->running)
+    {
+        struct command *cmd = container_of(it, struct command, link);
+
+        dispatch_cancel(&commands->task->dispatch, &cmd->work.job,
+                        clock_monotonic_us());
+        command_free(cmd);
+    }
+    free(commands);
+}
+
+bool
+commands_idle(const struct commands *commands)
+{
+    return list_empty(&commands->running);
+}
+
+/* The block of a recorded payload that a request asks for. */
+static void
+set_payload(struct packet *answer, const struct recorded_answer *recorded,
+            const struct packet_block *wanted)
+{
+    uint8_t szx = wanted->szx > BLOCK_SZX_MAX ? BLOCK_SZX_MAX : wanted->szx;
+    size_t block = (size_t)1 << (szx + 4);
+    size_t offset = (size_t)wanted->num * block;
+
+    if (recorded->payload_len <= block && wanted->num == 0) {
+        answer->payload = recorded->payload;
+        answer->payload_len = recorded->payload_len;
+        return;
+    }
+    if (offset > recorded->payload_len) {
+        offset = recorded->payload_len;
+    }
+    answer->payload = recorded->payload + offset;
+    answer->payload_len = recorded->payload_len - offset;
+    answer->fields |= FIELD_BLOCK2 | FIELD_SIZE2;
+    answer->size2 = (uint32_t)recorded->payload_len;
+    answer->block2.num = wanted->num;
+    answer->block2.szx = szx;
+    if (answer->payload_len > block) {
+        answer->payload_len = block;
+        answer->block2.more = true;
+    }
+}
+
+static void
+send_recorded(struct data_task *task, const struct caller *caller,
+              const struct recorded_answer *recorded,
+              const struct packet_block *wanted)
+{
+    struct packet answer = {.code = recorded->code};
+
+    if (recorded->outcome != OUTCOME_NONE) {
+        answer.fields |= FIELD_OUTCOME;
+        answer.outcome = recorded->outcome;
+    }
+    if (recorded->max_age_s > 0) {
+        answer.fields |= FIELD_MAX_AGE;
+        answer.max_age_s = recorded->max_age_s;
+    }
+    if (recorded->content_format != RECORDED_NO_FORMAT) {
+        answer.fields |= FIELD_CONTENT_FORMAT;
+        answer.content_format = recorded->content_format;
+    }
+    set_payload(&answer, recorded, wanted);
+    answer_send(task, caller, &answer);
+}
+
+/* Records an answer, then sends it: a refusal must be on record before the
+ * caller can act on it. */
+static void
+conclude(struct command *cmd, const struct recorded_answer *recorded)
+{
+    struct data_task *task = cmd->commands->task;
+
+    flow_table_finish(task->home.flows, cmd->record, recorded);
+    send_recorded(task, &cmd->caller, recorded, &cmd->block2);
+    command_free(cmd);
+}
+
+static void
+fill_refusal(struct recorded_answer *recorded, enum error_kind kind,
+             bool not_run, uint32_t retry_after_ms)
+{
+    struct packet answer;
+
+    answer_fill_error(&answer, kind,
+                      not_run ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+                      retry_after_ms);
+    memset(recorded, 0, sizeof(*recorded));
+    recorded->code = answer.code;
+    recorded->outcome = answer.outcome;
+    recorded->max_age_s = answer.max_age_s;
+    recorded->content_format = RECORDED_NO_FORMAT;
+    recorded->payload = (uint8_t *)answer.payload;
+    recorded->payload_len = answer.payload_len;
+}
+
+static void
+on_failed(struct work *work, enum error_kind kind, bool not_run,
+          uint32_t retry_after_ms)
+{
+    struct command *cmd = container_of(work, struct command, work);
+    struct recorded_answer recorded;
+
+    fill_refusal(&recorded, kind, not_run, retry_after_ms);
+    conclude(cmd, &recorded);
+}
+
+static void
+on_response(void *ctx, enum error_kind kind, bool sent,
+            const struct target_response *response)
+{
+    struct work *work = ctx;
+    struct command *cmd = container_of(work, struct command, work);
+    struct recorded_answer recorded = {0};
+    int format = -1;
+
+    if (!work_result(cmd->commands->task, work, kind, sent, response)) {
+        return;
+    }
+    if (response->content_type != NULL) {
+        format = http_map_content_format(response->content_type);
+    }
+    recorded.code =
+        http_map_status(response->http_status, (uint8_t)cmd->method_code);
+    recorded.content_format =
+        format < 0 ? RECORDED_NO_FORMAT : (uint16_t)format;
+    recorded.payload = (uint8_t *)response->body;
+    recorded.payload_len = response->body_len;
+    conclude(cmd, &recorded);
+}
+
+static bool
+on_send(struct work *work)
+{
+    struct command *cmd = container_of(work, struct command, work);
+    struct target_request request = {
+        .method = http_map_method((uint8_t)cmd->method_code),
+        .path = cmd->path,
+        .service = cmd->service,
+        .request_id = cmd->record->id,
+        .flow_id = cmd->flow_id,
+        .deadline_ms = work_deadline_ms(work, clock_monotonic_us()),
+        .body = cmd->body,
+        .body_len = cmd->body_len,
+    };
+
+    return work_call(cmd->commands->task, work, &request, on_response);
+}
+
+static const struct work_ops command_ops = {
+    .send = on_send,
+    .failed = on_failed,
+};
+
+static struct command *
+command_new(struct commands *commands, const struct inbound *in,
+            struct request_record *record)
+{
+    const struct packet *p = &in->packet;
+    struct command *cmd = calloc(1, sizeof(*cmd) + p->payload_len);
+
+    if (cmd == NULL) {
+        return NULL;
+    }
+    cmd->work.ops = &command_ops;
+    cmd->commands = commands;
+    cmd->record = record;
+    cmd->caller = in->caller;
+    cmd->block2 = p->block2;
+    if ((p->fields & FIELD_BLOCK2) == 0) {
+        cmd->block2.szx = BLOCK_SZX_MAX;
+    }
+    cmd->method_code = p->code;
+    memcpy(cmd->service, in->port->service, sizeof(cmd->service));
+    inbound_tenant(in, cmd->tenant);
+    inbound_path(in, cmd->path, sizeof(cmd->path));
+    snprintf(cmd->flow_id, sizeof(cmd->flow_id),
+             "%" PRIx64 ".%" PRIx32 ".%" PRIx32, in->token.incarnation,
+             in->token.slot, in->token.generation);
+    cmd->body_len = p->payload_len;
+    if (p->payload_len > 0) {
+        memcpy(cmd->body, p->payload, p->payload_len);
+    }
+    record->exchange = cmd;
+    list_push_back(&commands->running, &cmd->link);
+    return cmd;
+}
+
+/* Marks the request as seen, then brings it to a target. */
+static void
+deliver(struct commands *commands, const struct inbound *in,
+        const struct home_verdict *verdict)
+{
+    struct data_task *task = commands->task;
+    uint64_t now = clock_monotonic_us();
+    struct dispatch_service *svc =
+        dispatch_find(&task->dispatch, in->port->service);
+    struct request_record *record;
+    struct command *cmd;
+
+    record = svc == NULL ? NULL
+                         : flow_table_begin(task->home.flows, verdict->flow,
+                                            verdict->id);
+    if (record == NULL) {
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        return;
+    }
+    cmd = command_new(commands, in, record);
+    if (cmd == NULL) {
+        struct recorded_answer recorded;
+
+        fill_refusal(&recorded, ERR_OVERLOADED, true, 1000);
+        flow_table_finish(task->home.flows, record, &recorded);
+        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN,
+                     1000);
+        return;
+    }
+    cmd->work.job.class = CLASS_COMMAND;
+    cmd->work.job.repeatable =
+        packet_method_is_repeatable((uint8_t)cmd->method_code);
+    cmd->work.job.tenant = cmd->tenant;
+    cmd->work.job.deadline_us = inbound_deadline(in);
+    cmd->work.job.flow_hash = in->token.slot;
+    cmd->work.job.bound = verdict->flow->target;
+    dispatch_submit(&task->dispatch, svc, &cmd->work.job, now);
+}
+
+/* A new request that is not taken now: the refusal is recorded, so that a
+ * later copy cannot run. */
+static void
+refuse(struct commands *commands, const struct inbound *in,
+       const struct home_verdict *verdict)
+{
+    struct data_task *task = commands->task;
+    enum error_kind kind =
+        task->home.stopping ? ERR_STOPPING : ERR_STALE_VIEW;
+    struct packet_block block = {.szx = BLOCK_SZX_MAX};
+    struct recorded_answer recorded;
+    struct request_record *record =
+        flow_table_begin(task->home.flows, verdict->flow, verdict->id);
+
+    if (record == NULL) {
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        return;
+    }
+    fill_refusal(&recorded, kind, true, 1000);
+    flow_table_finish(task->home.flows, record, &recorded);
+    send_recorded(task, &in->caller, &recorded, &block);
+}
+
+/* A copy of a running request: the answer goes to the latest copy. */
+static void
+join(const struct inbound *in, const struct home_verdict *verdict)
+{
+    struct command *cmd = verdict->record->exchange;
+    bool same = cmd->caller.message_id == in->caller.message_id &&
+                cmd->caller.addr.addr == in->caller.addr.addr &&
+                cmd->caller.addr.port == in->caller.addr.port;
+    bool acked = same && cmd->caller.acked;
+
+    cmd->caller = in->caller;
+    if (acked) {
+        answer_ack(cmd->commands->task, &cmd->caller);
+    }
+}
+
+static void
+repeat(struct commands *commands, const struct inbound *in,
+       const struct home_verdict *verdict)
+{
+    struct packet_block block = in->packet.block2;
+
+    if ((in->packet.fields & FIELD_BLOCK2) == 0) {
+        block.szx = BLOCK_SZX_MAX;
+    }
+    send_recorded(commands->task, &in->caller, &verdict->record->answer,
+                  &block);
+}
+
+/* The request may have run under a home that is gone. A fresh token goes with
+ * the answer for what the caller sends next. */
+static void
+answer_unknown(struct commands *commands, const struct inbound *in)
+{
+    struct packet answer;
+
+    answer_fill_error(&answer, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
+    answer_add_token(commands->task, &answer, in->port->view->hash,
+                     clock_monotonic_us());
+    answer_send(commands->task, &in->caller, &answer);
+}
+
+/* A hash of message id and token: what names a request without an id. */
+static uint32_t
+single_key(const struct inbound *in)
+{
+    const struct packet *p = &in->packet;
+
+    return XXH32(p->token, p->token_len, p->message_id);
+}
+
+static struct home_verdict
+decide(struct commands *commands, const struct inbound *in)
+{
+    struct home_request request = {
+        .service = in->port->view->hash,
+        .token = in->has_token ? &in->token : NULL,
+        .id = packet_request_id(&in->packet),
+        .single_key = single_key(in),
+    };
+
+    return home_decide(&commands->task->home, &request);
+}
+
+/* A further block of an answer can only be had by its request id; taking the
+ * packet for a new request could run it twice. */
+static bool
+is_orphan_block(const struct inbound *in)
+{
+    return (in->packet.fields & FIELD_BLOCK2) != 0 &&
+           in->packet.block2.num > 0 && packet_request_id(&in->packet) == 0;
+}
+
+void
+commands_handle(struct commands *commands, const struct inbound *in)
+{
+    struct data_task *task = commands->task;
+    struct home_verdict verdict;
+
+    if (is_orphan_block(in)) {
+        answer_error(task, &in->caller, ERR_BAD_OPTION, OUTCOME_NONE, 0);
+        return;
+    }
+    if (in->packet.payload_len > in->port->view->service.body_limit) {
+        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE, 0);
+        return;
+    }
+    verdict = decide(commands, in);
+    if (verdict.flow != NULL) {
+        flow_table_touch(task->home.flows, verdict.flow, clock_monotonic_us());
+    }
+    if (verdict.flow != NULL && verdict.action == HOME_DELIVER &&
+        packet_request_id(&in->packet) == 0) {
+        verdict.flow->single_used = true;
+        verdict.flow->single_key = single_key(in);
+    }
+    switch (verdict.action) {
+    case HOME_CHALLENGE:
+        answer_challenge(task, in);
+        break;
+    case HOME_RELAY:
+        relays_forward(task->relays, in);
+        break;
+    case HOME_DELIVER:
+        deliver(commands, in, &verdict);
+        break;
+    case HOME_IN_PROGRESS:
+        join(in, &verdict);
+        break;
+    case HOME_REPEAT:
+        repeat(commands, in, &verdict);
+        break;
+    case HOME_UNKNOWN:
+        answer_unknown(commands, in);
+        break;
+    case HOME_REFUSE:
+        refuse(commands, in, &verdict);
+        break;
+    case HOME_WRONG_SERVICE:
+        answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE, 0);
+        break;
+    }
+}
+
+void
+commands_tick(struct commands *commands, uint64_t now)
+{
+    list_for_each(it, &commands->running)
+    {
+        struct command *cmd = container_of(it, struct command, link);
+
+        if (!cmd->caller.acked &&
+            now - cmd->caller.received_us >= ACK_AFTER_US) {
+            answer_ack(commands->task, &cmd->caller);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/data-task.c
@@ -0,0 +1,543 @@
+#include "daemon/data-task.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#define LOG_MODULE "data"
+#include "base/clock.h"
+#include "base/log.h"
+#include "daemon/answer.h"
+#include "daemon/command.h"
+#include "daemon/data.h"
+#include "daemon/fetch.h"
+#include "daemon/messages.h"
+#include "daemon/probe.h"
+#include "daemon/relay.h"
+#include "daemon/stream.h"
+#include "daemon/target-links.h"
+#include "daemon/work.h"
+#include "protocol/token.h"
+
+#define TICK_SLOW_US (50 * USEC_PER_MSEC)
+#define TICK_MIN_US (1 * USEC_PER_MSEC)
+/* A gap between two turns of the loop that shows a pause of the process. The
+ * loop turns at least every 200 ms. */
+#define PAUSE_US (1 * USEC_PER_SEC)
+/* After a pause nothing is delivered until the view was refreshed, or for at
+ * most this long. */
+#define STALE_MAX_US (2 * USEC_PER_SEC)
+#define INCARNATION_BITS 40
+#define RECORD_BYTES (16 * 1048576) /* answers kept for late copies */
+
+void
+data_event(struct data_task *task, const char *kind, const char *subject,
+           const char *fmt, ...)
+{
+    struct msg_event event = {0};
+    va_list args;
+
+    snprintf(event.kind, sizeof(event.kind), "%s", kind);
+    snprintf(event.subject, sizeof(event.subject), "%s", subject);
+    va_start(args, fmt);
+    vsnprintf(event.cause, sizeof(event.cause), fmt, args);
+    va_end(args);
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"subject", event.subject}, {"cause", event.cause}),
+               "%s", event.kind);
+    mailbox_send(task->control, MSG_EVENT, &event, sizeof(event));
+}
+
+const struct service_port *
+data_port(const struct data_task *task, uint16_t port)
+{
+    return g_hash_table_lookup(task->ports, GUINT_TO_POINTER(port));
+}
+
+void
+data_serve_repeatable(struct data_task *task, const struct inbound *in)
+{
+    if ((in->packet.fields & FIELD_OBSERVE) != 0) {
+        streams_handle(task->streams, in);
+        return;
+    }
+    fetches_handle(task->fetches, in);
+}
+
+static bool
+is_own_token(const struct data_task *task, const struct inbound *in)
+{
+    return in->token.home_addr == task->home.addr &&
+           in->token.home_port == task->home.port;
+}
+
+/* A read goes to the flow's home when that holds something for it: a chunk of
+ * a download, or an observation. */
+static bool
+wants_home(const struct data_task *task, const struct inbound *in)
+{
+    unsigned fields = FIELD_BLOCK2 | FIELD_OBSERVE;
+
+    return in->has_token && !in->caller.relayed &&
+           (in->packet.fields & fields) != 0 && !is_own_token(task, in) &&
+           in->token.service == in->port->view->hash;
+}
+
+static void
+handle_request(struct data_task *task, struct inbound *in)
+{
+    if (in->packet.code != CODE_GET && in->packet.code != CODE_FETCH) {
+        commands_handle(task->commands, in);
+        return;
+    }
+    if (wants_home(task, in)) {
+        relays_forward(task->relays, in);
+        return;
+    }
+    data_serve_repeatable(task, in);
+}
+
+/* Opens the Echo value of a request. Returns false when it does not verify:
+ * the request is then dropped, since a challenge would let the caller send
+ * again what may have run under that token. */
+static bool
+open_token(struct data_task *task, struct inbound *in)
+{
+    if ((in->packet.fields & FIELD_ECHO) == 0) {
+        return true;
+    }
+    in->has_token = token_open(&in->token, &task->view->keys, in->packet.echo,
+                               in->packet.echo_len);
+    in->caller.verified = in->has_token;
+    return in->has_token;
+}
+
+static void
+fill_caller(struct caller *caller, const struct packet *packet)
+{
+    caller->type = packet->type;
+    caller->code = packet->code;
+    caller->message_id = packet->message_id;
+    memcpy(caller->token, packet->token, packet->token_len);
+    caller->token_len = packet->token_len;
+}
+
+static void
+handle_empty(struct data_task *task, const struct inbound *in)
+{
+    const struct packet *p = &in->packet;
+
+    if (p->type == PACKET_ACK || p->type == PACKET_RST) {
+        answers_on_ack(task->answers, &in->caller.addr, p->message_id);
+    }
+    if (p->type == PACKET_RST) {
+        streams_on_reset(task->streams, &in->caller.addr, p->message_id);
+    }
+}
+
+void
+data_handle_datagram(struct data_task *task, const struct service_port *port,
+                     const struct endpoint *from, const uint8_t *raw,
+                     size_t size, uint64_t received_us, bool relayed)
+{
+    struct inbound in = {
+        .port = port,
+        .raw = raw,
+        .raw_len = size,
+        .caller = {.addr = *from,
+                   .service_port = port->port,
+                   .request_size = size,
+                   .relayed = relayed,
+                   .received_us = received_us},
+    };
+    enum error_kind kind = packet_parse(&in.packet, raw, size);
+
+    if (kind == ERR_BAD_PACKET || port->view == NULL) {
+        return;
+    }
+    fill_caller(&in.caller, &in.packet);
+    if (!packet_is_request(&in.packet)) {
+        handle_empty(task, &in);
+        return;
+    }
+    if (kind != ERR_NONE) {
+        answer_error(task, &in.caller, kind, OUTCOME_NONE, 0);
+        return;
+    }
+    if (!open_token(task, &in)) {
+        return;
+    }
+    handle_request(task, &in);
+}
+
+/* Notes that the loop turned, and finds out whether the process was paused:
+ * what it believes may then be out of date. */
+static uint64_t
+turn(struct data_task *task)
+{
+    uint64_t now = clock_monotonic_us();
+
+    if (now - task->turned_us >= PAUSE_US) {
+        task->home.stale = true;
+        task->stale_until_us = now + STALE_MAX_US;
+        data_event(task, "paused", task->settings->host.id, "for %llu ms",
+                   (unsigned long long)(now - task->turned_us) /
+                       USEC_PER_MSEC);
+        mailbox_send(task->control, MSG_PAUSED, NULL, 0);
+    }
+    task->turned_us = now;
+    return now;
+}
+
+static void
+on_service_datagram(void *ctx, const struct endpoint *from,
+                    const uint8_t *data, size_t size, uint64_t queued_us)
+{
+    struct service_port *port = ctx;
+    uint64_t now = turn(port->task);
+
+    data_handle_datagram(port->task, port, from, data, size, now - queued_us,
+                         false);
+}
+
+static void
+on_relay_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
+                  size_t size, uint64_t queued_us)
+{
+    struct data_task *task = ctx;
+    uint64_t now = turn(task);
+
+    relays_on_datagram(task->relays, from, data, size, now - queued_us);
+}
+
+static void
+port_destroy(void *arg)
+{
+    struct service_port *port = arg;
+
+    udp_socket_destroy(port->sock);
+    free(port);
+}
+
+static struct service_port *
+port_open(struct data_task *task, uint16_t number)
+{
+    struct endpoint local = {.addr = task->home.addr, .port = number};
+    struct service_port *port = calloc(1, sizeof(*port));
+    struct status st;
+
+    if (port == NULL) {
+        return NULL;
+    }
+    port->task = task;
+    port->port = number;
+    port->sock =
+        udp_socket_new(task->base, &local, on_service_datagram, port, &st);
+    if (port->sock == NULL) {
+        LOG_ERR("service port not opened: %s", st.message);
+        free(port);
+        return NULL;
+    }
+    g_hash_table_insert(task->ports, GUINT_TO_POINTER(number), port);
+    return port;
+}
+
+/* Points the open ports at the services of a new view and opens the missing
+ * ones. The port of a removed service stays open without a service until it
+ * is used again, so that nothing else receives its packets. */
+static void
+apply_ports(struct data_task *task, struct config_view *view)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, task->ports);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct service_port *port = value;
+
+        port->view = NULL;
+    }
+    for (size_t i = 0; i < view->service_count; i++) {
+        struct service_view *svc = &view->services[i];
+        uint16_t number = svc->service.port;
+        struct service_port *port =
+            g_hash_table_lookup(task->ports, GUINT_TO_POINTER(number));
+
+        if (port == NULL) {
+            port = port_open(task, number);
+        }
+        if (port != NULL) {
+            port->view = svc;
+            memcpy(port->service, svc->id, sizeof(port->service));
+        }
+    }
+}
+
+static void
+apply_view(struct data_task *task, struct config_view *view)
+{
+    struct msg_view_applied applied = {.sequence = view->sequence};
+    uint64_t now = clock_monotonic_us();
+
+    if (!dispatch_apply_view(&task->dispatch, view, now)) {
+        LOG_ERR("no memory for a new configuration; the old one stays");
+        config_view_destroy(view);
+        return;
+    }
+    apply_ports(task, view);
+    config_view_destroy(task->view);
+    task->view = view;
+    mailbox_send(task->control, MSG_VIEW_APPLIED, &applied, sizeof(applied));
+}
+
+/* Begins the planned stop: no new flow, no new request of a flow; what runs
+ * goes on. */
+static void
+begin_stop(struct data_task *task)
+{
+    uint64_t now = clock_monotonic_us();
+
+    if (task->home.stopping) {
+        return;
+    }
+    task->home.stopping = true;
+    task->stop_by_us =
+        now +
+        (uint64_t)task->settings->limits.drain_timeout_ms * USEC_PER_MSEC;
+    streams_stop(task->streams, now);
+    data_event(task, "stop_begun", task->settings->host.id,
+               "planned stop, at most %u ms",
+               task->settings->limits.drain_timeout_ms);
+}
+
+static void
+on_message(void *ctx, uint32_t type, const void *data, size_t size)
+{
+    struct data_task *task = ctx;
+    struct msg_config_view view;
+
+    switch (type) {
+    case MSG_CONFIG_VIEW:
+        memcpy(&view, data, sizeof(view));
+        apply_view(task, view.view);
+        break;
+    case MSG_VIEW_FRESH:
+        task->home.stale = false;
+        break;
+    case MSG_STOP:
+        begin_stop(task);
+        break;
+    default:
+        break;
+    }
+}
+
+/* True when the planned stop is over. A stopping balancer answers late copies
+ * until its time is up, because only it knows what it has run. */
+static bool
+stop_is_over(struct data_task *task, uint64_t now)
+{
+    return task->home.stopping && now >= task->stop_by_us &&
+           commands_idle(task->commands) && fetches_idle(task->fetches) &&
+           streams_idle(task->streams);
+}
+
+static void
+tick_slow(struct data_task *task, uint64_t now)
+{
+    commands_tick(task->commands, now);
+    fetches_tick(task->fetches, now);
+    streams_tick(task->streams, now);
+    answers_tick(task->answers, now);
+    probes_tick(task->probes, now);
+    target_links_sweep(task->links);
+    if (task->home.stale && now >= task->stale_until_us) {
+        task->home.stale = false;
+    }
+    if (stop_is_over(task, now)) {
+        mailbox_send(task->control, MSG_STOPPED, NULL, 0);
+        event_base_loopbreak(task->base);
+    }
+}
+
+static void
+schedule_tick(struct data_task *task, uint64_t now, uint64_t next)
+{
+    uint64_t wait = next > now ? next - now : 0;
+    struct timeval tv;
+
+    if (wait < TICK_MIN_US) {
+        wait = TICK_MIN_US;
+    }
+    tv.tv_sec = (time_t)(wait / USEC_PER_SEC);
+    tv.tv_usec = (suseconds_t)(wait % USEC_PER_SEC);
+    event_add(task->tick, &tv);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    struct data_task *task = arg;
+    uint64_t now = turn(task);
+    uint64_t next = dispatch_tick(&task->dispatch, now);
+
+    relays_tick(task->relays, now);
+    if (now >= task->next_slow_us) {
+        task->next_slow_us = now + TICK_SLOW_US;
+        tick_slow(task, now);
+    }
+    if (next > task->next_slow_us) {
+        next = task->next_slow_us;
+    }
+    schedule_tick(task, now, next);
+}
+
+static void
+init_home(struct data_task *task)
+{
+    const struct settings *settings = task->settings;
+    uint64_t seed;
+
+    randombytes_buf(&seed, sizeof(seed));
+    random_seed(&task->random, seed);
+    randombytes_buf(&task->home.incarnation, sizeof(task->home.incarnation));
+    task->home.incarnation &= (1ULL << INCARNATION_BITS) - 1;
+    endpoint_parse_addr(settings->host.address, &task->home.addr);
+    task->home.port = settings->ports.relay;
+    task->home.flows = flow_table_new(settings->limits.flows, RECORD_BYTES);
+}
+
+static bool
+make_parts(struct data_task *task)
+{
+    if (!dispatch_init(&task->dispatch, &work_dispatch_ops, task,
+                       &task->random, task->settings->limits.queue)) {
+        return false;
+    }
+    task->links = target_links_new(task);
+    task->answers = answers_new(task);
+    task->commands = commands_new(task);
+    task->fetches = fetches_new(task);
+    task->probes = probes_new(task);
+    task->relays = relays_new(task);
+    task->streams = streams_new(task);
+    return task->links != NULL && task->answers != NULL &&
+           task->commands != NULL && task->fetches != NULL &&
+           task->probes != NULL && task->relays != NULL &&
+           task->streams != NULL;
+}
+
+static bool
+open_sockets(struct data_task *task, struct status *st)
+{
+    struct endpoint local = {
+        .addr = task->home.addr,
+        .port = task->settings->ports.relay,
+    };
+
+    task->control = mailbox_new(task->zmq_ctx, task->base,
+                                MAILBOX_CONTROL_DATA, false, on_message, task,
+                                st);
+    if (task->control == NULL) {
+        return false;
+    }
+    task->relay_sock =
+        udp_socket_new(task->base, &local, on_relay_datagram, task, st);
+    return task->relay_sock != NULL;
+}
+
+struct data_task *
+data_task_new(void *zmq_ctx, const struct settings *settings,
+              struct status *st)
+{
+    struct data_task *task = calloc(1, sizeof(*task));
+
+    if (task == NULL) {
+        status_set(st, ERR_NO_MEMORY, "data task: out of memory");
+        return NULL;
+    }
+    task->zmq_ctx = zmq_ctx;
+    task->settings = settings;
+    task->ports = g_hash_table_new_full(NULL, NULL, NULL, port_destroy);
+    task->base = event_base_new();
+    init_home(task);
+    if (task->base == NULL || task->home.flows == NULL || !make_parts(task)) {
+        status_set(st, ERR_NO_MEMORY, "data task: out of memory");
+        data_task_destroy(task);
+        return NULL;
+    }
+    task->tick = event_new(task->base, -1, 0, on_tick, task);
+    if (!open_sockets(task, st)) {
+        data_task_destroy(task);
+        return NULL;
+    }
+    return task;
+}
+
+static void *
+run(void *arg)
+{
+    struct data_task *task = arg;
+
+    task->turned_us = clock_monotonic_us();
+    schedule_tick(task, 0, 0);
+    event_base_dispatch(task->base);
+    return NULL;
+}
+
+bool
+data_task_start(struct data_task *task, struct status *st)
+{
+    int err = pthread_create(&task->thread, NULL, run, task);
+
+    if (err != 0) {
+        status_set(st, ERR_SYSTEM, "data task: %s", strerror(err));
+        return false;
+    }
+    task->started = true;
+    return true;
+}
+
+void
+data_task_join(struct data_task *task)
+{
+    if (task->started) {
+        pthread_join(task->thread, NULL);
+        task->started = false;
+    }
+}
+
+void
+data_task_destroy(struct data_task *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    data_task_join(task);
+    commands_destroy(task->commands);
+    fetches_destroy(task->fetches);
+    streams_destroy(task->streams);
+    probes_destroy(task->probes);
+    relays_destroy(task->relays);
+    answers_destroy(task->answers);
+    target_links_destroy(task->links);
+    if (task->dispatch.services != NULL) {
+        dispatch_destroy(&task->dispatch);
+    }
+    flow_table_destroy(task->home.flows);
+    config_view_destroy(task->view);
+    g_hash_table_destroy(task->ports);
+    udp_socket_destroy(task->relay_sock);
+    mailbox_destroy(task->control);
+    if (task->tick != NULL) {
+        event_free(task->tick);
+    }
+    if (task->base != NULL) {
+        event_base_free(task->base);
+    }
+    free(task);
+}
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -63,6 +63,7 @@
     struct streams *streams;
     struct target_links *links;
 
+    uint64_t next_slow_us;
     uint64_t turned_us; /* last turn of the loop, for pauses */
     uint64_t stale_until_us;
     uint64_t stop_by_us; /* planned stop, at the latest */
--- /dev/null
+++ b/src/daemon/fetch.c
@@ -0,0 +1,541 @@
+#include "daemon/fetch.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "daemon/answer.h"
+#include "daemon/inbound.h"
+#include "daemon/work.h"
+#include "protocol/http-map.h"
+#include "state/object-cache.h"
+
+#define ACK_AFTER_US (1200 * USEC_PER_MSEC)
+#define BLOCK_SZX_MAX 6    /* 1024 bytes */
+#define CHUNK_BYTES 65536  /* read from a target at once */
+#define CACHE_BYTES (16 * 1048576)
+#define KEY_SIZE (ID_SIZE + PACKET_PATH_MAX + PACKET_QUERY_MAX + 4)
+#define HTTP_PARTIAL_CONTENT 206
+#define HTTP_RANGE_NOT_SATISFIABLE 416
+
+struct fetches {
+    struct data_task *task;
+    struct list running;    /* struct fetch, oldest first */
+    GHashTable *by_caller;  /* struct caller -> struct waiter */
+    struct object_cache cache;
+};
+
+/* One read from a target, for one caller or for all that wait for blocks of
+ * the same chunk. */
+struct fetch {
+    struct work work;
+    struct list link;
+    struct fetches *fetches;
+    struct list waiters; /* struct waiter */
+    uint64_t first;      /* offset of the chunk, bytes */
+    bool blockwise;      /* a block beyond the first was asked for */
+    char key[KEY_SIZE];
+    char service[ID_SIZE];
+    char tenant[ID_SIZE];
+    char path[PACKET_PATH_MAX + PACKET_QUERY_MAX + 2];
+};
+
+/* A caller that waits for a fetch. */
+struct waiter {
+    struct list link;
+    struct caller caller;
+    struct packet_block block;
+    bool wants_token; /* has none, and reads block by block */
+    uint32_t service_hash;
+};
+
+/* A body, or a part of one, as a target gave it. */
+struct body {
+    uint8_t code;
+    int content_format;
+    uint8_t etag[OBJECT_ETAG_SIZE];
+    uint64_t first;
+    uint64_t total;
+    const uint8_t *data;
+    size_t size;
+};
+
+/* A caller's message is known by its endpoint and message id (RFC 7252
+ * section 4.5). */
+static guint
+caller_hash(gconstpointer key)
+{
+    const struct caller *caller = key;
+
+    return caller->addr.addr * 31 + (guint)caller->addr.port * 65537 +
+           caller->message_id;
+}
+
+static gboolean
+caller_equal(gconstpointer key_a, gconstpointer key_b)
+{
+    const struct caller *a = key_a;
+    const struct caller *b = key_b;
+
+    return a->message_id == b->message_id && a->addr.addr == b->addr.addr &&
+           a->addr.port == b->addr.port;
+}
+
+struct fetches *
+fetches_new(struct data_task *task)
+{
+    struct fetches *fetches = calloc(1, sizeof(*fetches));
+
+    if (fetches == NULL) {
+        return NULL;
+    }
+    fetches->task = task;
+    list_init(&fetches->running);
+    fetches->by_caller = g_hash_table_new(caller_hash, caller_equal);
+    if (!object_cache_init(&fetches->cache, CACHE_BYTES)) {
+        free(fetches);
+        return NULL;
+    }
+    return fetches;
+}
+
+static void
+fetch_free(struct fetch *fetch)
+{
+    list_for_each_safe(it, &fetch->waiters)
+    {
+        struct waiter *waiter = container_of(it, struct waiter, link);
+
+        g_hash_table_remove(fetch->fetches->by_caller, &waiter->caller);
+        list_remove(it);
+        free(waiter);
+    }
+    list_remove(&fetch->link);
+    free(fetch);
+}
+
+/* Drops what is in hand; the dispatcher must not be used after this. */
+void
+fetches_destroy(struct fetches *fetches)
+{
+    if (fetches == NULL) {
+        return;
+    }
+    list_for_each_safe(it, &fetches->running)
+    {
+        struct fetch *fetch = container_of(it, struct fetch, link);
+
+        dispatch_cancel(&fetches->task->dispatch, &fetch->work.job,
+                        clock_monotonic_us());
+        fetch_free(fetch);
+    }
+    g_hash_table_destroy(fetches->by_caller);
+    object_cache_clear(&fetches->cache);
+    free(fetches);
+}
+
+bool
+fetches_idle(const struct fetches *fetches)
+{
+    return list_empty(&fetches->running);
+}
+
+static uint64_t
+block_offset(const struct packet_block *block)
+{
+    return (uint64_t)block->num << (block->szx + 4);
+}
+
+/* Sends the block that a waiter asked for out of a body. */
+static void
+send_block(struct data_task *task, struct waiter *waiter,
+           const struct body *body)
+{
+    struct packet answer = {.code = body->code};
+    uint64_t offset = block_offset(&waiter->block);
+    size_t block = (size_t)1 << (waiter->block.szx + 4);
+    size_t left;
+
+    if (offset > 0 && offset >= body->total) {
+        answer_error(task, &waiter->caller, ERR_BAD_OPTION, OUTCOME_NONE, 0);
+        return;
+    }
+    left = body->size - (size_t)(offset - body->first);
+    answer.payload = body->data + (offset - body->first);
+    answer.payload_len = left < block ? left : block;
+    if (body->content_format >= 0) {
+        answer.fields |= FIELD_CONTENT_FORMAT;
+        answer.content_format = (uint16_t)body->content_format;
+    }
+    if (body->total > block || waiter->block.num > 0) {
+        answer.fields |= FIELD_BLOCK2 | FIELD_ETAG | FIELD_SIZE2;
+        answer.block2 = waiter->block;
+        answer.block2.more = offset + answer.payload_len < body->total;
+        memcpy(answer.etag, body->etag, sizeof(body->etag));
+        answer.etag_len = sizeof(body->etag);
+        answer.size2 = (uint32_t)body->total;
+        if (waiter->wants_token && answer.block2.more) {
+            /* The caller asks its home for the blocks that follow, which
+             * then holds them. */
+            answer_add_token(task, &answer, waiter->service_hash,
+                             clock_monotonic_us());
+        }
+    }
+    answer_send(task, &waiter->caller, &answer);
+}
+
+static void
+fail_waiters(struct fetch *fetch, enum error_kind kind,
+             uint32_t retry_after_ms)
+{
+    list_for_each(it, &fetch->waiters)
+    {
+        struct waiter *waiter = container_of(it, struct waiter, link);
+
+        answer_error(fetch->fetches->task, &waiter->caller, kind, OUTCOME_NONE,
+                     retry_after_ms);
+    }
+}
+
+static void
+on_failed(struct work *work, enum error_kind kind, bool not_run,
+          uint32_t retry_after_ms)
+{
+    struct fetch *fetch = container_of(work, struct fetch, work);
+
+    fail_waiters(fetch, kind, retry_after_ms);
+    fetch_free(fetch);
+}
+
+/* Reads a target's answer. Returns false when it is not the part that was
+ * asked for. */
+static bool
+read_body(const struct fetch *fetch, const struct target_response *response,
+          struct body *body)
+{
+    struct content_range range;
+
+    memset(body, 0, sizeof(*body));
+    body->data = response->body;
+    body->size = response->body_len;
+    body->total = response->body_len;
+    body->code = http_map_status(response->http_status, CODE_GET);
+    body->content_format =
+        response->content_type == NULL
+            ? -1
+            : http_map_content_format(response->content_type);
+    http_map_etag(response->etag, response->body, response->body_len,
+                  body->etag);
+    if (response->http_status == HTTP_RANGE_NOT_SATISFIABLE) {
+        /* An empty body has no first byte. */
+        body->code = fetch->first == 0 ? CODE_CONTENT : CODE_BAD_REQUEST;
+        body->size = 0;
+        body->total = 0;
+        return true;
+    }
+    if (response->http_status != HTTP_PARTIAL_CONTENT) {
+        return true;
+    }
+    if (response->content_range == NULL ||
+        !http_map_content_range(response->content_range, &range) ||
+        range.first != fetch->first ||
+        range.last - range.first + 1 != response->body_len) {
+        return false;
+    }
+    if (response->etag == NULL && range.total != response->body_len) {
+        /* Parts without a tag might be of different versions. */
+        return false;
+    }
+    body->first = range.first;
+    body->total = range.total;
+    return true;
+}
+
+static void
+keep_chunk(struct fetch *fetch, const struct body *body, uint32_t target)
+{
+    struct object version = {
+        .total = body->total,
+        .content_format = body->content_format,
+        .target = target,
+    };
+
+    if (body->code != CODE_CONTENT ||
+        body->total <= (1U << (BLOCK_SZX_MAX + 4))) {
+        return;
+    }
+    memcpy(version.etag, body->etag, sizeof(version.etag));
+    object_cache_put(&fetch->fetches->cache, fetch->key, &version, body->first,
+                     body->data, body->size, clock_monotonic_us());
+}
+
+/* Whether a body holds the block that a waiter asked for. */
+static bool
+holds(const struct body *body, const struct waiter *waiter)
+{
+    uint64_t offset = block_offset(&waiter->block);
+
+    if (offset >= body->total) {
+        return true;
+    }
+    return offset >= body->first && offset < body->first + body->size;
+}
+
+static void
+answer_waiters(struct fetch *fetch, const struct body *body)
+{
+    struct data_task *task = fetch->fetches->task;
+
+    list_for_each(it, &fetch->waiters)
+    {
+        struct waiter *waiter = container_of(it, struct waiter, link);
+
+        if (holds(body, waiter)) {
+            send_block(task, waiter, body);
+        }
+        else {
+            answer_error(task, &waiter->caller, ERR_TARGET_BAD_ANSWER,
+                         OUTCOME_NONE, 0);
+        }
+    }
+}
+
+static void
+on_response(void *ctx, enum error_kind kind, bool sent,
+            const struct target_response *response)
+{
+    struct work *work = ctx;
+    struct fetch *fetch = container_of(work, struct fetch, work);
+    uint32_t target = work->job.target->hash;
+    struct body body;
+
+    if (!work_result(fetch->fetches->task, work, kind, sent, response)) {
+        return;
+    }
+    if (!read_body(fetch, response, &body)) {
+        fail_waiters(fetch, ERR_TARGET_BAD_ANSWER, 0);
+        fetch_free(fetch);
+        return;
+    }
+    if (response->etag != NULL) {
+        /* Without a tag of the target's the body may be this caller's
+         * alone. */
+        keep_chunk(fetch, &body, target);
+    }
+    answer_waiters(fetch, &body);
+    fetch_free(fetch);
+}
+
+static bool
+on_send(struct work *work)
+{
+    struct fetch *fetch = container_of(work, struct fetch, work);
+    struct target_request request = {
+        .method = "GET",
+        .path = fetch->path,
+        .service = fetch->service,
+        .deadline_ms = work_deadline_ms(work, clock_monotonic_us()),
+        .range_first = fetch->first,
+        .range_last = fetch->first + CHUNK_BYTES - 1,
+    };
+
+    return work_call(fetch->fetches->task, work, &request, on_response);
+}
+
+static const struct work_ops fetch_ops = {
+    .send = on_send,
+    .failed = on_failed,
+};
+
+static bool
+add_waiter(struct fetch *fetch, const struct inbound *in,
+           const struct packet_block *block)
+{
+    struct waiter *waiter = calloc(1, sizeof(*waiter));
+
+    if (waiter == NULL) {
+        return false;
+    }
+    waiter->caller = in->caller;
+    waiter->block = *block;
+    waiter->wants_token = !in->has_token;
+    waiter->service_hash = in->port->view->hash;
+    list_push_back(&fetch->waiters, &waiter->link);
+    g_hash_table_insert(fetch->fetches->by_caller, &waiter->caller, waiter);
+    return true;
+}
+
+/* A fetch in progress that will hold the block; only for blocks beyond the
+ * first, which are of one version by their ETag. */
+static struct fetch *
+find_fetch(struct fetches *fetches, const char *key, uint64_t first)
+{
+    list_for_each(it, &fetches->running)
+    {
+        struct fetch *fetch = container_of(it, struct fetch, link);
+
+        if (fetch->blockwise && fetch->first == first &&
+            strcmp(fetch->key, key) == 0) {
+            return fetch;
+        }
+    }
+    return NULL;
+}
+
+static struct fetch *
+fetch_new(struct fetches *fetches, const struct inbound *in, const char *key,
+          const struct packet_block *block)
+{
+    struct fetch *fetch = calloc(1, sizeof(*fetch));
+
+    if (fetch == NULL) {
+        return NULL;
+    }
+    list_init(&fetch->waiters);
+    list_init(&fetch->link);
+    fetch->work.ops = &fetch_ops;
+    fetch->fetches = fetches;
+    fetch->blockwise = block->num > 0;
+    fetch->first = block_offset(block) / CHUNK_BYTES * CHUNK_BYTES;
+    memcpy(fetch->service, in->port->service, sizeof(fetch->service));
+    snprintf(fetch->key, sizeof(fetch->key), "%s", key);
+    inbound_tenant(in, fetch->tenant);
+    inbound_path(in, fetch->path, sizeof(fetch->path));
+    if (!add_waiter(fetch, in, block)) {
+        fetch_free(fetch);
+        return NULL;
+    }
+    list_push_back(&fetches->running, &fetch->link);
+    return fetch;
+}
+
+static void
+start(struct fetches *fetches, const struct inbound *in, const char *key,
+      const struct packet_block *block, const struct object *object)
+{
+    struct data_task *task = fetches->task;
+    struct dispatch_service *svc =
+        dispatch_find(&task->dispatch, in->port->service);
+    struct fetch *fetch =
+        svc == NULL ? NULL : fetch_new(fetches, in, key, block);
+    struct job *job;
+
+    if (fetch == NULL) {
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        return;
+    }
+    job = &fetch->work.job;
+    job->class = (in->packet.fields & FIELD_BLOCK2) != 0 ? CLASS_DOWNLOAD
+                                                         : CLASS_INTERACTIVE;
+    job->repeatable = true;
+    job->tenant = fetch->tenant;
+    job->deadline_us = inbound_deadline(in);
+    job->flow_hash = (uint64_t)in->caller.addr.addr << 16 |
+                     in->caller.addr.port;
+    if (object != NULL && block->num > 0) {
+        job->bound = object->target;
+        job->pinned = true;
+    }
+    dispatch_submit(&task->dispatch, svc, job, clock_monotonic_us());
+}
+
+static void
+serve_chunk(struct fetches *fetches, const struct inbound *in,
+            const struct packet_block *block, const struct object *object,
+            const struct object_chunk *chunk)
+{
+    struct waiter waiter = {
+        .caller = in->caller,
+        .block = *block,
+    };
+    struct body body = {
+        .code = CODE_CONTENT,
+        .content_format = object->content_format,
+        .first = chunk->first,
+        .total = object->total,
+        .data = chunk->data,
+        .size = chunk->size,
+    };
+
+    memcpy(body.etag, object->etag, sizeof(body.etag));
+    send_block(fetches->task, &waiter, &body);
+}
+
+static struct packet_block
+wanted_block(const struct packet *p)
+{
+    struct packet_block block = {.szx = BLOCK_SZX_MAX};
+
+    if ((p->fields & FIELD_BLOCK2) != 0) {
+        block = p->block2;
+        block.more = false;
+    }
+    if (block.szx > BLOCK_SZX_MAX) {
+        /* RFC 7959 section 2.2: 7 is reserved; a server may lower the size,
+         * which only the first block allows. */
+        block.szx = BLOCK_SZX_MAX;
+    }
+    return block;
+}
+
+void
+fetches_handle(struct fetches *fetches, const struct inbound *in)
+{
+    struct packet_block block = wanted_block(&in->packet);
+    uint64_t offset = block_offset(&block);
+    struct object *object = NULL;
+    struct object_chunk *chunk = NULL;
+    struct fetch *fetch = NULL;
+    struct waiter *waiter =
+        g_hash_table_lookup(fetches->by_caller, &in->caller);
+    char path[PACKET_PATH_MAX + PACKET_QUERY_MAX + 2];
+    char key[KEY_SIZE];
+
+    if (waiter != NULL) {
+        if (waiter->caller.acked) {
+            answer_ack(fetches->task, &waiter->caller);
+        }
+        return;
+    }
+    inbound_path(in, path, sizeof(path));
+    snprintf(key, sizeof(key), "%s %s", in->port->service, path);
+    if (block.num > 0) {
+        object = object_cache_find(&fetches->cache, key, clock_monotonic_us());
+        chunk = object == NULL ? NULL : object_chunk_at(object, offset);
+        fetch = find_fetch(fetches, key, offset / CHUNK_BYTES * CHUNK_BYTES);
+    }
+    if (chunk != NULL) {
+        serve_chunk(fetches, in, &block, object, chunk);
+        return;
+    }
+    if (fetch != NULL && add_waiter(fetch, in, &block)) {
+        return;
+    }
+    start(fetches, in, key, &block, object);
+}
+
+static void
+ack_waiters(struct fetch *fetch, uint64_t now)
+{
+    list_for_each(it, &fetch->waiters)
+    {
+        struct waiter *waiter = container_of(it, struct waiter, link);
+
+        if (!waiter->caller.acked &&
+            now - waiter->caller.received_us >= ACK_AFTER_US) {
+            answer_ack(fetch->fetches->task, &waiter->caller);
+        }
+    }
+}
+
+void
+fetches_tick(struct fetches *fetches, uint64_t now)
+{
+    object_cache_expire(&fetches->cache, now);
+    list_for_each(it, &fetches->running)
+    {
+        ack_waiters(container_of(it, struct fetch, link), now);
+    }
+}
--- /dev/null
+++ b/src/daemon/probe.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "daemon/data.h"
+
+/* Probes of the targets' health endpoints. A target is used only after its
+ * endpoint has named the service. */
+
+struct probes *probes_new(struct data_task *task);
+void probes_destroy(struct probes *probes);
+void probes_tick(struct probes *probes, uint64_t now);
--- /dev/null
+++ b/src/daemon/work.c
@@ -0,0 +1,114 @@
+#include "daemon/work.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "daemon/data.h"
+#include "daemon/target-links.h"
+#include "protocol/http-map.h"
+
+#define HTTP_SERVICE_UNAVAILABLE 503
+
+static struct work *
+work_of(struct job *job)
+{
+    return container_of(job, struct work, job);
+}
+
+static bool
+on_send(void *ctx, struct job *job)
+{
+    struct work *work = work_of(job);
+
+    return work->ops->send(work);
+}
+
+static void
+on_cancel(void *ctx, struct job *job)
+{
+    struct work *work = work_of(job);
+
+    target_call_cancel(work->call);
+    work->call = NULL;
+}
+
+static void
+on_failed(void *ctx, struct job *job, enum error_kind kind, bool not_run,
+          uint32_t retry_after_ms)
+{
+    struct work *work = work_of(job);
+
+    work->ops->failed(work, kind, not_run, retry_after_ms);
+}
+
+static void
+on_health(void *ctx, struct target_state *t, bool healthy, const char *cause)
+{
+    data_event(ctx, healthy ? "target_up" : "target_down", t->id, "%s",
+               cause);
+}
+
+const struct dispatch_ops work_dispatch_ops = {
+    .send = on_send,
+    .cancel = on_cancel,
+    .failed = on_failed,
+    .health = on_health,
+};
+
+uint32_t
+work_deadline_ms(const struct work *work, uint64_t now)
+{
+    uint64_t left =
+        work->job.deadline_us > now ? work->job.deadline_us - now : 0;
+    uint64_t ms = left / USEC_PER_MSEC;
+
+    return ms == 0 ? 1 : (uint32_t)ms;
+}
+
+bool
+work_call(struct data_task *task, struct work *work,
+          const struct target_request *request, target_call_cb cb)
+{
+    struct target_state *t = work->job.target;
+    struct target_client *client = target_links_get(task->links, t);
+
+    /* The target's service in the current configuration, the service of the
+     * port and the service of the request are one. */
+    assert(strcmp(t->service, request->service) == 0);
+    assert(work->call == NULL);
+    if (client == NULL) {
+        return false;
+    }
+    work->call = target_client_call(client, request, cb, NULL, work);
+    return work->call != NULL;
+}
+
+static bool
+is_refusal(const struct target_response *response)
+{
+    return response->http_status == HTTP_SERVICE_UNAVAILABLE &&
+           response->outcome != NULL &&
+           strcmp(response->outcome, "not_run") == 0;
+}
+
+bool
+work_result(struct data_task *task, struct work *work, enum error_kind kind,
+            bool sent, const struct target_response *response)
+{
+    struct job_result result = {.kind = kind, .sent = sent};
+    struct load_report load;
+
+    work->call = NULL;
+    if (kind == ERR_NONE) {
+        result.refused = is_refusal(response);
+        if (response->load != NULL && http_map_load(response->load, &load)) {
+            result.has_load = true;
+            result.running = load.running;
+            result.slots = load.slots;
+            result.queued = load.queued;
+        }
+    }
+    return dispatch_result(&task->dispatch, &work->job, &result,
+                           clock_monotonic_us());
+}
--- a/src/state/flow-table.h
+++ b/src/state/flow-table.h
@@ -15,7 +15,7 @@
  * whether or not its record is still held. */
 
 #define FLOW_WINDOW_IDS 64
-#define FLOW_SLOT_NONE UINT32_MAX
+#define RECORDED_NO_FORMAT UINT16_MAX
 
 enum record_state {
     RECORD_RUNNING,
