--- a/tests/standins/standin-target.c
+++ b/tests/standins/standin-target.c
@@ -170,7 +170,7 @@
         evhttp_find_header(evhttp_request_get_input_headers(req), "Host");
     size_t len = host != NULL ? strcspn(host, ":") : 0;
 
-    return len != strlen(target.service) ||
+    return host == NULL || len != strlen(target.service) ||
            strncmp(host, target.service, len) != 0;
 }
 
@@ -201,10 +201,7 @@
     else if (strcmp(path, "/control/stats") == 0) {
         stats(req);
     }
-    else if (is_health && target.faults.lie_health) {
-        health(req);
-    }
-    else if (target.faults.hang) {
+    else if (target.faults.hang && !(is_health && target.faults.lie_health)) {
         target_conn_of(&target, req);
     }
     else if (is_health) {
