--- a/src/protocol/token.h
+++ b/src/protocol/token.h
@@ -4,29 +4,21 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "state/flow-token.h"
 #include "state/resource.h"
 
 /* The flow token: the value of the Echo option (RFC 9175). It names the
  * flow's home and its slot there and is authenticated with a keyed MAC
- * (libsodium), so any balancer can route by it without a table. */
+ * (libsodium), so any balancer can route by it without a table. The process
+ * calls sodium_init() before its tasks start. */
 
 #define TOKEN_SIZE 39 /* bytes, sealed */
 
-struct token {
-    uint32_t service;     /* service_hash() of the service id */
-    uint32_t target;      /* low 24 bits of target_hash(), 0: not bound */
-    uint32_t home_addr;   /* IPv4, host byte order */
-    uint16_t home_port;   /* relay port of the home */
-    uint64_t incarnation; /* 40 random bits drawn when the home started */
-    uint32_t slot;
-    uint32_t generation;
-};
-
 /* Seals with the first key of the ring. */
-void token_seal(const struct token *token, const struct key_ring *keys,
+void token_seal(const struct flow_token *token, const struct key_ring *keys,
                 uint8_t out[TOKEN_SIZE]);
 
 /* Verifies and decodes. Returns false for a wrong size, an unknown key or a
  * MAC that does not match; the comparison takes constant time. */
-bool token_open(struct token *token, const struct key_ring *keys,
+bool token_open(struct flow_token *token, const struct key_ring *keys,
                 const uint8_t *data, size_t size);
