--- a/src/coordination/gossip-message.h
+++ b/src/coordination/gossip-message.h
@@ -63,8 +63,9 @@
     struct member_info sender;
     uint64_t nonce;
 
-    /* The sender's configuration: complete up to "revision", and the checksum
-     * of all it holds. 0 while it is not known to be complete. */
+    /* The sender's configuration: the store's revision up to which it is
+     * known to be complete, 0 when it is not; and the checksum of all it
+     * holds. */
     uint64_t revision;
     uint64_t checksum;
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -83,4 +83,3 @@
  * the others. Returns their number. */
 size_t membership_draw(struct membership *ms, bool local,
                        const struct member **out, size_t max);
-
--- a/src/coordination/neighbors.h
+++ b/src/coordination/neighbors.h
@@ -7,6 +7,8 @@
 #define NEIGHBORS_LOCAL_RING 2   /* successors on the ring of hashes */
 #define NEIGHBORS_LOCAL_CHORDS 3 /* by rendezvous rank */
 #define NEIGHBORS_REMOTE 2       /* of other failure domains, one each */
+#define NEIGHBORS_MAX                                                         \
+    (NEIGHBORS_LOCAL_RING + NEIGHBORS_LOCAL_CHORDS + NEIGHBORS_REMOTE)
 
 /* Sets "neighbor" on the members of the table. In the own failure domain the
  * live members form a ring ordered by hash, and each sends heartbeats to its
--- a/src/state/config-store.c
+++ b/src/state/config-store.c
@@ -32,7 +32,6 @@
     size_t chain_count;
     size_t count;
     size_t bytes;
-    uint64_t revision;
     uint64_t older_count;
     struct config_digest digest;
 };
@@ -349,14 +348,20 @@
     return name_hash & (CONFIG_BUCKETS - 1);
 }
 
+static uint64_t
+version_hash(uint64_t name_hash, uint64_t version)
+{
+    uint64_t pair[2] = {name_hash, version};
+
+    return XXH64(pair, sizeof(pair), 0);
+}
+
 /* Adds a record to the digest, or takes it out again. */
 static void
 digest_toggle(struct config_store *cs, const struct record *rec)
 {
-    uint64_t pair[2] = {rec->name_hash, rec->version};
-
     cs->digest.buckets[bucket_of(rec->name_hash)] ^=
-        XXH64(pair, sizeof(pair), 0);
+        version_hash(rec->name_hash, rec->version);
 }
 
 static void
@@ -389,17 +394,39 @@
     return rec;
 }
 
+/* The same version again: whether it is the same write, too. */
+static enum config_result
+compare_contents(struct record *old, const struct record *rec)
+{
+    if (old->deleted != rec->deleted || old->size != rec->size ||
+        memcmp(old->body, rec->body, rec->size) != 0) {
+        return CONFIG_DIFFERS;
+    }
+    if (old->revision == CONFIG_REVISION_UNKNOWN) {
+        old->revision = rec->revision;
+    }
+    return CONFIG_SAME;
+}
+
+static void
+record_insert(struct config_store *cs, struct record *rec)
+{
+    list_push_back(chain_of(cs, rec->name_hash), &rec->link);
+    cs->count++;
+    cs->bytes += sizeof(*rec) + rec->size;
+    digest_toggle(cs, rec);
+    grow(cs);
+}
+
 enum config_result
 config_store_apply(struct config_store *cs, const struct resource *r,
                    uint64_t revision)
 {
     uint64_t name_hash = resource_name_hash(r);
     struct record *old = find(cs, name_hash);
+    enum config_result result;
     struct record *rec;
 
-    if (old != NULL && old->version == r->version) {
-        return CONFIG_SAME;
-    }
     if (old != NULL && old->version > r->version) {
         cs->older_count++;
         return CONFIG_OLDER;
@@ -408,25 +435,23 @@
     if (rec == NULL) {
         return CONFIG_NO_MEMORY;
     }
+    if (old != NULL && old->version == r->version) {
+        result = compare_contents(old, rec);
+        free(rec);
+        return result;
+    }
     if (old != NULL) {
         record_remove(cs, old);
     }
-    list_push_back(chain_of(cs, name_hash), &rec->link);
-    cs->count++;
-    cs->bytes += sizeof(*rec) + rec->size;
-    digest_toggle(cs, rec);
-    if (revision > cs->revision) {
-        cs->revision = revision;
-    }
-    grow(cs);
+    record_insert(cs, rec);
     return CONFIG_APPLIED;
 }
 
 bool
-config_store_get(const struct config_store *cs, const char *name,
-                 struct resource *out, uint64_t *revision)
+config_store_get_by_hash(const struct config_store *cs, uint64_t name_hash,
+                         struct resource *out, uint64_t *revision)
 {
-    const struct record *rec = find(cs, id_hash(name));
+    const struct record *rec = find(cs, name_hash);
 
     if (rec == NULL) {
         return false;
@@ -438,6 +463,13 @@
     return true;
 }
 
+bool
+config_store_get(const struct config_store *cs, const char *name,
+                 struct resource *out, uint64_t *revision)
+{
+    return config_store_get_by_hash(cs, id_hash(name), out, revision);
+}
+
 uint64_t
 config_store_version(const struct config_store *cs, uint64_t name_hash)
 {
@@ -446,15 +478,14 @@
     return rec == NULL ? 0 : rec->version;
 }
 
-/* Walks the chains first, first + step, ... "kind" is RESOURCE_KIND_COUNT
- * for all kinds. */
+/* "kind" is RESOURCE_KIND_COUNT for all kinds. */
 static void
-walk(const struct config_store *cs, size_t first, size_t step,
-     enum resource_kind kind, config_store_cb cb, void *ctx)
+walk(const struct config_store *cs, enum resource_kind kind,
+     config_store_cb cb, void *ctx)
 {
     struct resource r;
 
-    for (size_t i = first; i < cs->chain_count; i += step) {
+    for (size_t i = 0; i < cs->chain_count; i++) {
         list_for_each (it, &cs->chains[i]) {
             const struct record *rec = container_of(it, struct record, link);
 
@@ -472,7 +503,7 @@
 void
 config_store_each(const struct config_store *cs, config_store_cb cb, void *ctx)
 {
-    walk(cs, 0, 1, RESOURCE_KIND_COUNT, cb, ctx);
+    walk(cs, RESOURCE_KIND_COUNT, cb, ctx);
 }
 
 void
@@ -480,16 +511,45 @@
                           enum resource_kind kind, config_store_cb cb,
                           void *ctx)
 {
-    walk(cs, 0, 1, kind, cb, ctx);
+    walk(cs, kind, cb, ctx);
 }
 
-/* A digest bucket is the low bits of the name's hash, as is a chain, so a
- * bucket is every CONFIG_BUCKETS-th chain. */
+/* A chain is chosen by the low bits of the hash, as is a prefix, so only
+ * one chain in 1 << bits has to be looked at. */
 void
-config_store_each_in_bucket(const struct config_store *cs, unsigned bucket,
-                            config_store_cb cb, void *ctx)
+config_store_each_version(const struct config_store *cs, unsigned bits,
+                          uint32_t prefix, config_version_cb cb, void *ctx)
 {
-    walk(cs, bucket, CONFIG_BUCKETS, RESOURCE_KIND_COUNT, cb, ctx);
+    uint64_t mask = (1ULL << bits) - 1;
+    size_t step = mask + 1 < cs->chain_count ? mask + 1 : cs->chain_count;
+
+    for (size_t i = prefix & (step - 1); i < cs->chain_count; i += step) {
+        list_for_each (it, &cs->chains[i]) {
+            const struct record *rec = container_of(it, struct record, link);
+
+            if ((rec->name_hash & mask) == prefix) {
+                cb(ctx, rec->name_hash, rec->version);
+            }
+        }
+    }
+}
+
+static void
+leaf_toggle(void *ctx, uint64_t name_hash, uint64_t version)
+{
+    struct config_digest *digest = ctx;
+
+    digest->buckets[bucket_of(name_hash >> CONFIG_BUCKET_BITS)] ^=
+        version_hash(name_hash, version);
+}
+
+void
+config_store_leaf_digest(const struct config_store *cs, uint32_t bucket,
+                         struct config_digest *out)
+{
+    memset(out, 0, sizeof(*out));
+    config_store_each_version(cs, CONFIG_BUCKET_BITS, bucket, leaf_toggle,
+                              out);
 }
 
 const struct config_digest *
@@ -513,12 +573,6 @@
     return cs->count;
 }
 
-uint64_t
-config_store_revision(const struct config_store *cs)
-{
-    return cs->revision;
-}
-
 uint64_t
 config_store_older_count(const struct config_store *cs)
 {
--- a/tests/unit/test-config-store.c
+++ b/tests/unit/test-config-store.c
@@ -25,8 +25,8 @@
     const struct step steps[] = {
         {2, false, CONFIG_APPLIED, 2}, {2, false, CONFIG_SAME, 2},
         {1, false, CONFIG_OLDER, 2},   {4, true, CONFIG_APPLIED, 4},
-        {3, false, CONFIG_OLDER, 4},   {4, false, CONFIG_SAME, 4},
-        {5, false, CONFIG_APPLIED, 5},
+        {3, false, CONFIG_OLDER, 4},   {4, false, CONFIG_DIFFERS, 4},
+        {4, true, CONFIG_SAME, 4},     {5, false, CONFIG_APPLIED, 5},
     };
     struct config_store *cs = config_store_new();
     struct resource got;
@@ -47,7 +47,6 @@
     }
     assert_int_equal(config_store_older_count(cs), 2);
     assert_int_equal(config_store_count(cs), 1);
-    assert_int_equal(config_store_revision(cs), 105);
     config_store_destroy(cs);
 }
 
@@ -94,6 +93,12 @@
     return true;
 }
 
+static void
+count_version(void *ctx, uint64_t name_hash, uint64_t version)
+{
+    (*(size_t *)ctx)++;
+}
+
 /* Two stores that took the same versions in another order, with detours,
  * have the same digest; one version apart they differ in one bucket. */
 static void
@@ -105,6 +110,10 @@
     size_t differing = 0;
     size_t walked = 0;
     char id[ID_SIZE];
+    struct config_digest leaf_a;
+    struct config_digest leaf_b;
+    unsigned bucket;
+    unsigned part;
 
     assert_int_equal(config_store_checksum(a), 0);
     for (int i = 0; i < 1000; i++) {
@@ -124,14 +133,48 @@
     for (unsigned i = 0; i < CONFIG_BUCKETS; i++) {
         differing += config_store_digest(a)->buckets[i] !=
                      config_store_digest(b)->buckets[i];
-        config_store_each_in_bucket(a, i, count_one, &walked);
+        config_store_each_version(a, CONFIG_BUCKET_BITS, i, count_version,
+                                  &walked);
     }
     assert_int_equal(differing, 1);
     assert_int_equal(walked, 1000);
+    walked = 0;
+    for (unsigned i = 0; i < CONFIG_BUCKETS * CONFIG_BUCKETS; i++) {
+        config_store_each_version(a, 2 * CONFIG_BUCKET_BITS, i, count_version,
+                                  &walked);
+    }
+    assert_int_equal(walked, 1000);
+    bucket = id_hash("target/s/t500") % CONFIG_BUCKETS;
+    part = id_hash("target/s/t500") / CONFIG_BUCKETS % CONFIG_BUCKETS;
+    config_store_leaf_digest(a, bucket, &leaf_a);
+    config_store_leaf_digest(b, bucket, &leaf_b);
+    for (unsigned i = 0; i < CONFIG_BUCKETS; i++) {
+        assert_int_equal(leaf_a.buckets[i] != leaf_b.buckets[i], i == part);
+    }
     config_store_destroy(a);
     config_store_destroy(b);
 }
 
+/* The same version with other contents is refused and told apart from the
+ * same write, whose unknown revision it may complete. */
+static void
+test_same_version(void **state)
+{
+    struct config_store *cs = config_store_new();
+    struct resource r = make_target("s", "t", 3, 7, false);
+    struct resource other = make_target("s", "t", 3, 8, false);
+    uint64_t revision;
+
+    config_store_apply(cs, &r, CONFIG_REVISION_UNKNOWN);
+    assert_int_equal(config_store_apply(cs, &other, 5), CONFIG_DIFFERS);
+    assert_int_equal(config_store_apply(cs, &r, 6), CONFIG_SAME);
+    assert_int_equal(config_store_apply(cs, &r, 9), CONFIG_SAME);
+    assert_true(config_store_get(cs, "target/s/t", &other, &revision));
+    assert_int_equal(revision, 6);
+    assert_int_equal(other.target.addr, 7);
+    config_store_destroy(cs);
+}
+
 static void
 test_memory(void **state)
 {
@@ -161,6 +204,7 @@
         cmocka_unit_test(test_only_higher_versions),
         cmocka_unit_test(test_fields_survive),
         cmocka_unit_test(test_digest),
+        cmocka_unit_test(test_same_version),
         cmocka_unit_test(test_memory),
     };
 
