--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -5,14 +5,14 @@
 
 #include "base/clock.h"
 
-#define FANOUT 3                                 /* peers per push */
-#define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)    /* between two repairs */
-#define SYNC_BULK_GAP_US (20 * USEC_PER_MSEC)    /* while they get through */
-#define DIGEST_INTERVAL_US (10 * USEC_PER_SEC)   /* even without difference */
-#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC)     /* news of floors is bundled */
-#define SYNC_BUCKETS 4      /* buckets repaired in one exchange */
-#define SYNC_LEAVES 8       /* parts of a bucket repaired in one exchange */
-#define BUCKET_DIRECT 64    /* records of a bucket listed without leaf digest */
+#define FANOUT 3                               /* peers per push */
+#define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)  /* between two repairs */
+#define SYNC_BULK_GAP_US (20 * USEC_PER_MSEC)  /* while they get through */
+#define DIGEST_INTERVAL_US (10 * USEC_PER_SEC) /* even without difference */
+#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC)   /* news of floors is bundled */
+#define SYNC_BUCKETS 4   /* buckets repaired in one exchange */
+#define SYNC_LEAVES 8    /* parts of a bucket repaired in one exchange */
+#define BUCKET_DIRECT 64 /* records of a bucket listed without leaf digest */
 #define PUSH_MESSAGES_MAX 8 /* messages of resources per answer */
 #define WATCHER_SALT 0x77617463686572ULL
 
