transport: client of the platform's store

Speaks the etcd v3 JSON gateway over evhttp: paged reads at one revision, compare-and-swap, one streamed watch with a silence limit. An attempt that failed before a byte was written may be repeated and ends as store_down; a write whose answer was lost ends as store_unknown. Endpoints rotate, delays between attempts have decorrelated jitter. Settings refusals now name the missing or unknown key itself.

--- /dev/null
+++ b/src/base/backoff.c
@@ -0,0 +1,31 @@
+#include "base/backoff.h"
+
+#include <assert.h>
+
+/* Starts with no failures. Times are in microseconds. */
+void
+backoff_init(struct backoff *b, uint64_t min_us, uint64_t max_us)
+{
+    assert(min_us > 0 && min_us <= max_us);
+    b->min_us = min_us;
+    b->max_us = max_us;
+    b->last_us = 0;
+}
+
+void
+backoff_reset(struct backoff *b)
+{
+    b->last_us = 0;
+}
+
+/* Returns the delay before the next attempt, in microseconds. */
+uint64_t
+backoff_next(struct backoff *b, random_cb random, void *ctx)
+{
+    uint64_t from = b->last_us > b->min_us ? b->last_us : b->min_us;
+    uint64_t span = 3 * from - b->min_us;
+    uint64_t delay = b->min_us + random(ctx) % (span + 1);
+
+    b->last_us = delay < b->max_us ? delay : b->max_us;
+    return b->last_us;
+}
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -190,6 +190,70 @@
     }
 }
 
+/* Takes the key that a reason ends with out of it. Returns NULL when the
+ * reason is another one. */
+static const char *
+key_of_reason(const struct load_log *log, const char *prefix)
+{
+    size_t len = strlen(prefix);
+
+    return strncmp(log->reason, prefix, len) == 0 ? log->reason + len : NULL;
+}
+
+/* For a missing field, libcyaml names the field before it; for an unknown
+ * one, the mapping around it. Puts the key itself into the path. */
+static void
+name_key(struct load_log *log)
+{
+    const char *missing =
+        key_of_reason(log, "Missing required mapping field: ");
+    const char *unknown = key_of_reason(log, "Unexpected key: ");
+    char *dot = strrchr(log->path, '.');
+    size_t len = strlen(log->path);
+
+    if (missing != NULL) {
+        len = dot == NULL ? 0 : (size_t)(dot + 1 - log->path);
+        snprintf(log->path + len, sizeof(log->path) - len, "%s", missing);
+        snprintf(log->reason, sizeof(log->reason), "required, but missing");
+    }
+    else if (unknown != NULL) {
+        snprintf(log->path + len, sizeof(log->path) - len, "%s%s",
+                 len == 0 ? "" : ".", unknown);
+        snprintf(log->reason, sizeof(log->reason), "unknown key");
+    }
+}
+
+/* libcyaml names its own types in "Invalid UINT value: '70000'". All values
+ * that it checks are unsigned numbers. */
+static void
+reword_number(struct load_log *log)
+{
+    const char *value = strstr(log->reason, " value: ");
+    char text[64];
+
+    if (strncmp(log->reason, "Invalid ", strlen("Invalid ")) != 0 ||
+        value == NULL) {
+        return;
+    }
+    snprintf(text, sizeof(text), "%s", value + strlen(" value: "));
+    snprintf(log->reason, sizeof(log->reason),
+             "%s is not a number in the range of this key", text);
+}
+
+/* Prefers the line of the value itself to the one in the backtrace, which may
+ * be that of the value before. */
+static void
+find_line(struct load_log *log, const char *file)
+{
+    struct yaml_lines *lines = yaml_lines_new(file);
+    size_t line = lines == NULL ? 0 : yaml_lines_find(lines, log->path);
+
+    if (line > 0) {
+        log->line = (unsigned)line;
+    }
+    yaml_lines_destroy(lines);
+}
+
 static void
 set_load_failure(struct status *st, const char *path,
                  const struct load_log *log, cyaml_err_t err)
@@ -228,6 +292,9 @@
     }
     err = cyaml_load_file(path, &config, &settings_schema, &data, NULL);
     if (err != CYAML_OK) {
+        name_key(&log);
+        reword_number(&log);
+        find_line(&log, path);
         set_load_failure(st, path, &log, err);
         return NULL;
     }
--- /dev/null
+++ b/src/transport/store-client.c
@@ -0,0 +1,685 @@
+#include "transport/store-client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#define LOG_MODULE "store-client"
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/list.h"
+#include "base/log.h"
+#include "transport/http-call.h"
+#include "transport/store-json.h"
+
+#define CALL_TIMEOUT_US (2 * USEC_PER_SEC)
+#define WATCH_SILENCE_US (3 * USEC_PER_SEC)
+#define BACKOFF_MIN_US (50 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US (2 * USEC_PER_SEC)
+#define ATTEMPTS 3
+#define PAGE_KEYS 500
+#define ANSWER_MAX (64U << 20) /* bytes */
+#define LINE_MAX_SIZE ANSWER_MAX
+
+struct endpoint {
+    char address[ADDRESS_TEXT_SIZE];
+    uint16_t port;
+};
+
+/* A read or a write in progress. */
+struct operation {
+    struct list link;
+    struct store_client *sc;
+    struct http_call *call;
+    struct event *retry;
+    const char *path;
+    char *body; /* of the current attempt */
+    unsigned attempts_left;
+    size_t endpoint; /* of the current attempt */
+    bool is_cas;
+    void *ctx;
+    store_cas_cb on_cas;
+    store_range_cb on_range;
+    char end[STORE_KEY_SIZE]; /* of a prefix read */
+    uint64_t revision;        /* of the first page */
+    struct store_entries entries;
+};
+
+struct watch {
+    struct store_client *sc;
+    struct http_call *call;
+    struct event *start; /* delayed start */
+    size_t endpoint;
+    char *body;
+    char *buf; /* bytes of an unfinished line */
+    size_t len;
+    size_t size;
+    store_watch_cb cb;
+    void *ctx;
+};
+
+struct store_client {
+    struct event_base *base;
+    struct store_client_options options;
+    struct endpoint *endpoints;
+    size_t endpoint_count;
+    size_t current; /* endpoint of the next attempt */
+    struct backoff backoff;
+    uint64_t calls;
+    struct list operations;
+    struct watch *watch;
+    uint64_t watch_sequence; /* rises when the watch starts or stops */
+};
+
+static uint32_t
+default_random(void *ctx)
+{
+    return randombytes_random();
+}
+
+void
+store_client_options_default(struct store_client_options *options)
+{
+    *options = (struct store_client_options){
+        .call_timeout_us = CALL_TIMEOUT_US,
+        .watch_silence_us = WATCH_SILENCE_US,
+        .backoff_min_us = BACKOFF_MIN_US,
+        .backoff_max_us = BACKOFF_MAX_US,
+        .attempts = ATTEMPTS,
+        .random = default_random,
+    };
+}
+
+/* Replaces the limits; operations that have started keep theirs. */
+void
+store_client_set_options(struct store_client *sc,
+                         const struct store_client_options *options)
+{
+    sc->options = *options;
+    backoff_init(&sc->backoff, options->backoff_min_us,
+                 options->backoff_max_us);
+}
+
+/* Reads "a.b.c.d:port". */
+static bool
+parse_endpoint(const char *text, struct endpoint *endpoint)
+{
+    const char *colon = strchr(text, ':');
+    uint32_t addr;
+    unsigned long port;
+    char *end;
+
+    if (colon == NULL || (size_t)(colon - text) >= ADDRESS_TEXT_SIZE) {
+        return false;
+    }
+    memcpy(endpoint->address, text, (size_t)(colon - text));
+    endpoint->address[colon - text] = '\0';
+    port = strtoul(colon + 1, &end, 10);
+    endpoint->port = (uint16_t)port;
+    return address_parse(endpoint->address, &addr) && *end == '\0' &&
+           port > 0 && port <= UINT16_MAX;
+}
+
+static bool
+set_endpoints(struct store_client *sc, const char *const *endpoints,
+              size_t count, struct status *st)
+{
+    if (count == 0) {
+        status_set(st, ERR_INVALID, "store client: no endpoints");
+        return false;
+    }
+    sc->endpoints = calloc(count, sizeof(*sc->endpoints));
+    if (sc->endpoints == NULL) {
+        status_set(st, ERR_NO_MEMORY, "store client: out of memory");
+        return false;
+    }
+    sc->endpoint_count = count;
+    for (size_t i = 0; i < count; i++) {
+        if (!parse_endpoint(endpoints[i], &sc->endpoints[i])) {
+            status_set(st, ERR_INVALID,
+                       "store client: \"%s\" is not an address and port",
+                       endpoints[i]);
+            return false;
+        }
+    }
+    return true;
+}
+
+struct store_client *
+store_client_new(struct event_base *base, const char *const *endpoints,
+                 size_t endpoint_count, struct status *st)
+{
+    struct store_client *sc = calloc(1, sizeof(*sc));
+    struct store_client_options options;
+
+    if (sc == NULL) {
+        status_set(st, ERR_NO_MEMORY, "store client: out of memory");
+        return NULL;
+    }
+    sc->base = base;
+    list_init(&sc->operations);
+    store_client_options_default(&options);
+    store_client_set_options(sc, &options);
+    if (!set_endpoints(sc, endpoints, endpoint_count, st)) {
+        store_client_destroy(sc);
+        return NULL;
+    }
+    sc->current = options.random(NULL) % endpoint_count;
+    status_ok(st);
+    return sc;
+}
+
+static void
+operation_destroy(struct operation *op)
+{
+    list_remove(&op->link);
+    http_call_cancel(op->call);
+    if (op->retry != NULL) {
+        event_free(op->retry);
+    }
+    store_entries_clear(&op->entries);
+    free(op->body);
+    free(op);
+}
+
+void
+store_client_destroy(struct store_client *sc)
+{
+    if (sc == NULL) {
+        return;
+    }
+    store_client_watch_stop(sc);
+    list_for_each_safe (it, &sc->operations) {
+        operation_destroy(container_of(it, struct operation, link));
+    }
+    free(sc->endpoints);
+    free(sc);
+}
+
+uint64_t
+store_client_calls(const struct store_client *sc)
+{
+    return sc->calls;
+}
+
+/* Starts one HTTP call to the current endpoint and tells which it was. */
+static struct http_call *
+start_call(struct store_client *sc, const char *path, const char *body,
+           uint64_t timeout_us, size_t *endpoint, http_chunk_cb on_chunk,
+           http_call_cb cb, void *ctx)
+{
+    static const struct http_call_header headers[] = {
+        {"Content-Type", "application/json"},
+        {NULL, NULL},
+    };
+    const struct http_call_request request = {
+        .address = sc->endpoints[sc->current].address,
+        .port = sc->endpoints[sc->current].port,
+        .method = EVHTTP_REQ_POST,
+        .path = path,
+        .body = body,
+        .body_len = strlen(body),
+        .headers = headers,
+        .timeout_us = timeout_us,
+        .answer_max = ANSWER_MAX,
+    };
+
+    *endpoint = sc->current;
+    sc->calls++;
+    return http_call_start(sc->base, &request, on_chunk, cb, ctx);
+}
+
+/* Notes that an endpoint failed: the next attempt goes to another one. */
+static void
+endpoint_failed(struct store_client *sc, size_t endpoint)
+{
+    if (sc->current == endpoint) {
+        sc->current = (endpoint + 1) % sc->endpoint_count;
+    }
+}
+
+static void
+schedule(struct event *event, uint64_t delay_us)
+{
+    struct timeval delay = {
+        .tv_sec = (time_t)(delay_us / USEC_PER_SEC),
+        .tv_usec = (suseconds_t)(delay_us % USEC_PER_SEC),
+    };
+
+    event_add(event, &delay);
+}
+
+static uint64_t
+next_delay(struct store_client *sc)
+{
+    return backoff_next(&sc->backoff, sc->options.random,
+                        sc->options.random_ctx);
+}
+
+/* Ends an operation and tells its caller. */
+static void
+operation_end(struct operation *op, const struct status *st, uint64_t revision)
+{
+    struct store_entry *items = op->entries.items;
+    size_t count = op->entries.count;
+    bool ok = st->kind == ERR_NONE;
+
+    list_remove(&op->link);
+    if (op->is_cas) {
+        op->on_cas(op->ctx, st, revision);
+    }
+    else {
+        op->on_range(op->ctx, st, revision, ok ? items : NULL, ok ? count : 0);
+    }
+    operation_destroy(op);
+}
+
+static void
+operation_fail(struct operation *op, enum error_kind kind, const char *what)
+{
+    struct status st;
+
+    status_set(&st, kind, "platform store: %s", what);
+    operation_end(op, &st, 0);
+}
+
+static void on_operation_answer(void *ctx,
+                                const struct http_call_answer *answer);
+
+static void
+operation_attempt(struct operation *op)
+{
+    struct store_client *sc = op->sc;
+
+    op->attempts_left--;
+    op->call = start_call(sc, op->path, op->body, sc->options.call_timeout_us,
+                          &op->endpoint, NULL, on_operation_answer, op);
+    if (op->call == NULL) {
+        /* The caller does not expect its callback yet. */
+        op->attempts_left = 0;
+        schedule(op->retry, 0);
+    }
+}
+
+static void
+on_retry(evutil_socket_t fd, short what, void *ctx)
+{
+    struct operation *op = ctx;
+
+    if (op->attempts_left == 0) {
+        operation_fail(op, ERR_STORE_DOWN, "out of memory");
+        return;
+    }
+    operation_attempt(op);
+}
+
+/* An attempt failed without effect: tries again after a delay, or gives up. */
+static void
+operation_retry(struct operation *op, const char *what)
+{
+    struct store_client *sc = op->sc;
+    uint64_t delay = next_delay(sc);
+
+    endpoint_failed(sc, op->endpoint);
+    if (op->attempts_left == 0) {
+        operation_fail(op, ERR_STORE_DOWN, what);
+        return;
+    }
+    schedule(op->retry, delay);
+}
+
+/* An answer to a write that is not 200: a refusal of the request itself wrote
+ * nothing; after a server's error nothing is known. */
+static void
+handle_cas_refusal(struct operation *op, int status)
+{
+    char what[64];
+
+    snprintf(what, sizeof(what), "write answered with HTTP status %d", status);
+    endpoint_failed(op->sc, op->endpoint);
+    if (status >= HTTP_BADREQUEST && status < HTTP_INTERNAL) {
+        operation_fail(op, ERR_STORE_DOWN, what);
+        return;
+    }
+    operation_fail(op, ERR_STORE_UNKNOWN, what);
+}
+
+static void
+handle_cas_answer(struct operation *op, const struct http_call_answer *answer)
+{
+    struct store_cas_answer cas;
+    struct status st;
+
+    if (answer->end == HTTP_CALL_NOT_SENT) {
+        operation_retry(op, "no connection");
+        return;
+    }
+    if (answer->end == HTTP_CALL_LOST) {
+        endpoint_failed(op->sc, op->endpoint);
+        operation_fail(op, ERR_STORE_UNKNOWN, "answer to a write was lost");
+        return;
+    }
+    if (answer->status != HTTP_OK) {
+        handle_cas_refusal(op, answer->status);
+        return;
+    }
+    if (!store_json_parse_cas(answer->body, answer->body_len, &cas)) {
+        operation_fail(op, ERR_STORE_UNKNOWN, "answer to a write malformed");
+        return;
+    }
+    backoff_reset(&op->sc->backoff);
+    status_ok(&st);
+    if (!cas.succeeded) {
+        status_set(&st, ERR_CONFLICT, "the key has changed");
+    }
+    operation_end(op, &st, cas.succeeded ? cas.revision : 0);
+}
+
+/* Reads the next page: from the successor of the last key, at the revision of
+ * the first page, so that all pages show one moment. */
+static void
+read_next_page(struct operation *op)
+{
+    const char *last = op->entries.items[op->entries.count - 1].key;
+    char successor[STORE_KEY_SIZE + 1];
+
+    /* The least key above "last" is last + "\1": keys hold no control
+     * characters and the text form holds no NUL. */
+    snprintf(successor, sizeof(successor), "%s\1", last);
+    free(op->body);
+    op->body = store_json_range(successor, op->end, op->revision, PAGE_KEYS);
+    if (op->body == NULL) {
+        operation_fail(op, ERR_STORE_DOWN, "out of memory");
+        return;
+    }
+    op->attempts_left = op->sc->options.attempts;
+    operation_attempt(op);
+}
+
+static void
+handle_range_answer(struct operation *op,
+                    const struct http_call_answer *answer)
+{
+    struct store_range_answer range;
+    struct status st;
+    size_t had = op->entries.count;
+
+    if (answer->end != HTTP_CALL_ANSWERED) {
+        operation_retry(op, "no answer to a read");
+        return;
+    }
+    if (answer->status != HTTP_OK) {
+        operation_retry(op, "read refused");
+        return;
+    }
+    if (!store_json_parse_range(answer->body, answer->body_len, &range,
+                                &op->entries)) {
+        operation_fail(op, ERR_STORE_DOWN, "answer to a read malformed");
+        return;
+    }
+    backoff_reset(&op->sc->backoff);
+    if (op->revision == 0) {
+        op->revision = range.revision;
+    }
+    if (range.more && op->entries.count > had) {
+        read_next_page(op);
+        return;
+    }
+    status_ok(&st);
+    operation_end(op, &st, op->revision);
+}
+
+static void
+on_operation_answer(void *ctx, const struct http_call_answer *answer)
+{
+    struct operation *op = ctx;
+
+    op->call = NULL;
+    if (op->is_cas) {
+        handle_cas_answer(op, answer);
+    }
+    else {
+        handle_range_answer(op, answer);
+    }
+}
+
+/* Links a new operation. Returns NULL when memory is short; then the callback
+ * could only be run from here, so callers log it and the process, which needs
+ * little memory for this, is about to fail anyway. */
+static struct operation *
+operation_new(struct store_client *sc, const char *path, char *body, void *ctx)
+{
+    struct operation *op = body == NULL ? NULL : calloc(1, sizeof(*op));
+
+    if (op == NULL) {
+        free(body);
+        LOG_ERR("out of memory");
+        abort();
+    }
+    op->sc = sc;
+    op->path = path;
+    op->body = body;
+    op->ctx = ctx;
+    op->attempts_left = sc->options.attempts;
+    op->retry = event_new(sc->base, -1, 0, on_retry, op);
+    list_push_back(&sc->operations, &op->link);
+    return op;
+}
+
+void
+store_client_range(struct store_client *sc, const char *key, bool prefix,
+                   store_range_cb cb, void *ctx)
+{
+    char end[STORE_KEY_SIZE];
+    struct operation *op;
+
+    store_prefix_end(key, end);
+    op = operation_new(
+        sc, "/v3/kv/range",
+        store_json_range(key, prefix ? end : NULL, 0, prefix ? PAGE_KEYS : 0),
+        ctx);
+    memcpy(op->end, end, sizeof(end));
+    op->on_range = cb;
+    operation_attempt(op);
+}
+
+void
+store_client_cas(struct store_client *sc, const char *key, const char *value,
+                 size_t value_len, uint64_t expected, store_cas_cb cb,
+                 void *ctx)
+{
+    struct operation *op =
+        operation_new(sc, "/v3/kv/txn",
+                      store_json_cas(key, value, value_len, expected), ctx);
+
+    op->is_cas = true;
+    op->on_cas = cb;
+    operation_attempt(op);
+}
+
+static void
+watch_destroy(struct watch *w)
+{
+    http_call_cancel(w->call);
+    if (w->start != NULL) {
+        event_free(w->start);
+    }
+    free(w->body);
+    free(w->buf);
+    free(w);
+}
+
+void
+store_client_watch_stop(struct store_client *sc)
+{
+    if (sc->watch != NULL) {
+        watch_destroy(sc->watch);
+        sc->watch = NULL;
+        sc->watch_sequence++;
+    }
+}
+
+/* Ends the watch and tells its caller, who may start another. */
+static void
+watch_fail(struct watch *w, enum error_kind kind, const char *what)
+{
+    store_watch_cb cb = w->cb;
+    void *ctx = w->ctx;
+    struct store_client *sc = w->sc;
+    struct status st;
+
+    if (kind != ERR_NOT_FOUND) {
+        endpoint_failed(sc, w->endpoint);
+        next_delay(sc);
+    }
+    store_client_watch_stop(sc);
+    status_set(&st, kind, "platform store: %s", what);
+    cb(ctx, &st, 0, NULL, 0);
+}
+
+/* Hands one line of the watch on. */
+static void
+watch_handle_line(struct watch *w, const char *text, size_t len)
+{
+    struct store_watch_line line = {.revision = 0};
+    struct store_entries entries = {.count = 0};
+    struct status st;
+
+    if (!store_json_parse_watch(text, len, &line, &entries)) {
+        watch_fail(w, ERR_STORE_DOWN, "a line of the watch is malformed");
+    }
+    else if (line.canceled && line.compacted) {
+        watch_fail(w, ERR_NOT_FOUND, "the watch's start is compacted");
+    }
+    else if (line.canceled) {
+        watch_fail(w, ERR_STORE_DOWN, "the watch was canceled");
+    }
+    else {
+        backoff_reset(&w->sc->backoff);
+        status_ok(&st);
+        w->cb(w->ctx, &st, line.revision, entries.items, entries.count);
+    }
+    store_entries_clear(&entries);
+}
+
+static bool
+watch_buffer(struct watch *w, const char *data, size_t len)
+{
+    if (w->len + len > LINE_MAX_SIZE) {
+        return false;
+    }
+    if (w->len + len > w->size) {
+        size_t size = 2 * (w->len + len);
+        char *buf = realloc(w->buf, size);
+
+        if (buf == NULL) {
+            return false;
+        }
+        w->buf = buf;
+        w->size = size;
+    }
+    memcpy(w->buf + w->len, data, len);
+    w->len += len;
+    return true;
+}
+
+/* Takes one whole line out of the buffer. Returns NULL when there is none;
+ * the caller frees it. */
+static char *
+watch_take_line(struct watch *w, size_t *len)
+{
+    char *newline = w->len == 0 ? NULL : memchr(w->buf, '\n', w->len);
+    char *line;
+
+    if (newline == NULL) {
+        return NULL;
+    }
+    *len = (size_t)(newline - w->buf);
+    line = malloc(*len + 1);
+    if (line == NULL) {
+        return NULL;
+    }
+    memcpy(line, w->buf, *len);
+    line[*len] = '\0';
+    w->len -= *len + 1;
+    memmove(w->buf, newline + 1, w->len);
+    return line;
+}
+
+static void
+on_watch_chunk(void *ctx, const char *data, size_t len)
+{
+    struct watch *w = ctx;
+    struct store_client *sc = w->sc;
+    uint64_t sequence = sc->watch_sequence;
+    size_t line_len;
+    char *line;
+
+    if (!watch_buffer(w, data, len)) {
+        watch_fail(w, ERR_STORE_DOWN, "a line of the watch is too long");
+        return;
+    }
+    /* A callback may stop the watch, or start another. */
+    while (sc->watch_sequence == sequence &&
+           (line = watch_take_line(w, &line_len)) != NULL) {
+        if (line_len > 0) {
+            watch_handle_line(w, line, line_len);
+        }
+        free(line);
+    }
+}
+
+static void
+on_watch_end(void *ctx, const struct http_call_answer *answer)
+{
+    struct watch *w = ctx;
+
+    w->call = NULL;
+    if (answer->end == HTTP_CALL_NOT_SENT) {
+        watch_fail(w, ERR_STORE_DOWN, "no connection for the watch");
+    }
+    else if (answer->end == HTTP_CALL_LOST) {
+        watch_fail(w, ERR_STORE_DOWN, "the watch went silent or was cut");
+    }
+    else {
+        watch_fail(w, ERR_STORE_DOWN, "the watch ended");
+    }
+}
+
+static void
+on_watch_start(evutil_socket_t fd, short what, void *ctx)
+{
+    struct watch *w = ctx;
+
+    w->call = start_call(w->sc, "/v3/watch", w->body,
+                         w->sc->options.watch_silence_us, &w->endpoint,
+                         on_watch_chunk, on_watch_end, w);
+    if (w->call == NULL) {
+        watch_fail(w, ERR_STORE_DOWN, "out of memory");
+    }
+}
+
+void
+store_client_watch(struct store_client *sc, const char *prefix,
+                   uint64_t start_revision, store_watch_cb cb, void *ctx)
+{
+    struct watch *w = calloc(1, sizeof(*w));
+    char end[STORE_KEY_SIZE];
+
+    store_client_watch_stop(sc);
+    if (w == NULL) {
+        LOG_ERR("out of memory");
+        abort();
+    }
+    store_prefix_end(prefix, end);
+    w->sc = sc;
+    w->cb = cb;
+    w->ctx = ctx;
+    w->body = store_json_watch(prefix, end, start_revision);
+    w->start = event_new(sc->base, -1, 0, on_watch_start, w);
+    sc->watch = w;
+    sc->watch_sequence++;
+    schedule(w->start, sc->backoff.last_us);
+}
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include "base/backoff.h"
 #include "base/status.h"
 
 /* Client of the platform's key-value service: the etcd v3 JSON gateway
@@ -36,21 +37,39 @@
 typedef void (*store_cas_cb)(void *ctx, const struct status *st,
                              uint64_t mod_revision);
 
-/* Changes seen by a watch. A failure ends the watch; ERR_NOT_FOUND means that
- * the start revision was compacted and a range read is needed. */
+/* Changes seen by a watch, up to and including "revision"; no entries is a
+ * sign of life. A key that was removed from the store has a NULL value. A
+ * failure ends the watch; ERR_NOT_FOUND means that the start revision was
+ * compacted and a range read is needed. */
 typedef void (*store_watch_cb)(void *ctx, const struct status *st,
                                uint64_t revision,
                                const struct store_entry *entries,
                                size_t count);
 
+/* Limits of a client; store_client_set_options() replaces the defaults. */
+struct store_client_options {
+    uint64_t call_timeout_us;  /* one attempt of a read or a write */
+    uint64_t watch_silence_us; /* a watch without a line for so long is dead */
+    uint64_t backoff_min_us;
+    uint64_t backoff_max_us;
+    unsigned attempts; /* of a read, or of a write that was not sent */
+    random_cb random;
+    void *random_ctx;
+};
+
 /* "endpoints" are "a.b.c.d:port" strings, copied. Returns NULL with "st" set.
  */
 struct store_client *store_client_new(struct event_base *base,
                                       const char *const *endpoints,
                                       size_t endpoint_count,
                                       struct status *st);
+/* Ends all operations without their callbacks. Not to be called from one. */
 void store_client_destroy(struct store_client *sc);
 
+void store_client_options_default(struct store_client_options *options);
+void store_client_set_options(struct store_client *sc,
+                              const struct store_client_options *options);
+
 /* Reads one key (range_end NULL) or all keys that start with "key" (prefix
  * set), in pages; the callback runs once with everything. */
 void store_client_range(struct store_client *sc, const char *key, bool prefix,
@@ -62,7 +81,9 @@
                       store_cas_cb cb, void *ctx);
 
 /* Watches all keys that start with "prefix" from "start_revision" on. One
- * watch per client; a silent connection is found by a progress timeout. */
+ * watch per client; a silent connection is found by a progress timeout. After
+ * failures the watch begins with a delay, so that a caller may simply start
+ * it again each time that it ends. */
 void store_client_watch(struct store_client *sc, const char *prefix,
                         uint64_t start_revision, store_watch_cb cb, void *ctx);
 void store_client_watch_stop(struct store_client *sc);
