--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -28,7 +28,7 @@
     for (size_t i = 0; i < count; i++) {
         const struct target_state *t = targets[i];
 
-        if (t->leaving || !t->health.verified) {
+        if (target_is_leaving(t) || !t->health.verified) {
             continue;
         }
         present++;
@@ -47,7 +47,7 @@
 {
     const struct target_health *h = &t->health;
 
-    if (t->removed || t->leaving || !h->verified || h->wrong_service) {
+    if (target_is_leaving(t) || !h->verified || h->wrong_service) {
         return false;
     }
     if (trust->ejections && is_ejected(h, now)) {
@@ -148,7 +148,7 @@
     h->probe_bad = false;
     h->probe_failures = 0;
     t->warming = probe->warming;
-    t->leaving = t->leaving || probe->leaving;
+    t->reports_leaving = probe->leaving;
     if (probe->load_known) {
         target_record_load(t, probe->running, probe->slots, probe->queued,
                            now);
--- a/src/state/target-table.c
+++ b/src/state/target-table.c
@@ -72,6 +72,12 @@
     return t;
 }
 
+bool
+target_is_leaving(const struct target_state *t)
+{
+    return t->removed || t->draining || t->reports_leaving;
+}
+
 struct target_state *
 target_ref(struct target_state *t)
 {
@@ -253,7 +259,7 @@
 
         t->slots = tv->slots;
         t->connections_max = tv->connections;
-        t->leaving = tv->state == ADMIN_DRAINING;
+        t->draining = tv->state == ADMIN_DRAINING;
     }
 }
 
--- a/src/state/target-table.h
+++ b/src/state/target-table.h
@@ -50,9 +50,10 @@
     uint16_t port;
     uint32_t slots;
     uint32_t connections_max;
-    bool removed; /* no longer in the view; only what runs may finish */
-    bool leaving; /* draining by declaration or by its own report */
-    bool warming; /* says that it is still warming up */
+    bool removed;  /* no longer in the view; only what runs may finish */
+    bool draining; /* declared: takes no new work */
+    bool reports_leaving; /* its health endpoint says so */
+    bool warming;         /* says that it is still warming up */
     uint64_t first_seen_us;
 
     uint32_t in_flight;   /* requests from here that hold a slot */
@@ -96,6 +97,9 @@
 struct target_state *service_targets_by_hash(const struct service_targets *svc,
                                              uint32_t hash);
 
+/* True when no new work may go to the target. */
+bool target_is_leaving(const struct target_state *t);
+
 struct target_state *target_ref(struct target_state *t);
 void target_unref(struct target_state *t);
 
--- /dev/null
+++ b/tests/unit/test-target-table.c
@@ -0,0 +1,158 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "view-fixture.h"
+
+/* What one case changes in the view of three targets before it is applied
+ * again, and what becomes of target t01. */
+struct view_case {
+    const char *name;
+    void (*change)(struct config_view *view);
+    bool kept;
+    bool leaving;
+    size_t count;
+};
+
+static void
+change_nothing(struct config_view *view)
+{
+}
+
+static void
+change_address(struct config_view *view)
+{
+    view->services[0].targets[1].addr = 0x0a0000ff;
+}
+
+static void
+change_port(struct config_view *view)
+{
+    view->services[0].targets[1].port = 9090;
+}
+
+static void
+change_service(struct config_view *view)
+{
+    strcpy(view->services[0].id, "rigctl");
+}
+
+static void
+change_state(struct config_view *view)
+{
+    view->services[0].targets[1].state = ADMIN_DRAINING;
+}
+
+static void
+remove_target(struct config_view *view)
+{
+    view->services[0].targets[1] = view->services[0].targets[2];
+    view->services[0].target_count = 2;
+}
+
+static void
+remove_service(struct config_view *view)
+{
+    free(view->services[0].targets);
+    view->services[0].targets = NULL;
+    view->service_count = 0;
+}
+
+static const struct view_case view_cases[] = {
+    {"same", change_nothing, true, false, 3},
+    {"other address", change_address, false, true, 3},
+    {"other port", change_port, false, true, 3},
+    {"other service", change_service, false, true, 0},
+    {"draining", change_state, true, true, 3},
+    {"target removed", remove_target, false, true, 2},
+    {"service removed", remove_service, false, true, 0},
+};
+
+/* A running request keeps its target valid whatever the view does, and the
+ * live state stays exactly when service, id and address do. */
+static void
+test_apply_view(void **state)
+{
+    for (size_t i = 0; i < sizeof(view_cases) / sizeof(*view_cases); i++) {
+        const struct view_case *c = &view_cases[i];
+        struct target_table *table = fixture_table(3);
+        struct config_view *view = fixture_view(3);
+        struct service_targets *svc =
+            target_table_service(table, FIXTURE_SERVICE);
+        struct target_state *t = service_targets_find(svc, "t01");
+        struct target_state *now;
+
+        print_message("case: %s\n", c->name);
+        target_start(t);
+        target_record_latency(t, 777);
+        c->change(view);
+        assert_true(target_table_apply_view(table, view, FIXTURE_NOW));
+        config_view_destroy(view);
+
+        svc = target_table_service(table, FIXTURE_SERVICE);
+        assert_int_equal(svc != NULL ? svc->count : 0, c->count);
+        now = svc != NULL ? service_targets_find(svc, "t01") : NULL;
+        assert_int_equal(now == t, c->kept);
+        assert_int_equal(t->removed, !c->kept);
+        assert_int_equal(t->in_flight, 1);
+        assert_int_equal(target_is_leaving(t), c->leaving);
+        if (now != NULL && now != t) {
+            assert_false(now->health.verified);
+            assert_int_equal(now->in_flight, 0);
+        }
+        target_finish(t);
+        assert_int_equal(list_empty(&table->removed), true);
+        target_table_destroy(table);
+    }
+}
+
+static void
+test_find_by_hash(void **state)
+{
+    struct target_table *table = fixture_table(3);
+    struct service_targets *svc = target_table_service(table, FIXTURE_SERVICE);
+    uint32_t hash = (uint32_t)id_hash("t02") & 0xffffff;
+
+    assert_ptr_equal(service_targets_by_hash(svc, hash), svc->targets[2]);
+    assert_null(service_targets_by_hash(svc, 0));
+    assert_null(service_targets_by_hash(svc, hash + 1));
+    assert_null(service_targets_find(svc, "t03"));
+    target_table_destroy(table);
+}
+
+/* The report of a target is split into what runs from here and the rest. */
+static void
+test_load_of_others(void **state)
+{
+    static const struct {
+        uint32_t running, queued, in_flight, others;
+    } cases[] = {{0, 0, 0, 0}, {2, 1, 1, 2}, {1, 0, 1, 0}, {0, 0, 2, 0}};
+    struct target_table *table = fixture_table(1);
+    struct target_state *t =
+        target_table_service(table, FIXTURE_SERVICE)->targets[0];
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        t->in_flight = cases[i].in_flight;
+        target_record_load(t, cases[i].running, 2, cases[i].queued, 5);
+        assert_int_equal(t->load.others, cases[i].others);
+    }
+    t->in_flight = 0;
+    target_table_destroy(table);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_apply_view),
+        cmocka_unit_test(test_find_by_hash),
+        cmocka_unit_test(test_load_of_others),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
