coordination: tests of the decisions; round robin by slot time

The tests found two faults. What is left of a stale load report (a weight of 1e-15) decided every comparison against the same target: a target reported busy five seconds ago got 0 of 2000 picks; scores within 5% now count as a tie, which goes by rendezvous rank. A tenant whose requests hold slots four times as long got half as many turns instead of a quarter, because credit was never spent on more than one request a turn; the deficit now follows the slot time used.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -13,7 +13,7 @@
 #define DEVIATIONS 4.0   /* of the duration, kept free before a deadline */
 #define WAIT_MARGIN 1.25 /* on the estimated wait */
 #define STALL_GAPS 8.0   /* gaps without a start that count as a stall */
-#define DEBT_MAX 8.0     /* mean durations that a tenant may owe */
+#define CREDIT_MAX 8.0   /* mean durations a tenant may save or owe */
 #define DOWNLOAD_TURN 16 /* every 16th start may be a waiting download */
 #define RETRY_AFTER_MIN_MS 100.0
 #define RETRY_AFTER_MAX_MS 30000.0
@@ -24,7 +24,7 @@
     struct list entries;
     enum traffic_class class;
     uint32_t count;
-    double deficit_us; /* slot time that it may still use in this round */
+    double deficit_us; /* slot time that it may still use in this turn */
     char name[ID_SIZE];
 };
 
@@ -88,6 +88,14 @@
     return NULL;
 }
 
+/* Slot time that a tenant gets with each turn, and is charged for a request
+ * whose real duration is not yet known. */
+static double
+quantum_us(const struct admission_class *c)
+{
+    return c->duration_us > 0 ? c->duration_us : 1;
+}
+
 static struct admission_tenant *
 tenant_new(struct admission_class *c, const char *name,
            enum traffic_class class)
@@ -99,6 +107,7 @@
     }
     list_init(&t->entries);
     t->class = class;
+    t->deficit_us = quantum_us(c);
     strncpy(t->name, name, sizeof(t->name) - 1);
     list_push_back(&c->tenants, &t->link);
     return t;
@@ -265,11 +274,20 @@
     return NULL;
 }
 
-/* Slot time that a tenant gets in each round. */
-static double
-quantum_us(const struct admission_class *c)
+/* Passes the turn on from a tenant that has used up its slot time. What is
+ * left, or owed, counts in its next turn. */
+static void
+pass_turn(struct admission_class *c, struct admission_tenant *t)
 {
-    return c->duration_us > 0 ? c->duration_us : 1;
+    t->deficit_us += quantum_us(c);
+    list_remove(&t->link);
+    list_push_back(&c->tenants, &t->link);
+}
+
+static bool
+turn_is_over(const struct admission_class *c, const struct admission_tenant *t)
+{
+    return t->deficit_us < quantum_us(c) / 2;
 }
 
 struct admission_entry *
@@ -282,10 +300,8 @@
         return NULL;
     }
     t = container_of(c->tenants.next, struct admission_tenant, link);
-    while (t->deficit_us < 0) {
-        t->deficit_us += quantum_us(c);
-        list_remove(&t->link);
-        list_push_back(&c->tenants, &t->link);
+    while (turn_is_over(c, t)) {
+        pass_turn(c, t);
         t = container_of(c->tenants.next, struct admission_tenant, link);
     }
     return container_of(t->entries.next, struct admission_entry, link);
@@ -321,8 +337,8 @@
     c->gap_us += GAP_EWMA_WEIGHT * (gap - c->gap_us);
 }
 
-/* Takes the entry out and passes the turn on. The tenant is charged the mean
- * duration now; admission_completed() corrects it to the real one. */
+/* Takes the entry out. The tenant is charged the mean duration now;
+ * admission_completed() corrects it to the real one. */
 void
 admission_start(struct admission *adm, struct admission_entry *entry,
                 uint64_t now)
@@ -332,8 +348,10 @@
 
     adm->turn = t->class == CLASS_DOWNLOAD ? 0 : adm->turn + 1;
     update_gap(c, now);
-    list_remove(&t->link);
-    list_push_back(&c->tenants, &t->link);
+    t->deficit_us -= quantum_us(c);
+    if (turn_is_over(c, t)) {
+        pass_turn(c, t);
+    }
     admission_remove(adm, entry);
 }
 
@@ -408,8 +426,8 @@
     t = find_tenant(c, tenant);
     if (t != NULL) {
         t->deficit_us -= sample - mean;
-        t->deficit_us = fmin(t->deficit_us, mean);
-        t->deficit_us = fmax(t->deficit_us, -DEBT_MAX * mean);
+        t->deficit_us = fmin(t->deficit_us, CREDIT_MAX * mean);
+        t->deficit_us = fmax(t->deficit_us, -CREDIT_MAX * mean);
     }
 }
 
--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -14,6 +14,7 @@
 #define LOAD_HALF_LIFE_US (100.0 * USEC_PER_MSEC)
 #define LATENCY_RATIO_MAX 4.0 /* against the mean of the candidates */
 #define MEAN_EWMA_WEIGHT 0.05
+#define TIE_MARGIN 0.05 /* relative difference of scores that says nothing */
 
 static const struct target_state *
 winner_of_tie(const struct target_state *a, const struct target_state *b,
@@ -104,14 +105,16 @@
     *two = candidates[j];
 }
 
+/* The one with the lower score. Scores that nearly agree are a tie: what is
+ * left of an old report must not decide every time against one target. */
 static struct target_state *
 better_of(struct target_state *a, struct target_state *b, double score_a,
           double score_b, uint64_t flow_hash)
 {
-    if (score_a < score_b) {
+    if (score_a < score_b * (1 - TIE_MARGIN)) {
         return a;
     }
-    if (score_b < score_a) {
+    if (score_b < score_a * (1 - TIE_MARGIN)) {
         return b;
     }
     return winner_of_tie(a, b, flow_hash) == a ? a : b;
--- /dev/null
+++ b/tests/unit/test-balance.c
@@ -0,0 +1,274 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "coordination/balance.h"
+#include "coordination/health.h"
+#include "coordination/slot-window.h"
+#include "view-fixture.h"
+
+#define SEED 13
+#define TARGETS 4
+#define PICKS 2000
+
+static struct target_table *table;
+static struct service_targets *svc;
+static struct random random_source;
+
+static int
+setup(void **state)
+{
+    print_message("seed %d\n", SEED);
+    random_seed(&random_source, SEED);
+    table = fixture_table(TARGETS);
+    svc = target_table_service(table, FIXTURE_SERVICE);
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    for (size_t i = 0; i < svc->count; i++) {
+        svc->targets[i]->in_flight = 0;
+    }
+    target_table_destroy(table);
+    return 0;
+}
+
+static const char *const policy_names[] = {
+    "load", "two_choices", "least_local", "round_robin", "random",
+};
+
+/* Ways to make target t01 unfit, and the result when all are. */
+static void
+make_leaving(struct target_state *t)
+{
+    t->draining = true;
+}
+
+static void
+make_reports_leaving(struct target_state *t)
+{
+    t->reports_leaving = true;
+}
+
+static void
+make_unverified(struct target_state *t)
+{
+    t->health.verified = false;
+}
+
+static void
+make_wrong_service(struct target_state *t)
+{
+    t->health.wrong_service = true;
+}
+
+static void
+make_ejected(struct target_state *t)
+{
+    t->health.ejected_until_us = FIXTURE_NOW + 1;
+}
+
+static void
+make_full(struct target_state *t)
+{
+    t->in_flight = FIXTURE_SLOTS;
+}
+
+static const struct {
+    const char *name;
+    void (*change)(struct target_state *t);
+    bool excluded_when_all; /* also when every target is like that */
+    enum balance_result result;
+} unfit_cases[] = {
+    {"leaving", make_leaving, true, BALANCE_NO_TARGET},
+    {"reports leaving", make_reports_leaving, true, BALANCE_NO_TARGET},
+    {"unverified", make_unverified, true, BALANCE_NO_TARGET},
+    {"wrong service", make_wrong_service, true, BALANCE_NO_TARGET},
+    {"ejected", make_ejected, false, BALANCE_PICKED},
+    {"full", make_full, true, BALANCE_FULL},
+};
+
+static void
+check_never_picked(const char *policy, const struct target_state *unfit)
+{
+    struct balance_request request = {.class = CLASS_INTERACTIVE};
+    enum balance_result result;
+    struct balance b;
+
+    assert_true(balance_init(&b, policy, &random_source));
+    b.follow_bound = true;
+    request.bound = unfit->hash;
+    for (int i = 0; i < PICKS; i++) {
+        struct target_state *t;
+
+        request.flow_hash = (uint64_t)i;
+        t = balance_pick(&b, svc, &request, FIXTURE_NOW, &result);
+        assert_non_null(t);
+        assert_ptr_not_equal(t, unfit);
+    }
+}
+
+static void
+test_unfit_targets(void **state)
+{
+    size_t policies = sizeof(policy_names) / sizeof(*policy_names);
+
+    for (size_t i = 0; i < sizeof(unfit_cases) / sizeof(*unfit_cases); i++) {
+        struct balance_request request = {.class = CLASS_INTERACTIVE};
+        enum balance_result result;
+        struct balance b;
+
+        print_message("case: %s\n", unfit_cases[i].name);
+        unfit_cases[i].change(svc->targets[1]);
+        for (size_t p = 0; p < policies; p++) {
+            check_never_picked(policy_names[p], svc->targets[1]);
+        }
+        for (size_t t = 0; t < svc->count; t++) {
+            unfit_cases[i].change(svc->targets[t]);
+        }
+        assert_true(balance_init(&b, "load", &random_source));
+        balance_pick(&b, svc, &request, FIXTURE_NOW, &result);
+        assert_int_equal(result, unfit_cases[i].result);
+        teardown(state);
+        setup(state);
+    }
+}
+
+/* A request that was tried everywhere has no target left. */
+static void
+test_tried_targets(void **state)
+{
+    struct balance_request request = {.class = CLASS_INTERACTIVE};
+    enum balance_result result;
+    struct balance b;
+
+    assert_true(balance_init(&b, "load", &random_source));
+    for (size_t i = 0; i < TARGETS; i++) {
+        struct target_state *t =
+            balance_pick(&b, svc, &request, FIXTURE_NOW, &result);
+
+        assert_non_null(t);
+        for (size_t k = 0; k < request.tried_count; k++) {
+            assert_ptr_not_equal(t, request.tried[k]);
+        }
+        request.tried[request.tried_count] = t;
+        request.tried_count++;
+    }
+    assert_null(balance_pick(&b, svc, &request, FIXTURE_NOW, &result));
+    assert_int_equal(result, BALANCE_NO_TARGET);
+}
+
+/* A stream needs no slot, only a free connection. */
+static void
+test_stream_ignores_slots(void **state)
+{
+    struct balance_request request = {.class = CLASS_STREAM};
+    enum balance_result result;
+    struct balance b;
+
+    assert_true(balance_init(&b, "load", &random_source));
+    for (size_t i = 0; i < svc->count; i++) {
+        make_full(svc->targets[i]);
+        svc->targets[i]->streams = svc->targets[i]->connections_max;
+    }
+    assert_null(balance_pick(&b, svc, &request, FIXTURE_NOW, &result));
+    assert_int_equal(result, BALANCE_FULL);
+    svc->targets[2]->streams--;
+    assert_ptr_equal(balance_pick(&b, svc, &request, FIXTURE_NOW, &result),
+                     svc->targets[2]);
+}
+
+static void
+prepare_busy(struct target_state *t)
+{
+    target_record_load(t, 2, 2, 2, FIXTURE_NOW);
+}
+
+static void
+prepare_slow(struct target_state *t)
+{
+    t->latency_us = 400.0 * USEC_PER_MSEC;
+}
+
+static void
+prepare_cold(struct target_state *t)
+{
+    t->first_seen_us = FIXTURE_NOW;
+}
+
+/* A busy, slow or cold target gets clearly less than its even share, but a
+ * stale report of the same load does not count. */
+static void
+test_load_policy_prefers(void **state)
+{
+    static const struct {
+        const char *name;
+        void (*change)(struct target_state *t);
+        uint64_t age_us;
+        int picks_min;
+        int picks_max;
+    } cases[] = {
+        {"busy", prepare_busy, 0, 0, PICKS / 8},
+        {"busy long ago", prepare_busy, 5 * USEC_PER_SEC, PICKS / 6,
+         PICKS / 3},
+        {"slow", prepare_slow, 0, 0, PICKS / 8},
+        {"cold", prepare_cold, 0, 0, PICKS / 8},
+        {"cold long ago", prepare_cold, 60 * USEC_PER_SEC, PICKS / 6,
+         PICKS / 3},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct balance_request request = {.class = CLASS_INTERACTIVE};
+        uint64_t now = FIXTURE_NOW + cases[i].age_us;
+        enum balance_result result;
+        struct balance b;
+        int picks = 0;
+
+        print_message("case: %s\n", cases[i].name);
+        assert_true(balance_init(&b, "load", &random_source));
+        for (size_t t = 0; t < svc->count; t++) {
+            target_record_load(svc->targets[t], 0, 2, 0, FIXTURE_NOW);
+            svc->targets[t]->latency_us = 50.0 * USEC_PER_MSEC;
+        }
+        cases[i].change(svc->targets[1]);
+        for (int n = 0; n < PICKS; n++) {
+            request.flow_hash = (uint64_t)n;
+            picks += balance_pick(&b, svc, &request, now, &result) ==
+                             svc->targets[1]
+                         ? 1
+                         : 0;
+        }
+        assert_in_range(picks, cases[i].picks_min, cases[i].picks_max);
+        teardown(state);
+        setup(state);
+    }
+}
+
+static void
+test_unknown_policy(void **state)
+{
+    struct balance b;
+
+    assert_false(balance_init(&b, "fastest", &random_source));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_unfit_targets, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_tried_targets, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_stream_ignores_slots, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_load_policy_prefers, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_unknown_policy, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test-histogram.c
+++ b/tests/unit/test-histogram.c
@@ -66,7 +66,8 @@
     assert_int_equal(sum.count, 2 * COUNT);
     qsort(values, COUNT, sizeof(*values), compare_u64);
     for (int permille = 1; permille <= 1000; permille++) {
-        double exact = (double)values[permille * (COUNT / 1000) - 1];
+        size_t rank = (size_t)permille * COUNT / 1000;
+        double exact = (double)values[rank - 1];
         double got = (double)histogram_quantile(&h, permille / 1000.0);
 
         assert_true(got >= exact * (1 - 1 / 32.0) - 1);
--- a/tests/unit/test-target-table.c
+++ b/tests/unit/test-target-table.c
@@ -84,7 +84,7 @@
         struct config_view *view = fixture_view(3);
         struct service_targets *svc =
             target_table_service(table, FIXTURE_SERVICE);
-        struct target_state *t = service_targets_find(svc, "t01");
+        struct target_state *t = svc->targets[1];
         struct target_state *now;
 
         print_message("case: %s\n", c->name);
@@ -97,7 +97,7 @@
         svc = target_table_service(table, FIXTURE_SERVICE);
         assert_int_equal(svc != NULL ? svc->count : 0, c->count);
         now = svc != NULL ? service_targets_find(svc, "t01") : NULL;
-        assert_int_equal(now == t, c->kept);
+        assert_int_equal(now != NULL && now == t, c->kept);
         assert_int_equal(t->removed, !c->kept);
         assert_int_equal(t->in_flight, 1);
         assert_int_equal(target_is_leaving(t), c->leaving);
