--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -110,8 +110,7 @@
             g_hash_table_iter_remove(&iter);
         }
     }
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         pump(d, container_of(it, struct dispatch_service, active), now);
     }
 }
@@ -170,8 +169,8 @@
         return NULL;
     }
     t = service_targets_by_hash(job->svc->targets, job->bound);
-    if (t == NULL || !t->leaving || t->health.wrong_service ||
-        !slot_window_open(t, now)) {
+    if (t == NULL || t->health.wrong_service ||
+        t->health.ejected_until_us > now || !slot_window_open(t, now)) {
         return NULL;
     }
     return t;
@@ -283,7 +282,8 @@
 }
 
 static void
-init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc, uint64_t now)
+init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc,
+         uint64_t now)
 {
     list_init(&job->link);
     list_init(&job->entry.link);
@@ -448,8 +448,7 @@
 static void
 expire_running(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
 {
-    list_for_each_safe(it, &svc->running)
-    {
+    list_for_each_safe (it, &svc->running) {
         struct job *job = container_of(it, struct job, link);
         struct job_result result = {.kind = ERR_TARGET_TIMEOUT, .sent = true};
 
@@ -464,8 +463,7 @@
 uint64_t
 dispatch_tick(struct dispatch *d, uint64_t now)
 {
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         struct dispatch_service *svc =
             container_of(it, struct dispatch_service, active);
 
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -66,8 +66,7 @@
     if (answers == NULL) {
         return;
     }
-    list_for_each_safe(it, &answers->late)
-    {
+    list_for_each_safe (it, &answers->late) {
         late_free(answers, container_of(it, struct late_answer, link));
     }
     free(answers);
@@ -267,8 +266,7 @@
 answers_on_ack(struct answers *answers, const struct endpoint *from,
                uint16_t message_id)
 {
-    list_for_each_safe(it, &answers->late)
-    {
+    list_for_each_safe (it, &answers->late) {
         struct late_answer *late = container_of(it, struct late_answer, link);
 
         if (late->message_id == message_id && late->to.addr == from->addr &&
@@ -283,8 +281,7 @@
 void
 answers_tick(struct answers *answers, uint64_t now)
 {
-    list_for_each_safe(it, &answers->late)
-    {
+    list_for_each_safe (it, &answers->late) {
         struct late_answer *late = container_of(it, struct late_answer, link);
 
         if (now < late->due_us) {
--- a/src/daemon/cmd-serve.c
+++ b/src/daemon/cmd-serve.c
@@ -1,13 +1,19 @@
+#include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
+#include <sodium.h>
+#include <zmq.h>
 
 #define LOG_MODULE "serve"
 #include "base/log.h"
 #include "base/settings.h"
 #include "daemon/commands.h"
+#include "daemon/control-task.h"
+#include "daemon/data-task.h"
 
 static char *config_path = NULL;
 
@@ -17,6 +23,13 @@
     {NULL},
 };
 
+/* The tasks of a balancer. */
+struct server {
+    void *zmq_ctx;
+    struct control_task *control;
+    struct data_task *data;
+};
+
 static bool
 parse_options(int argc, char **argv)
 {
@@ -50,24 +63,102 @@
                         : LOG_FORMAT_TEXT);
 }
 
-/* Runs a balancer until it is stopped. */
+/* Makes the tasks; control first, because it binds the mailboxes. */
+static bool
+make_tasks(struct server *server, const struct settings *settings,
+           struct status *st)
+{
+    server->control = control_task_new(server->zmq_ctx, settings, st);
+    if (server->control == NULL) {
+        return false;
+    }
+    server->data = data_task_new(server->zmq_ctx, settings, st);
+    if (server->data == NULL) {
+        return false;
+    }
+    return control_task_start(server->control, st) &&
+           data_task_start(server->data, st);
+}
+
+static void
+destroy_tasks(struct server *server)
+{
+    data_task_destroy(server->data);
+    control_task_destroy(server->control);
+}
+
+/* Blocks the signals that ask for a stop, before any thread starts, so that
+ * only wait_for_stop() gets them. */
+static void
+block_signals(sigset_t *signals)
+{
+    signal(SIGPIPE, SIG_IGN);
+    sigemptyset(signals);
+    sigaddset(signals, SIGTERM);
+    sigaddset(signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, signals, NULL);
+}
+
+static void
+wait_for_stop(const sigset_t *signals)
+{
+    int number = 0;
+
+    sigwait(signals, &number);
+    LOG_INFO("%s: planned stop begins", strsignal(number));
+}
+
+static int
+serve(const struct settings *settings)
+{
+    struct server server = {0};
+    struct status st;
+    sigset_t signals;
+    bool made;
+
+    block_signals(&signals);
+    server.zmq_ctx = zmq_ctx_new();
+    status_ok(&st);
+    made = make_tasks(&server, settings, &st);
+    if (made) {
+        LOG_INFO("host %s in failure domain %s is up", settings->host.id,
+                 settings->host.domain);
+        wait_for_stop(&signals);
+        control_task_stop(server.control);
+        data_task_join(server.data);
+        control_task_join(server.control);
+        LOG_INFO("stopped");
+    }
+    else {
+        fprintf(stderr, "pimentohaven serve: %s\n", st.message);
+    }
+    destroy_tasks(&server);
+    zmq_ctx_term(server.zmq_ctx);
+    return made ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+/* Runs a balancer until it is told to stop. */
 int
 cmd_serve(int argc, char **argv)
 {
     struct settings *settings;
     struct status st;
+    int result;
 
     if (!parse_options(argc, argv)) {
         return 2;
     }
+    if (sodium_init() < 0) {
+        fprintf(stderr, "pimentohaven serve: libsodium does not start\n");
+        return EXIT_FAILURE;
+    }
     settings = settings_load(config_path, &st);
     if (settings == NULL) {
         fprintf(stderr, "%s\n", st.message);
         return EXIT_FAILURE;
     }
     init_log(settings);
-    LOG_INFO("host %s in failure domain %s", settings->host.id,
-             settings->host.domain);
+    result = serve(settings);
     settings_destroy(settings);
-    return EXIT_SUCCESS;
+    return result;
 }
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -69,8 +69,7 @@
     if (commands == NULL) {
         return;
     }
-    list_for_each_safe(it, &commands->running)
-    {
+    list_for_each_safe (it, &commands->running) {
         struct command *cmd = container_of(it, struct command, link);
 
         dispatch_cancel(&commands->task->dispatch, &cmd->work.job,
@@ -285,8 +284,7 @@
 
         fill_refusal(&recorded, ERR_OVERLOADED, true, 1000);
         flow_table_finish(task->home.flows, record, &recorded);
-        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN,
-                     1000);
+        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN, 1000);
         return;
     }
     cmd->work.job.class = CLASS_COMMAND;
@@ -306,8 +304,7 @@
        const struct home_verdict *verdict)
 {
     struct data_task *task = commands->task;
-    enum error_kind kind =
-        task->home.stopping ? ERR_STOPPING : ERR_STALE_VIEW;
+    enum error_kind kind = task->home.stopping ? ERR_STOPPING : ERR_STALE_VIEW;
     struct packet_block block = {.szx = BLOCK_SZX_MAX};
     struct recorded_answer recorded;
     struct request_record *record =
@@ -449,8 +446,7 @@
 void
 commands_tick(struct commands *commands, uint64_t now)
 {
-    list_for_each(it, &commands->running)
-    {
+    list_for_each (it, &commands->running) {
         struct command *cmd = container_of(it, struct command, link);
 
         if (!cmd->caller.acked &&
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -439,9 +439,9 @@
         .port = task->settings->ports.relay,
     };
 
-    task->control = mailbox_new(task->zmq_ctx, task->base,
-                                MAILBOX_CONTROL_DATA, false, on_message, task,
-                                st);
+    task->control =
+        mailbox_new(task->zmq_ctx, task->base, MAILBOX_CONTROL_DATA, false,
+                    on_message, task, st);
     if (task->control == NULL) {
         return false;
     }
--- a/src/daemon/data-task.h
+++ b/src/daemon/data-task.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <stdbool.h>
+
 #include "base/settings.h"
 #include "base/status.h"
 
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -78,9 +78,9 @@
     uint16_t message_id;
     uint8_t token[PACKET_TOKEN_MAX];
     uint8_t token_len;
-    bool acked;         /* an empty ACK was sent: the answer is separate */
-    bool verified;      /* sent a token of ours */
-    bool relayed;       /* came through another balancer */
+    bool acked;          /* an empty ACK was sent: the answer is separate */
+    bool verified;       /* sent a token of ours */
+    bool relayed;        /* came through another balancer */
     size_t request_size; /* bytes */
     uint64_t received_us;
 };
--- a/src/daemon/fetch.c
+++ b/src/daemon/fetch.c
@@ -13,8 +13,8 @@
 #include "state/object-cache.h"
 
 #define ACK_AFTER_US (1200 * USEC_PER_MSEC)
-#define BLOCK_SZX_MAX 6    /* 1024 bytes */
-#define CHUNK_BYTES 65536  /* read from a target at once */
+#define BLOCK_SZX_MAX 6   /* 1024 bytes */
+#define CHUNK_BYTES 65536 /* read from a target at once */
 #define CACHE_BYTES (16 * 1048576)
 #define KEY_SIZE (ID_SIZE + PACKET_PATH_MAX + PACKET_QUERY_MAX + 4)
 #define HTTP_PARTIAL_CONTENT 206
@@ -22,8 +22,8 @@
 
 struct fetches {
     struct data_task *task;
-    struct list running;    /* struct fetch, oldest first */
-    GHashTable *by_caller;  /* struct caller -> struct waiter */
+    struct list running;   /* struct fetch, oldest first */
+    GHashTable *by_caller; /* struct caller -> struct waiter */
     struct object_cache cache;
 };
 
@@ -104,8 +104,7 @@
 static void
 fetch_free(struct fetch *fetch)
 {
-    list_for_each_safe(it, &fetch->waiters)
-    {
+    list_for_each_safe (it, &fetch->waiters) {
         struct waiter *waiter = container_of(it, struct waiter, link);
 
         g_hash_table_remove(fetch->fetches->by_caller, &waiter->caller);
@@ -123,8 +122,7 @@
     if (fetches == NULL) {
         return;
     }
-    list_for_each_safe(it, &fetches->running)
-    {
+    list_for_each_safe (it, &fetches->running) {
         struct fetch *fetch = container_of(it, struct fetch, link);
 
         dispatch_cancel(&fetches->task->dispatch, &fetch->work.job,
@@ -190,8 +188,7 @@
 fail_waiters(struct fetch *fetch, enum error_kind kind,
              uint32_t retry_after_ms)
 {
-    list_for_each(it, &fetch->waiters)
-    {
+    list_for_each (it, &fetch->waiters) {
         struct waiter *waiter = container_of(it, struct waiter, link);
 
         answer_error(fetch->fetches->task, &waiter->caller, kind, OUTCOME_NONE,
@@ -288,8 +285,7 @@
 {
     struct data_task *task = fetch->fetches->task;
 
-    list_for_each(it, &fetch->waiters)
-    {
+    list_for_each (it, &fetch->waiters) {
         struct waiter *waiter = container_of(it, struct waiter, link);
 
         if (holds(body, waiter)) {
@@ -372,8 +368,7 @@
 static struct fetch *
 find_fetch(struct fetches *fetches, const char *key, uint64_t first)
 {
-    list_for_each(it, &fetches->running)
-    {
+    list_for_each (it, &fetches->running) {
         struct fetch *fetch = container_of(it, struct fetch, link);
 
         if (fetch->blockwise && fetch->first == first &&
@@ -432,8 +427,8 @@
     job->repeatable = true;
     job->tenant = fetch->tenant;
     job->deadline_us = inbound_deadline(in);
-    job->flow_hash = (uint64_t)in->caller.addr.addr << 16 |
-                     in->caller.addr.port;
+    job->flow_hash =
+        (uint64_t)in->caller.addr.addr << 16 | in->caller.addr.port;
     if (object != NULL && block->num > 0) {
         job->bound = object->target;
         job->pinned = true;
@@ -519,8 +514,7 @@
 static void
 ack_waiters(struct fetch *fetch, uint64_t now)
 {
-    list_for_each(it, &fetch->waiters)
-    {
+    list_for_each (it, &fetch->waiters) {
         struct waiter *waiter = container_of(it, struct waiter, link);
 
         if (!waiter->caller.acked &&
@@ -534,8 +528,7 @@
 fetches_tick(struct fetches *fetches, uint64_t now)
 {
     object_cache_expire(&fetches->cache, now);
-    list_for_each(it, &fetches->running)
-    {
+    list_for_each (it, &fetches->running) {
         ack_waiters(container_of(it, struct fetch, link), now);
     }
 }
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -79,10 +79,9 @@
 parse_health(const struct target_state *t,
              const struct target_response *response, struct health_probe *out)
 {
-    json_t *root = json_loadb((const char *)response->body, response->body_len,
-                              0, NULL);
-    const char *service =
-        json_string_value(json_object_get(root, "service"));
+    json_t *root =
+        json_loadb((const char *)response->body, response->body_len, 0, NULL);
+    const char *service = json_string_value(json_object_get(root, "service"));
     const char *state = json_string_value(json_object_get(root, "state"));
 
     out->names_service = service != NULL && strcmp(service, t->service) == 0;
@@ -192,8 +191,7 @@
 {
     struct health_probe none = {0};
 
-    list_for_each_safe(it, &probes->running)
-    {
+    list_for_each_safe (it, &probes->running) {
         struct probe *probe = container_of(it, struct probe, link);
 
         if (now - probe->started_us >= PROBE_TIMEOUT_US) {
@@ -230,8 +228,7 @@
     }
     probes->next_pass_us = now + PROBE_PASS_US;
     forget_removed(probes);
-    list_for_each(it, &probes->task->dispatch.targets->services)
-    {
+    list_for_each (it, &probes->task->dispatch.targets->services) {
         struct service_targets *svc =
             container_of(it, struct service_targets, link);
 
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -60,8 +60,7 @@
     if (relays == NULL) {
         return;
     }
-    list_for_each_safe(it, &relays->pending)
-    {
+    list_for_each_safe (it, &relays->pending) {
         relay_free(relays, container_of(it, struct relay, link));
     }
     g_hash_table_destroy(relays->by_id);
@@ -105,8 +104,7 @@
         data_serve_repeatable(relays->task, in);
         return;
     }
-    answer_error(relays->task, &in->caller, ERR_HOME_LOST, OUTCOME_UNKNOWN,
-                 0);
+    answer_error(relays->task, &in->caller, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
 }
 
 void
@@ -114,8 +112,7 @@
 {
     struct relay *relay;
 
-    if (in->caller.relayed ||
-        g_hash_table_size(relays->by_id) >= RELAYS_MAX) {
+    if (in->caller.relayed || g_hash_table_size(relays->by_id) >= RELAYS_MAX) {
         give_up(relays, in);
         return;
     }
@@ -229,8 +226,7 @@
 void
 relays_tick(struct relays *relays, uint64_t now)
 {
-    list_for_each_safe(it, &relays->pending)
-    {
+    list_for_each_safe (it, &relays->pending) {
         struct relay *relay = container_of(it, struct relay, link);
 
         if (now < relay->due_us) {
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -47,9 +47,9 @@
     struct sse_parser parser;
     bool answered; /* the registration has got its answer */
     bool wants_token;
-    bool broken;     /* the parser failed: to be reopened */
-    bool resume;     /* last_id is valid */
-    uint64_t last_id; /* of the last event sent */
+    bool broken;        /* the parser failed: to be reopened */
+    bool resume;        /* last_id is valid */
+    uint64_t last_id;   /* of the last event sent */
     uint16_t notify_id; /* message id of the last notification */
     uint32_t sequence;
     uint32_t service_hash;
@@ -130,8 +130,7 @@
     if (streams == NULL) {
         return;
     }
-    list_for_each_safe(it, &streams->all)
-    {
+    list_for_each_safe (it, &streams->all) {
         stream_free(container_of(it, struct stream, link));
     }
     g_hash_table_destroy(streams->by_caller);
@@ -269,10 +268,10 @@
     struct target_state *t;
 
     schedule_reopen(stream, now);
-    t = svc == NULL ? NULL
-                    : dispatch_pick_stream(&task->dispatch, svc,
-                                           stream_hash(&stream->caller), 0,
-                                           now);
+    t = svc == NULL
+            ? NULL
+            : dispatch_pick_stream(&task->dispatch, svc,
+                                   stream_hash(&stream->caller), 0, now);
     if (t == NULL) {
         return;
     }
@@ -443,8 +442,7 @@
 streams_on_reset(struct streams *streams, const struct endpoint *from,
                  uint16_t message_id)
 {
-    list_for_each_safe(it, &streams->all)
-    {
+    list_for_each_safe (it, &streams->all) {
         struct stream *stream = container_of(it, struct stream, link);
 
         if (stream->caller.addr.addr == from->addr &&
@@ -486,8 +484,7 @@
 void
 streams_tick(struct streams *streams, uint64_t now)
 {
-    list_for_each_safe(it, &streams->all)
-    {
+    list_for_each_safe (it, &streams->all) {
         tick_stream(container_of(it, struct stream, link), now);
     }
 }
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -45,8 +45,7 @@
 static void
 on_health(void *ctx, struct target_state *t, bool healthy, const char *cause)
 {
-    data_event(ctx, healthy ? "target_up" : "target_down", t->id, "%s",
-               cause);
+    data_event(ctx, healthy ? "target_up" : "target_down", t->id, "%s", cause);
 }
 
 const struct dispatch_ops work_dispatch_ops = {
--- a/src/state/object-cache.c
+++ b/src/state/object-cache.c
@@ -30,8 +30,7 @@
 static void
 drop_chunks(struct object_cache *cache, struct object *object)
 {
-    list_for_each_safe(it, &object->chunks)
-    {
+    list_for_each_safe (it, &object->chunks) {
         drop_chunk(cache, object, container_of(it, struct object_chunk, link));
     }
 }
@@ -49,8 +48,7 @@
 void
 object_cache_clear(struct object_cache *cache)
 {
-    list_for_each_safe(it, &cache->lru)
-    {
+    list_for_each_safe (it, &cache->lru) {
         drop_object(cache, container_of(it, struct object, lru));
     }
     g_hash_table_destroy(cache->by_key);
@@ -112,8 +110,7 @@
 static void
 make_room(struct object_cache *cache, size_t size, const struct object *keep)
 {
-    list_for_each_safe(it, &cache->lru)
-    {
+    list_for_each_safe (it, &cache->lru) {
         struct object *object = container_of(it, struct object, lru);
 
         if (cache->bytes + size <= cache->bytes_max) {
@@ -176,8 +173,7 @@
 struct object_chunk *
 object_chunk_at(const struct object *object, uint64_t offset)
 {
-    list_for_each(it, &object->chunks)
-    {
+    list_for_each (it, &object->chunks) {
         struct object_chunk *chunk =
             container_of(it, struct object_chunk, link);
 
@@ -191,8 +187,7 @@
 void
 object_cache_expire(struct object_cache *cache, uint64_t now)
 {
-    list_for_each_safe(it, &cache->lru)
-    {
+    list_for_each_safe (it, &cache->lru) {
         struct object *object = container_of(it, struct object, lru);
 
         if (now - object->used_us < OBJECT_IDLE_US) {
--- /dev/null
+++ b/tests/unit/test-home.c
@@ -0,0 +1,168 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "coordination/home.h"
+
+#define SERVICE 11
+#define OTHER_SERVICE 12
+#define ADDR 0x7f000102
+#define OTHER_ADDR 0x7f000103
+#define PORT 7401
+#define INCARNATION 0x1234567890ULL
+
+/* How a case changes the token that the home issued. */
+enum token_change {
+    TOKEN_SAME,
+    TOKEN_ABSENT,
+    TOKEN_OTHER_HOME,
+    TOKEN_OLD_INCARNATION,
+    TOKEN_OLD_GENERATION,
+    TOKEN_WRONG_SLOT,
+};
+
+static const struct {
+    const char *name;
+    enum token_change change;
+    uint32_t service;
+    uint64_t id;
+    bool stopping;
+    bool stale;
+    enum home_action action;
+} cases[] = {
+    {"new", TOKEN_SAME, SERVICE, 5, false, false, HOME_DELIVER},
+    {"no token", TOKEN_ABSENT, SERVICE, 5, false, false, HOME_CHALLENGE},
+    {"another home", TOKEN_OTHER_HOME, SERVICE, 5, false, false, HOME_RELAY},
+    {"restarted home", TOKEN_OLD_INCARNATION, SERVICE, 5, false, false,
+     HOME_UNKNOWN},
+    {"evicted slot", TOKEN_OLD_GENERATION, SERVICE, 5, false, false,
+     HOME_UNKNOWN},
+    {"no such slot", TOKEN_WRONG_SLOT, SERVICE, 5, false, false, HOME_UNKNOWN},
+    {"another service's port", TOKEN_SAME, OTHER_SERVICE, 5, false, false,
+     HOME_WRONG_SERVICE},
+    {"stopping", TOKEN_SAME, SERVICE, 5, true, false, HOME_REFUSE},
+    {"stale view", TOKEN_SAME, SERVICE, 5, false, true, HOME_REFUSE},
+    {"running copy", TOKEN_SAME, SERVICE, 1, false, false, HOME_IN_PROGRESS},
+    {"answered copy", TOKEN_SAME, SERVICE, 2, false, false, HOME_REPEAT},
+    {"answered copy while stopping", TOKEN_SAME, SERVICE, 2, true, false,
+     HOME_REPEAT},
+    {"running copy after a pause", TOKEN_SAME, SERVICE, 1, false, true,
+     HOME_IN_PROGRESS},
+};
+
+static void
+change_token(struct flow_token *token, enum token_change change)
+{
+    switch (change) {
+    case TOKEN_OTHER_HOME:
+        token->home_addr = OTHER_ADDR;
+        break;
+    case TOKEN_OLD_INCARNATION:
+        token->incarnation--;
+        break;
+    case TOKEN_OLD_GENERATION:
+        token->generation--;
+        break;
+    case TOKEN_WRONG_SLOT:
+        token->slot = 1000;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+open_home(struct home *home, struct flow_token *token)
+{
+    struct recorded_answer answer = {.code = 68};
+    struct flow *flow;
+
+    memset(home, 0, sizeof(*home));
+    home->flows = flow_table_new(8, 65536);
+    home->addr = ADDR;
+    home->port = PORT;
+    home->incarnation = INCARNATION;
+    assert_true(home_open_flow(home, SERVICE, 0, 1, token));
+    flow = flow_table_get(home->flows, token->slot, token->generation);
+    assert_non_null(flow_table_begin(home->flows, flow, 1));
+    flow_table_finish(home->flows, flow_table_begin(home->flows, flow, 2),
+                      &answer);
+}
+
+static void
+test_decisions(void **state)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct flow_token token;
+        struct home_request request = {
+            .service = cases[i].service,
+            .token = cases[i].change == TOKEN_ABSENT ? NULL : &token,
+            .id = cases[i].id,
+        };
+        struct home_verdict verdict;
+        struct home home;
+
+        open_home(&home, &token);
+        change_token(&token, cases[i].change);
+        home.stopping = cases[i].stopping;
+        home.stale = cases[i].stale;
+        verdict = home_decide(&home, &request);
+        if (verdict.action != cases[i].action) {
+            fail_msg("%s: action %d, expected %d", cases[i].name,
+                     verdict.action, cases[i].action);
+        }
+        flow_table_destroy(home.flows);
+    }
+}
+
+/* A caller without ids gets one request for a token: the same packet again is
+ * a copy, another one needs a fresh token. */
+static void
+test_single_request(void **state)
+{
+    struct home home = {.flows = flow_table_new(8, 65536),
+                        .addr = ADDR,
+                        .port = PORT,
+                        .incarnation = INCARNATION};
+    struct flow_token token;
+    struct home_request request = {
+        .service = SERVICE, .token = &token, .single_key = 77};
+    struct home_verdict verdict;
+
+    assert_true(home_open_flow(&home, SERVICE, 0, 1, &token));
+    verdict = home_decide(&home, &request);
+    assert_int_equal(verdict.action, HOME_DELIVER);
+    verdict.flow->single_used = true;
+    verdict.flow->single_key = request.single_key;
+    assert_non_null(flow_table_begin(home.flows, verdict.flow, verdict.id));
+    assert_int_equal(home_decide(&home, &request).action, HOME_IN_PROGRESS);
+    request.single_key = 78;
+    assert_int_equal(home_decide(&home, &request).action, HOME_CHALLENGE);
+    flow_table_destroy(home.flows);
+}
+
+static void
+test_stopping_opens_no_flow(void **state)
+{
+    struct home home = {.flows = flow_table_new(8, 65536), .stopping = true};
+    struct flow_token token;
+
+    assert_false(home_open_flow(&home, SERVICE, 0, 1, &token));
+    flow_table_destroy(home.flows);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_decisions),
+        cmocka_unit_test(test_single_request),
+        cmocka_unit_test(test_stopping_opens_no_flow),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
