coordination: drain rate from completions; requeue of requests not run

A start that the target sheds is no progress, so counting starts made the queue look faster than it is. Requests that were not run go back to the head of their tenant's queue. A load report of a health endpoint does not replace a fresh one of an answer.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -12,7 +12,7 @@
 #define DURATION_EWMA_WEIGHT 0.0625
 #define DEVIATIONS 4.0   /* of the duration, kept free before a deadline */
 #define WAIT_MARGIN 1.25 /* on the estimated wait */
-#define STALL_GAPS 8.0   /* gaps without a start that count as a stall */
+#define STALL_GAPS 8.0   /* gaps without a completion that count as a stall */
 #define CREDIT_MAX 8.0   /* mean durations a tenant may save or owe */
 #define DOWNLOAD_TURN 16 /* every 16th start may be a waiting download */
 #define RETRY_AFTER_MIN_MS 100.0
@@ -31,10 +31,10 @@
 struct admission_class {
     struct list tenants; /* with waiting requests; the first has the turn */
     uint32_t count;
-    uint64_t last_start_us; /* or when the queue began */
-    double gap_us;          /* EWMA between starts while some wait, 0: none */
-    double duration_us;     /* EWMA of the time in a slot, 0: none */
-    double deviation_us;    /* EWMA of its absolute deviation */
+    uint64_t last_done_us; /* last completion, or when the queue began */
+    double gap_us;      /* EWMA between completions while some wait, 0: none */
+    double duration_us; /* EWMA of the time in a slot, 0: none */
+    double deviation_us; /* EWMA of its absolute deviation */
 };
 
 struct admission {
@@ -138,12 +138,13 @@
     return ahead;
 }
 
-/* Mean time between two starts of the class. When nothing has started for
- * many gaps the queue is stalled, and the time since then counts instead. */
+/* Mean time between two completions of the class, which is the time between
+ * two starts while some wait. When nothing was completed for many gaps the
+ * queue is stalled, and the time since then counts instead. */
 static double
 drain_gap_us(const struct admission_class *c, uint64_t now)
 {
-    double since = (double)(now - c->last_start_us);
+    double since = (double)(now - c->last_done_us);
 
     if (c->count > 0 && c->gap_us > 0 && since > STALL_GAPS * c->gap_us) {
         return since;
@@ -203,29 +204,43 @@
     return c->count < adm->limits.queue && own < adm->limits.queue - c->count;
 }
 
+/* Links an entry whose times are set: at the tail of its tenant's queue, or
+ * at the head. */
 static void
-queue_entry(struct admission *adm, struct admission_tenant *tenant,
-            struct admission_entry *entry, uint64_t deadline_us, uint64_t now)
+link_entry(struct admission *adm, struct admission_tenant *tenant,
+           struct admission_entry *entry, bool at_head, uint64_t now)
 {
     struct admission_class *c = &adm->classes[tenant->class];
-    uint64_t duration = (uint64_t)c->duration_us;
 
     if (c->count == 0) {
-        c->last_start_us = now;
+        c->last_done_us = now;
     }
-    entry->tenant = tenant;
-    entry->queued_us = now;
-    entry->start_by_us = deadline_us > duration ? deadline_us - duration : 0;
     if (entry->start_by_us < adm->next_expiry_us) {
         adm->next_expiry_us = entry->start_by_us;
     }
-    list_push_back(&tenant->entries, &entry->link);
+    if (at_head) {
+        list_push_front(&tenant->entries, &entry->link);
+    }
+    else {
+        list_push_back(&tenant->entries, &entry->link);
+    }
+    entry->tenant = tenant;
     tenant->count++;
     c->count++;
 }
 
+static void
+set_times(const struct admission_class *c, struct admission_entry *entry,
+          uint64_t deadline_us, uint64_t now)
+{
+    uint64_t duration = (uint64_t)c->duration_us;
+
+    entry->queued_us = now;
+    entry->start_by_us = deadline_us > duration ? deadline_us - duration : 0;
+}
+
 /* Queues a request or refuses it at once. The wait is estimated from the
- * requests ahead and the measured gap between starts. */
+ * requests ahead and the measured gap between completions. */
 enum error_kind
 admission_offer(struct admission *adm, struct admission_entry *entry,
                 const char *tenant, enum traffic_class class,
@@ -254,10 +269,27 @@
         *retry_after = admission_retry_after_ms(adm, class, now);
         return ERR_NO_MEMORY;
     }
-    queue_entry(adm, t, entry, deadline_us, now);
+    set_times(c, entry, deadline_us, now);
+    link_entry(adm, t, entry, false, now);
     return ERR_NONE;
 }
 
+bool
+admission_requeue(struct admission *adm, struct admission_entry *entry,
+                  const char *tenant, enum traffic_class class, uint64_t now)
+{
+    struct admission_class *c = &adm->classes[class];
+    struct admission_tenant *t = find_tenant(c, tenant);
+
+    t = t != NULL ? t : tenant_new(c, tenant, class);
+    if (t == NULL) {
+        return false;
+    }
+    t->deficit_us += quantum_us(c);
+    link_entry(adm, t, entry, true, now);
+    return true;
+}
+
 /* The class that starts next: in the order of the enumeration, but waiting
  * downloads get a turn now and then, so that they do not starve. */
 static struct admission_class *
@@ -324,30 +356,15 @@
     }
 }
 
-static void
-update_gap(struct admission_class *c, uint64_t now)
-{
-    double gap = (double)(now - c->last_start_us);
-
-    c->last_start_us = now;
-    if (c->gap_us == 0) {
-        c->gap_us = gap;
-        return;
-    }
-    c->gap_us += GAP_EWMA_WEIGHT * (gap - c->gap_us);
-}
-
 /* Takes the entry out. The tenant is charged the mean duration now;
  * admission_completed() corrects it to the real one. */
 void
-admission_start(struct admission *adm, struct admission_entry *entry,
-                uint64_t now)
+admission_start(struct admission *adm, struct admission_entry *entry)
 {
     struct admission_tenant *t = entry->tenant;
     struct admission_class *c = &adm->classes[t->class];
 
     adm->turn = t->class == CLASS_DOWNLOAD ? 0 : adm->turn + 1;
-    update_gap(c, now);
     t->deficit_us -= quantum_us(c);
     if (turn_is_over(c, t)) {
         pass_turn(c, t);
@@ -406,9 +423,26 @@
     return adm->next_expiry_us;
 }
 
+/* Only gaps while some wait tell how fast the queue drains. */
+static void
+update_gap(struct admission_class *c, uint64_t now)
+{
+    double gap = (double)(now - c->last_done_us);
+
+    if (c->count == 0) {
+        return;
+    }
+    c->last_done_us = now;
+    if (c->gap_us == 0) {
+        c->gap_us = gap;
+        return;
+    }
+    c->gap_us += GAP_EWMA_WEIGHT * (gap - c->gap_us);
+}
+
 void
 admission_completed(struct admission *adm, enum traffic_class class,
-                    const char *tenant, uint64_t duration_us)
+                    const char *tenant, uint64_t duration_us, uint64_t now)
 {
     struct admission_class *c;
     struct admission_tenant *t;
@@ -419,6 +453,7 @@
         return;
     }
     c = &adm->classes[class];
+    update_gap(c, now);
     mean = c->duration_us > 0 ? c->duration_us : sample;
     c->duration_us = mean + DURATION_EWMA_WEIGHT * (sample - mean);
     c->deviation_us +=
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -45,8 +45,14 @@
 /* The request that starts next, or NULL when none waits; it stays queued until
  * admission_start() takes it out for a target that was found. */
 struct admission_entry *admission_peek(struct admission *adm);
-void admission_start(struct admission *adm, struct admission_entry *entry,
-                     uint64_t now);
+void admission_start(struct admission *adm, struct admission_entry *entry);
+
+/* Puts a started request that its target did not run back at the head of its
+ * tenant's queue. It was admitted once and is not tested again. Returns false
+ * when memory is short. */
+bool admission_requeue(struct admission *adm, struct admission_entry *entry,
+                       const char *tenant, enum traffic_class class,
+                       uint64_t now);
 
 /* Takes out one request that can no longer be answered in time, or NULL. To
  * be refused as not run. Call it until NULL before admission_peek(), and at
@@ -59,9 +65,11 @@
 /* Takes out a cancelled request. */
 void admission_remove(struct admission *adm, struct admission_entry *entry);
 
-/* A request of the tenant that held a slot for "duration_us" has ended. */
+/* A request of the tenant that held a slot for "duration_us" has ended. Not to
+ * be called for one that its target did not run. */
 void admission_completed(struct admission *adm, enum traffic_class class,
-                         const char *tenant, uint64_t duration_us);
+                         const char *tenant, uint64_t duration_us,
+                         uint64_t now);
 
 uint32_t admission_waiting(const struct admission *adm,
                            enum traffic_class class);
--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -257,31 +257,40 @@
     }
 }
 
-/* Keeps the targets that can take the request. "usable" counts those that
- * could take it if their windows were open. */
-static size_t
-filter(const struct balance *b, const struct balance_request *request,
-       struct sample *sample, uint64_t now)
+/* Keeps the targets that may take the request, whether or not they have
+ * room. */
+static void
+keep_usable(const struct balance_request *request, struct sample *sample,
+            uint64_t now)
 {
     struct health_trust trust =
         health_trust_of(sample->targets, sample->count, now);
-    size_t usable = 0;
     size_t kept = 0;
 
     for (size_t i = 0; i < sample->count; i++) {
         struct target_state *t = sample->targets[i];
 
-        if (!health_usable(t, &trust, now) || was_tried(request, t)) {
-            continue;
-        }
-        usable++;
-        if (has_room(b, request, t, now)) {
+        if (health_usable(t, &trust, now) && !was_tried(request, t)) {
             sample->targets[kept] = t;
             kept++;
         }
     }
     sample->count = kept;
-    return usable;
+}
+
+static void
+keep_with_room(const struct balance *b, const struct balance_request *request,
+               struct sample *sample, uint64_t now)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < sample->count; i++) {
+        if (has_room(b, request, sample->targets[i], now)) {
+            sample->targets[kept] = sample->targets[i];
+            kept++;
+        }
+    }
+    sample->count = kept;
 }
 
 /* The mean load by other balancers, kept as an average over the choices
@@ -324,10 +333,12 @@
 
     draw_sample(b, svc, &sample);
     update_mean(b, &sample);
-    if (filter(b, request, &sample, now) == 0) {
+    keep_usable(request, &sample, now);
+    if (sample.count == 0) {
         *result = BALANCE_NO_TARGET;
         return NULL;
     }
+    keep_with_room(b, request, &sample, now);
     if (sample.count == 0) {
         *result = BALANCE_FULL;
         return NULL;
@@ -342,12 +353,16 @@
 }
 
 uint64_t
-balance_opens_us(const struct service_targets *svc, uint64_t now)
+balance_opens_us(const struct balance *b, const struct service_targets *svc,
+                 const struct balance_request *request, uint64_t now)
 {
     uint64_t earliest = UINT64_MAX;
+    struct sample sample;
 
-    for (size_t i = 0; i < svc->count; i++) {
-        uint64_t at = slot_window_opens_us(svc->targets[i], now);
+    draw_sample(b, svc, &sample);
+    keep_usable(request, &sample, now);
+    for (size_t i = 0; i < sample.count; i++) {
+        uint64_t at = slot_window_opens_us(sample.targets[i], now);
 
         if (at < earliest) {
             earliest = at;
--- a/src/coordination/balance.h
+++ b/src/coordination/balance.h
@@ -40,7 +40,6 @@
     bool use_windows;   /* false: the windows are ignored */
     bool follow_bound;  /* a bound flow keeps its target while it is usable */
     double mean_others; /* requests of other balancers a slot, EWMA */
-    uint64_t mean_at_us;
 };
 
 /* Policies that a setting names: "load" (the default), "two_choices" (by
@@ -56,6 +55,8 @@
                                   const struct balance_request *request,
                                   uint64_t now, enum balance_result *result);
 
-/* After BALANCE_FULL: when a window opens by time alone; UINT64_MAX when it
- * takes an answer. */
-uint64_t balance_opens_us(const struct service_targets *svc, uint64_t now);
+/* After BALANCE_FULL: when the window of a target that the request may use
+ * opens by time alone; UINT64_MAX when it takes an answer. */
+uint64_t balance_opens_us(const struct balance *b,
+                          const struct service_targets *svc,
+                          const struct balance_request *request, uint64_t now);
--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -4,6 +4,7 @@
 
 #define FAILURES_TO_EJECT 3  /* consecutive, on real requests */
 #define PROBE_FAILURES_MAX 3 /* consecutive */
+#define LOAD_FRESH_US USEC_PER_SEC
 #define EJECTION_BASE_US (2 * USEC_PER_SEC)
 #define EJECTION_DOUBLINGS_MAX 5 /* 64 s at most, without jitter */
 
@@ -125,6 +126,14 @@
     return HEALTH_DOWN;
 }
 
+/* The load in an answer is better than that of a health endpoint, which may
+ * lag. */
+static bool
+load_is_fresh(const struct target_state *t, uint64_t now)
+{
+    return t->load.known && now - t->load.at_us < LOAD_FRESH_US;
+}
+
 /* A good probe never ends an ejection: only a real request does. */
 enum health_change
 health_on_probe(struct target_state *t, const struct health_probe *probe,
@@ -149,7 +158,7 @@
     h->probe_failures = 0;
     t->warming = probe->warming;
     t->reports_leaving = probe->leaving;
-    if (probe->load_known) {
+    if (probe->load_known && !load_is_fresh(t, now)) {
         target_record_load(t, probe->running, probe->slots, probe->queued,
                            now);
     }
--- a/tests/unit/test-admission.c
+++ b/tests/unit/test-admission.c
@@ -98,7 +98,7 @@
         while ((entry = admission_peek(adm)) != NULL) {
             starts[len] = tenants[entry - entries];
             len++;
-            admission_start(adm, entry, NOW);
+            admission_start(adm, entry);
         }
         assert_string_equal(starts, cases[i].starts);
         teardown(state);
@@ -167,8 +167,8 @@
         }
         now += gap_us;
         entry = admission_peek(adm);
-        admission_start(adm, entry, now);
-        admission_completed(adm, CLASS_INTERACTIVE, "a", duration_us);
+        admission_start(adm, entry);
+        admission_completed(adm, CLASS_INTERACTIVE, "a", duration_us, now);
     }
     return now;
 }
@@ -267,9 +267,9 @@
         }
         entry = admission_peek(adm);
         is_heavy = tenants[entry - entries] == 'h';
-        admission_start(adm, entry, NOW);
+        admission_start(adm, entry);
         admission_completed(adm, CLASS_DOWNLOAD, is_heavy ? "heavy" : "light",
-                            is_heavy ? 400000 : 100000);
+                            is_heavy ? 400000 : 100000, NOW);
         heavy += is_heavy ? 1 : 0;
         light += is_heavy ? 0 : 1;
     }
