--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -110,8 +110,7 @@
             g_hash_table_iter_remove(&iter);
         }
     }
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         pump(d, container_of(it, struct dispatch_service, active), now);
     }
 }
@@ -265,24 +264,26 @@
     struct admission_entry *entry;
 
     expire(d, svc, now);
-    while ((entry = admission_next(svc->admission, now)) != NULL) {
+    while ((entry = admission_peek(svc->admission)) != NULL) {
         struct job *job = container_of(entry, struct job, entry);
         enum balance_result result = try_start(d, job, now);
 
-        if (result == BALANCE_PICKED) {
-            continue;
-        }
         if (result == BALANCE_FULL) {
-            admission_unget(svc->admission, entry, now);
             return;
         }
+        if (result == BALANCE_PICKED) {
+            admission_start(svc->admission, entry, now);
+            continue;
+        }
+        admission_remove(svc->admission, entry);
         fail(d, job, ERR_NO_TARGET, true,
              admission_retry_after_ms(svc->admission, job->class, now));
     }
 }
 
 static void
-init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc, uint64_t now)
+init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc,
+         uint64_t now)
 {
     list_init(&job->link);
     list_init(&job->entry.link);
@@ -357,7 +358,7 @@
     }
     target_record_latency(t, took);
     slot_window_on_answer(t, now);
-    admission_completed(job->svc->admission, job->class, took);
+    admission_completed(job->svc->admission, job->class, job->tenant, took);
 }
 
 /* Whether another target may get the request: one that may not be repeated
@@ -387,10 +388,7 @@
     job->state = JOB_WAITING;
     list_remove(&job->link);
     result = try_start(d, job, now);
-    if (result == BALANCE_PICKED) {
-        return true;
-    }
-    return false;
+    return result == BALANCE_PICKED;
 }
 
 bool
@@ -450,8 +448,7 @@
 static void
 expire_running(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
 {
-    list_for_each_safe(it, &svc->running)
-    {
+    list_for_each_safe (it, &svc->running) {
         struct job *job = container_of(it, struct job, link);
         struct job_result result = {.kind = ERR_TARGET_TIMEOUT, .sent = true};
 
@@ -466,8 +463,7 @@
 uint64_t
 dispatch_tick(struct dispatch *d, uint64_t now)
 {
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         struct dispatch_service *svc =
             container_of(it, struct dispatch_service, active);
 
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -63,6 +63,7 @@
     struct streams *streams;
     struct target_links *links;
 
+    uint64_t next_slow_us;
     uint64_t turned_us; /* last turn of the loop, for pauses */
     uint64_t stale_until_us;
     uint64_t stop_by_us; /* planned stop, at the latest */
@@ -77,9 +78,9 @@
     uint16_t message_id;
     uint8_t token[PACKET_TOKEN_MAX];
     uint8_t token_len;
-    bool acked;         /* an empty ACK was sent: the answer is separate */
-    bool verified;      /* sent a token of ours */
-    bool relayed;       /* came through another balancer */
+    bool acked;          /* an empty ACK was sent: the answer is separate */
+    bool verified;       /* sent a token of ours */
+    bool relayed;        /* came through another balancer */
     size_t request_size; /* bytes */
     uint64_t received_us;
 };
