--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -144,7 +144,8 @@
      uint32_t retry_after_ms)
 {
     release(job);
-    d->ops->failed(d->ctx, job, kind, not_run, retry_after_ms);
+    d->ops->failed(d->ctx, job, kind, not_run && !job->touched,
+                   retry_after_ms);
 }
 
 /* Remembers the target of a try, so that no other try goes there. */
@@ -272,7 +273,7 @@
             return;
         }
         if (result == BALANCE_PICKED) {
-            admission_start(svc->admission, entry, now);
+            admission_start(svc->admission, entry);
             continue;
         }
         admission_remove(svc->admission, entry);
@@ -292,6 +293,7 @@
     job->arrived_us = now;
     job->started_us = 0;
     job->state = JOB_WAITING;
+    job->touched = false;
     memset(&job->pick, 0, sizeof(job->pick));
     job->pick.flow_hash = job->flow_hash;
     job->pick.class = job->class;
@@ -358,37 +360,80 @@
     }
     target_record_latency(t, took);
     slot_window_on_answer(t, now);
-    admission_completed(job->svc->admission, job->class, job->tenant, took);
+    admission_completed(job->svc->admission, job->class, job->tenant, took,
+                        now);
 }
 
-/* Whether another target may get the request: one that may not be repeated
- * only when the first provably did not take it. */
+/* A request that no target has taken goes back to the head of its queue and
+ * waits for a slot. Returns false when it is out of time or of targets. */
 static bool
-may_try_again(const struct job *job, const struct job_result *result,
-              uint64_t now)
+requeue(struct dispatch *d, struct job *job, const struct job_result *result,
+        uint64_t now)
 {
-    bool untouched = result->refused || !result->sent;
+    struct dispatch_service *svc = job->svc;
 
     if (now >= job->deadline_us) {
         return false;
     }
-    if (job->pick.tried_count >= BALANCE_TRIED_MAX) {
+    if (!result->refused) {
+        /* No connection: not to this target again. One that refused may be
+         * asked again when its window opens. */
+        mark_tried(job);
+        if (job->pick.tried_count >= BALANCE_TRIED_MAX) {
+            return false;
+        }
+    }
+    if (!admission_requeue(svc->admission, &job->entry, job->tenant,
+                           job->class, now)) {
         return false;
     }
-    return untouched || job->repeatable;
+    job->target = NULL;
+    job->state = JOB_WAITING;
+    list_remove(&job->link);
+    pump(d, svc, now);
+    return true;
 }
 
-/* Puts a job back to wait for another target. Returns false when it ended
- * instead. */
+/* Sends a request that may be repeated to another target, within the retry
+ * budget. Returns false when that is not possible. */
 static bool
-try_again(struct dispatch *d, struct job *job, uint64_t now)
+repeat(struct dispatch *d, struct job *job, uint64_t now)
 {
-    enum balance_result result;
-
+    if (!job->repeatable || now >= job->deadline_us) {
+        return false;
+    }
+    mark_tried(job);
+    if (job->pick.tried_count >= BALANCE_TRIED_MAX ||
+        !retry_budget_withdraw(&job->svc->retries)) {
+        return false;
+    }
     job->state = JOB_WAITING;
     list_remove(&job->link);
-    result = try_start(d, job, now);
-    return result == BALANCE_PICKED;
+    return try_start(d, job, now) == BALANCE_PICKED;
+}
+
+/* Ends a job that no target has answered, or tries it again. A request that
+ * may not be repeated goes to a second target only when the first provably
+ * did not take it. */
+static void
+handle_failure(struct dispatch *d, struct job *job,
+               const struct job_result *result, uint64_t now)
+{
+    struct dispatch_service *svc = job->svc;
+    bool untouched = result->refused || !result->sent;
+
+    if (!untouched) {
+        job->touched = true;
+    }
+    if (untouched && requeue(d, job, result, now)) {
+        return;
+    }
+    if (!untouched && repeat(d, job, now)) {
+        return;
+    }
+    fail(d, job, result->refused ? ERR_TARGET_REFUSED : result->kind,
+         untouched, admission_retry_after_ms(svc->admission, job->class, now));
+    pump(d, svc, now);
 }
 
 bool
@@ -396,28 +441,18 @@
                 const struct job_result *result, uint64_t now)
 {
     struct dispatch_service *svc = job->svc;
-    bool untouched = result->refused || !result->sent;
-    bool answered = result->kind == ERR_NONE && !result->refused;
     struct target_state *t = job->target;
+    bool answered = result->kind == ERR_NONE && !result->refused;
 
     assert(job->state == JOB_RUNNING);
     target_ref(t);
     learn(d, job, result, now);
-    mark_tried(job);
-    job->target = NULL;
     if (answered) {
         release(job);
         pump(d, svc, now);
     }
-    else if (may_try_again(job, result, now) &&
-             retry_budget_withdraw(&svc->retries) && try_again(d, job, now)) {
-        answered = false;
-    }
     else {
-        fail(d, job, result->refused ? ERR_TARGET_REFUSED : result->kind,
-             untouched,
-             admission_retry_after_ms(svc->admission, job->class, now));
-        pump(d, svc, now);
+        handle_failure(d, job, result, now);
     }
     target_unref(t);
     return answered;
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -53,6 +53,7 @@
     struct target_state *target; /* while running, or the last one */
     struct balance_request pick;
     enum job_state state;
+    bool touched; /* some try may have run it */
     uint64_t arrived_us;
     uint64_t started_us; /* of the last try */
 };
