--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -1,5 +1,6 @@
 #include "daemon/command.h"
 
+#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -271,6 +272,7 @@
     struct request_record *record;
     struct command *cmd;
 
+    assert(verdict->flow != NULL);
     record = svc == NULL ? NULL
                          : flow_table_begin(task->home.flows, verdict->flow,
                                             verdict->id);
--- a/src/state/object-cache.c
+++ b/src/state/object-cache.c
@@ -27,6 +27,21 @@
     free(chunk);
 }
 
+static void
+drop_chunk_at(struct object_cache *cache, struct object *object,
+              uint64_t first)
+{
+    list_for_each_safe (it, &object->chunks) {
+        struct object_chunk *chunk =
+            container_of(it, struct object_chunk, link);
+
+        if (chunk->first == first) {
+            drop_chunk(cache, object, chunk);
+            return;
+        }
+    }
+}
+
 static void
 drop_chunks(struct object_cache *cache, struct object *object)
 {
@@ -127,11 +142,13 @@
 make_room_within(struct object_cache *cache, struct object *object,
                  size_t size)
 {
-    while (cache->bytes + size > cache->bytes_max &&
-           !list_empty(&object->chunks)) {
-        drop_chunk(
-            cache, object,
-            container_of(object->chunks.next, struct object_chunk, link));
+    /* The analyzer does not see that list_remove() unlinked what was freed.
+     * NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+    list_for_each_safe (it, &object->chunks) {
+        if (cache->bytes + size <= cache->bytes_max) {
+            return;
+        }
+        drop_chunk(cache, object, container_of(it, struct object_chunk, link));
     }
 }
 
@@ -151,10 +168,7 @@
     }
     touch(cache, object, now);
     set_version(cache, object, version);
-    chunk = object_chunk_at(object, first);
-    if (chunk != NULL) {
-        drop_chunk(cache, object, chunk);
-    }
+    drop_chunk_at(cache, object, first);
     make_room(cache, size, object);
     make_room_within(cache, object, size);
     chunk = malloc(sizeof(*chunk) + size);
