--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -85,6 +85,7 @@
     const struct service_port *port = data_port(task, service_port);
 
     if (port != NULL) {
+        data_count(task, COUNTER_PACKETS_SENT);
         udp_socket_send(port->sock, to, data, size);
     }
 }
@@ -135,6 +136,37 @@
     answers->message_id++;
 }
 
+static bool
+fits_request(const struct caller *caller, size_t size)
+{
+    return size <= caller->request_size * AMPLIFICATION_MAX;
+}
+
+/* Builds a challenge in place of an answer that is too long for a caller
+ * whose address is not verified. Only a read gets there, which may be sent
+ * again without harm: a request that changed something came with a token.
+ * Returns 0 when a challenge is too long as well. */
+static size_t
+build_challenge(struct data_task *task, const struct caller *caller,
+                const struct packet *answer, uint8_t *data, size_t size)
+{
+    const struct service_port *port = data_port(task, caller->service_port);
+    struct packet challenge = {
+        .type = answer->type,
+        .code = CODE_UNAUTHORIZED,
+        .message_id = answer->message_id,
+    };
+
+    if (port == NULL || port->view == NULL ||
+        !fits_request(caller, TOKEN_SIZE + CHALLENGE_OVERHEAD) ||
+        !answer_add_token(task, &challenge, port->view->hash,
+                          clock_monotonic_us())) {
+        return 0;
+    }
+    set_token(&challenge, caller);
+    return packet_build(&challenge, data, size);
+}
+
 void
 answer_send(struct data_task *task, const struct caller *caller,
             struct packet *answer)
@@ -144,9 +176,13 @@
 
     set_header(task->answers, answer, caller);
     size = packet_build(answer, data, sizeof(data));
+    if (!caller->verified && !fits_request(caller, size)) {
+        size = build_challenge(task, caller, answer, data, sizeof(data));
+    }
     if (size == 0) {
         return;
     }
+    data_count(task, COUNTER_ANSWERS);
     send_raw(task, caller->service_port, &caller->addr, data, size);
     if (answer->type == PACKET_CON) {
         keep_late(task->answers, caller, answer->message_id, data, size,
@@ -199,6 +235,7 @@
 {
     struct packet answer;
 
+    data_count_error(task, kind);
     answer_fill_error(&answer, kind, outcome, retry_after_ms);
     if (answer.code == CODE_EMPTY) {
         return;
@@ -220,6 +257,7 @@
         !home_open_flow(&task->home, service, 0, now, &token)) {
         return false;
     }
+    data_count(task, COUNTER_FLOWS_OPENED);
     token_seal(&token, &task->view->keys, answer->echo);
     answer->echo_len = TOKEN_SIZE;
     answer->fields |= FIELD_ECHO;
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -175,6 +175,7 @@
     struct command *cmd = container_of(work, struct command, work);
     struct recorded_answer recorded;
 
+    data_count_error(cmd->commands->task, kind);
     fill_refusal(&recorded, kind, not_run, retry_after_ms);
     conclude(cmd, &recorded);
 }
@@ -191,6 +192,7 @@
     if (!work_result(cmd->commands->task, work, kind, sent, response)) {
         return;
     }
+    work_record_times(cmd->commands->task, work);
     if (response->content_type != NULL) {
         format = http_map_content_format(response->content_type);
     }
@@ -331,6 +333,7 @@
                 cmd->caller.addr.port == in->caller.addr.port;
     bool acked = same && cmd->caller.acked;
 
+    data_count(cmd->commands->task, COUNTER_PACKETS_DUPLICATE);
     cmd->caller = in->caller;
     if (acked) {
         answer_ack(cmd->commands->task, &cmd->caller);
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -52,6 +52,18 @@
     mailbox_send(task->control, MSG_EVENT, &event, sizeof(event));
 }
 
+void
+data_count(struct data_task *task, enum counter counter)
+{
+    counters_add(metrics_counters(task->metrics), counter, 1);
+}
+
+void
+data_count_error(struct data_task *task, enum error_kind kind)
+{
+    counters_add_error(metrics_counters(task->metrics), kind);
+}
+
 const struct service_port *
 data_port(const struct data_task *task, uint16_t port)
 {
@@ -108,11 +120,18 @@
 open_token(struct data_task *task, struct inbound *in)
 {
     if ((in->packet.fields & FIELD_ECHO) == 0) {
+        in->caller.verified =
+            address_set_contains(task->verified, in->caller.addr.addr,
+                                 in->caller.addr.port, in->caller.received_us);
         return true;
     }
     in->has_token = token_open(&in->token, &task->view->keys, in->packet.echo,
                                in->packet.echo_len);
-    in->caller.verified = in->has_token;
+    if (in->has_token) {
+        in->caller.verified = true;
+        address_set_add(task->verified, in->caller.addr.addr,
+                        in->caller.addr.port, in->caller.received_us);
+    }
     return in->has_token;
 }
 
@@ -156,7 +175,9 @@
     };
     enum error_kind kind = packet_parse(&in.packet, raw, size);
 
+    data_count(task, COUNTER_PACKETS_RECEIVED);
     if (kind == ERR_BAD_PACKET || port->view == NULL) {
+        data_count_error(task, port->view == NULL ? ERR_NO_SERVICE : kind);
         return;
     }
     fill_caller(&in.caller, &in.packet);
@@ -169,8 +190,10 @@
         return;
     }
     if (!open_token(task, &in)) {
+        data_count_error(task, ERR_BAD_TOKEN);
         return;
     }
+    data_count(task, COUNTER_REQUESTS);
     handle_request(task, &in);
 }
 
@@ -314,6 +337,19 @@
                task->settings->limits.drain_timeout_ms);
 }
 
+static void
+send_metrics(struct data_task *task)
+{
+    size_t len = 0;
+    char *text = metrics_text(task->metrics, task->dispatch.targets,
+                              clock_monotonic_us(), &len);
+
+    if (text != NULL) {
+        mailbox_send(task->control, MSG_METRICS_TEXT, text, len);
+    }
+    free(text);
+}
+
 static void
 on_message(void *ctx, uint32_t type, const void *data, size_t size)
 {
@@ -331,6 +367,9 @@
     case MSG_STOP:
         begin_stop(task);
         break;
+    case MSG_METRICS_ASK:
+        send_metrics(task);
+        break;
     default:
         break;
     }
@@ -418,6 +457,8 @@
                        &task->random, task->settings->limits.queue)) {
         return false;
     }
+    task->metrics = metrics_new();
+    task->verified = address_set_new();
     task->links = target_links_new(task);
     task->answers = answers_new(task);
     task->commands = commands_new(task);
@@ -425,7 +466,8 @@
     task->probes = probes_new(task);
     task->relays = relays_new(task);
     task->streams = streams_new(task);
-    return task->links != NULL && task->answers != NULL &&
+    return task->metrics != NULL && task->verified != NULL &&
+           task->links != NULL && task->answers != NULL &&
            task->commands != NULL && task->fetches != NULL &&
            task->probes != NULL && task->relays != NULL &&
            task->streams != NULL;
@@ -528,6 +570,8 @@
     if (task->dispatch.services != NULL) {
         dispatch_destroy(&task->dispatch);
     }
+    address_set_destroy(task->verified);
+    metrics_destroy(task->metrics);
     flow_table_destroy(task->home.flows);
     config_view_destroy(task->view);
     g_hash_table_destroy(task->ports);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -13,7 +13,9 @@
 #include "coordination/dispatch.h"
 #include "coordination/home.h"
 #include "protocol/packet.h"
+#include "state/address-set.h"
 #include "state/config-view.h"
+#include "state/metrics.h"
 #include "transport/mailbox.h"
 #include "transport/udp-socket.h"
 
@@ -21,7 +23,6 @@
  * it. */
 
 struct answers;
-struct data_metrics;
 struct fetches;
 struct probes;
 struct relays;
@@ -55,6 +56,8 @@
     struct home home;
     struct dispatch dispatch;
 
+    struct metrics *metrics;
+    struct address_set *verified;
     struct answers *answers;
     struct commands *commands;
     struct fetches *fetches;
@@ -79,7 +82,7 @@
     uint8_t token[PACKET_TOKEN_MAX];
     uint8_t token_len;
     bool acked;          /* an empty ACK was sent: the answer is separate */
-    bool verified;       /* sent a token of ours */
+    bool verified;       /* receives what is sent to its address */
     bool relayed;        /* came through another balancer */
     size_t request_size; /* bytes */
     uint64_t received_us;
@@ -96,6 +99,10 @@
     size_t raw_len;
 };
 
+/* Counts on the task's counters. */
+void data_count(struct data_task *task, enum counter counter);
+void data_count_error(struct data_task *task, enum error_kind kind);
+
 /* Sends an event to the control task. */
 void data_event(struct data_task *task, const char *kind, const char *subject,
                 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
--- a/src/daemon/fetch.c
+++ b/src/daemon/fetch.c
@@ -310,6 +310,7 @@
     if (!work_result(fetch->fetches->task, work, kind, sent, response)) {
         return;
     }
+    work_record_times(fetch->fetches->task, work);
     if (!read_body(fetch, response, &body)) {
         fail_waiters(fetch, ERR_TARGET_BAD_ANSWER, 0);
         fetch_free(fetch);
@@ -489,6 +490,7 @@
     char key[KEY_SIZE];
 
     if (waiter != NULL) {
+        data_count(fetches->task, COUNTER_PACKETS_DUPLICATE);
         if (waiter->caller.acked) {
             answer_ack(fetches->task, &waiter->caller);
         }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -100,6 +100,7 @@
 static void
 give_up(struct relays *relays, const struct inbound *in)
 {
+    data_count_error(relays->task, ERR_HOME_LOST);
     if (in->packet.code == CODE_GET || in->packet.code == CODE_FETCH) {
         data_serve_repeatable(relays->task, in);
         return;
@@ -121,6 +122,7 @@
         give_up(relays, in);
         return;
     }
+    data_count(relays->task, COUNTER_PACKETS_RELAYED);
     relay->id = relays->next_id;
     relays->next_id++;
     relay->home.addr = in->token.home_addr;
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -194,6 +194,7 @@
         stream->last_id = event->id;
         stream->resume = true;
     }
+    data_count(task, COUNTER_STREAM_FRAMES);
     if (stream->answered) {
         answer_notify(task, &stream->caller, &answer);
         stream->notify_id = answer.message_id;
@@ -410,6 +411,7 @@
                      1000);
         return;
     }
+    data_count(streams->task, COUNTER_STREAMS_OPENED);
     stream->expires_us = now + REGISTRATION_US;
     stream->resume = has_id;
     stream->last_id = id;
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -111,3 +111,17 @@
     return dispatch_result(&task->dispatch, &work->job, &result,
                            clock_monotonic_us());
 }
+
+void
+work_record_times(struct data_task *task, const struct work *work)
+{
+    const struct job *job = &work->job;
+    uint64_t now = clock_monotonic_us();
+
+    metrics_record(task->metrics, job->tenant, job->class, PHASE_QUEUE,
+                   job->started_us - job->arrived_us);
+    metrics_record(task->metrics, job->tenant, job->class, PHASE_TARGET,
+                   now - job->started_us);
+    metrics_record(task->metrics, job->tenant, job->class, PHASE_WHOLE,
+                   now - job->arrived_us);
+}
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -36,5 +36,8 @@
                  enum error_kind kind, bool sent,
                  const struct target_response *response);
 
+/* Records how long an answered job waited, ran and took in all. */
+void work_record_times(struct data_task *task, const struct work *work);
+
 /* Milliseconds until the job's deadline, at least 1. */
 uint32_t work_deadline_ms(const struct work *work, uint64_t now);
