client: exchanges, calls and flows of the caller library

A UDP endpoint with retransmission (RFC 7252 section 4.2), calls that honour challenges, refusals with Max-Age and block-wise bodies, and flows that hold the Echo token and count request ids. A request that may not be repeated and was sent whole under one token is never sent under another unless it was told not run.

Tests: scripts of single exchanges, and 840 requests over a seeded network with loss, duplicates, reordering and dying homes: each ran at most once, each answered one ran, none reported not run did.

--- /dev/null
+++ b/src/client/call.c
@@ -0,0 +1,377 @@
+#include "client/call.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "client/backoff.h"
+#include "client/call-private.h"
+#include "client/call-verdict.h"
+
+#define CHALLENGES_MAX 3
+#define ASK_AGAIN_MAX 2
+#define UPLOAD_RESTARTS_MAX 3
+/* Refusals in a row after which a flow looks for another home. */
+#define REFUSALS_MAX 2
+
+static void on_answer(void *ctx, struct exchange *ex,
+                      const struct packet *answer);
+static void on_timer(evutil_socket_t fd, short what, void *arg);
+
+const char *
+call_outcome_name(enum call_outcome outcome)
+{
+    static const char *const names[] = {
+        [CALL_ANSWERED] = "answered",       [CALL_NOT_RUN] = "not_run",
+        [CALL_UNKNOWN] = "outcome_unknown", [CALL_TIMEOUT] = "timeout",
+        [CALL_CANCELLED] = "cancelled",
+    };
+
+    return names[outcome];
+}
+
+static bool
+copy_text(char *out, size_t size, const char *text)
+{
+    size_t len = text == NULL ? 0 : strlen(text);
+
+    if (len >= size) {
+        return false;
+    }
+    if (len > 0) {
+        memcpy(out, text, len);
+    }
+    out[len] = '\0';
+    return true;
+}
+
+static bool
+copy_body(struct call *call, const struct call_request *request)
+{
+    if (request->body_len > 0) {
+        call->body = malloc(request->body_len);
+        if (call->body == NULL) {
+            return false;
+        }
+        memcpy(call->body, request->body, request->body_len);
+    }
+    upload_init(&call->upload, call->body, request->body_len);
+    return true;
+}
+
+static bool
+copy_request(struct call *call, const struct call_request *request)
+{
+    struct packet *p = &call->request;
+
+    p->code = request->method;
+    if (request->content_format >= 0) {
+        p->content_format = (uint16_t)request->content_format;
+        p->fields |= FIELD_CONTENT_FORMAT;
+    }
+    return copy_text(p->path, sizeof(p->path), request->path) &&
+           copy_text(p->query, sizeof(p->query), request->query) &&
+           copy_body(call, request);
+}
+
+static void
+call_free(struct call *call)
+{
+    if (call->timer != NULL) {
+        event_free(call->timer);
+    }
+    free(call->body);
+    free(call);
+}
+
+/* Blocks of one body must meet at one balancer, so a block-wise body needs a
+ * home even when its request may be repeated. */
+struct call *
+call_new(struct client_flow *flow, const struct call_request *request,
+         call_cb cb, void *ctx)
+{
+    struct call *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        return NULL;
+    }
+    list_init(&call->link);
+    call->flow = flow;
+    call->cb = cb;
+    call->ctx = ctx;
+    call->timer = evtimer_new(client_base(flow->client), on_timer, call);
+    if (call->timer == NULL || !copy_request(call, request)) {
+        call_free(call);
+        return NULL;
+    }
+    call->repeatable = packet_method_is_repeatable(request->method);
+    call->needs_token =
+        !call->repeatable || upload_is_blockwise(&call->upload);
+    call->deadline_us =
+        clock_monotonic_us() + request->deadline_ms * USEC_PER_MSEC;
+    return call;
+}
+
+static void
+stop_exchange(struct call *call)
+{
+    if (call->ex != NULL) {
+        exchange_stop(call->ex);
+        call->ex = NULL;
+    }
+}
+
+static bool
+answer_is_whole(const struct packet *answer)
+{
+    return answer != NULL &&
+           ((answer->fields & FIELD_BLOCK2) == 0 ||
+            (!answer->block2.more && answer->block2.num == 0));
+}
+
+void
+call_finish(struct call *call, enum call_outcome outcome,
+            const struct packet *answer)
+{
+    struct client_flow *flow = call->flow;
+    const struct call_result result = {
+        .outcome = outcome,
+        .answer = answer,
+        .whole = answer_is_whole(answer),
+        .tries = call->tries,
+    };
+
+    stop_exchange(call);
+    list_remove(&call->link);
+    if (flow->opener == call) {
+        flow->opener = NULL;
+    }
+    /* Others may wait for the room or for their turn to get a token. */
+    client_flow_kick(flow);
+    call->cb(call->ctx, &result);
+    call_free(call);
+}
+
+void
+call_cancel(struct call *call)
+{
+    call_finish(call, CALL_CANCELLED, NULL);
+}
+
+void
+call_send(struct call *call)
+{
+    upload_fill(&call->upload, &call->request);
+    call->state = CALL_STATE_SENT;
+    call->tries++;
+    call->ex = exchange_start(call->flow->client, &call->request,
+                              call->deadline_us, on_answer, call);
+    if (call->ex == NULL) {
+        /* Nothing was sent; the timer reports it from the loop. */
+        event_active(call->timer, EV_TIMEOUT, 0);
+        return;
+    }
+    if (call->request.echo_len > 0 && upload_at_end(&call->upload)) {
+        call->may_have_run = true;
+    }
+}
+
+/* The deadline passed, or nothing could be sent. */
+static void
+expire(struct call *call)
+{
+    if (call->may_have_run && !call->repeatable) {
+        client_flow_drop_token(call->flow, call);
+        call_finish(call, CALL_UNKNOWN, NULL);
+        return;
+    }
+    call_finish(call, CALL_TIMEOUT, NULL);
+}
+
+/* Waits before the next try. Returns false when the deadline is nearer. */
+static bool
+wait_for(struct call *call, uint64_t wait_us)
+{
+    struct timeval tv = {.tv_sec = (time_t)(wait_us / USEC_PER_SEC),
+                         .tv_usec = (suseconds_t)(wait_us % USEC_PER_SEC)};
+
+    if (clock_monotonic_us() + wait_us >= call->deadline_us) {
+        return false;
+    }
+    call->state = CALL_STATE_WAITING;
+    event_add(call->timer, &tv);
+    return true;
+}
+
+/* Detaches a call from the token and id that it was sent under. */
+static void
+reset_try(struct call *call)
+{
+    upload_restart(&call->upload);
+    call->may_have_run = false;
+    call->asked_again = 0;
+    call->request.echo_len = 0;
+    call->request.fields &= ~(unsigned)FIELD_ECHO;
+    if (call->flow->opener == call) {
+        call->flow->opener = NULL;
+    }
+    client_flow_kick(call->flow);
+}
+
+/* Sends a call anew: under the flow's token of that time, with a new id. */
+static void
+start_over(struct call *call)
+{
+    reset_try(call);
+    client_flow_enqueue(call->flow, call, true);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+    struct call *call = arg;
+
+    if (call->state != CALL_STATE_WAITING) {
+        expire(call);
+        return;
+    }
+    if (call->may_have_run && !call->repeatable) {
+        call_send(call);
+        return;
+    }
+    start_over(call);
+}
+
+static void
+on_challenge(struct call *call, const struct packet *answer)
+{
+    struct client_flow *flow = call->flow;
+
+    call->challenges++;
+    if (call->challenges > CHALLENGES_MAX) {
+        call_finish(call, CALL_ANSWERED, answer);
+        return;
+    }
+    client_flow_adopt(flow, answer);
+    /* A server may ask a repeatable request too for a fresh Echo, RFC 9175
+     * section 2.3. */
+    call->needs_token = true;
+    start_over(call);
+}
+
+/* A refusal with a time to come back. The flow looks for another home when
+ * this one goes on refusing, or names no time. */
+static void
+on_refusal(struct call *call, const struct packet *answer)
+{
+    struct client_flow *flow = call->flow;
+    bool has_time = (answer->fields & FIELD_MAX_AGE) != 0;
+    struct random *random = client_random(flow->client);
+    uint64_t wait = has_time ? backoff_refusal_us(random, answer->max_age_s)
+                             : backoff_retry_us(random, call->tries);
+
+    call->refusals++;
+    if (!has_time || call->refusals >= REFUSALS_MAX) {
+        client_flow_drop_token(flow, call);
+        call->refusals = 0;
+    }
+    reset_try(call);
+    if (!wait_for(call, wait)) {
+        call_finish(call,
+                    answer->outcome == OUTCOME_NOT_RUN ? CALL_NOT_RUN
+                                                       : CALL_ANSWERED,
+                    answer);
+    }
+}
+
+static void
+on_unknown(struct call *call, const struct packet *answer)
+{
+    client_flow_drop_token(call->flow, call);
+    /* The home that issued a new token is there for the next requests. */
+    if ((answer->fields & FIELD_ECHO) != 0) {
+        client_flow_adopt(call->flow, answer);
+    }
+    call_finish(call, CALL_UNKNOWN, answer);
+}
+
+static void
+on_ask_again(struct call *call, const struct packet *answer)
+{
+    struct random *random = client_random(call->flow->client);
+
+    if (!wait_for(call, backoff_retry_us(random, call->asked_again))) {
+        on_unknown(call, answer);
+        return;
+    }
+    call->asked_again++;
+}
+
+static void
+on_final(struct call *call, const struct packet *answer)
+{
+    const struct call_facts facts = {
+        .repeatable = call->repeatable,
+        .may_have_run = call->may_have_run,
+        .may_ask_again = !call->repeatable && call->may_have_run &&
+                         call->asked_again < ASK_AGAIN_MAX,
+    };
+
+    switch (call_judge(&facts, answer)) {
+    case VERDICT_ANSWERED:
+        call_finish(call, CALL_ANSWERED, answer);
+        return;
+    case VERDICT_NOT_RUN:
+        call_finish(call, CALL_NOT_RUN, answer);
+        return;
+    case VERDICT_UNKNOWN:
+        on_unknown(call, answer);
+        return;
+    case VERDICT_CHALLENGE:
+        on_challenge(call, answer);
+        return;
+    case VERDICT_LATER:
+        on_refusal(call, answer);
+        return;
+    case VERDICT_ASK_AGAIN:
+        on_ask_again(call, answer);
+        return;
+    }
+}
+
+/* 4.08: the home has lost earlier blocks, RFC 7959 section 2.9.2. Nothing ran,
+ * so the blocks go again under the same id. */
+static bool
+restart_upload(struct call *call)
+{
+    if (!upload_is_blockwise(&call->upload) ||
+        call->upload_restarts >= UPLOAD_RESTARTS_MAX) {
+        return false;
+    }
+    call->upload_restarts++;
+    upload_restart(&call->upload);
+    call_send(call);
+    return true;
+}
+
+static void
+on_answer(void *ctx, struct exchange *ex, const struct packet *answer)
+{
+    struct call *call = ctx;
+
+    stop_exchange(call);
+    if (answer == NULL) {
+        expire(call);
+        return;
+    }
+    if (answer->code == CODE_CONTINUE &&
+        upload_continue(&call->upload, answer)) {
+        call_send(call);
+        return;
+    }
+    if (answer->code == CODE_INCOMPLETE && restart_upload(call)) {
+        return;
+    }
+    on_final(call, answer);
+}
--- /dev/null
+++ b/src/client/client-flow.c
@@ -0,0 +1,242 @@
+#include "client/client-flow.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "client/call-private.h"
+
+#define FLOW_IN_FLIGHT_MAX 8 /* requests that may not be repeated */
+/* A home knows the outcome of the last 64 ids of a flow; half of it keeps a
+ * slow request inside that window while faster ones pass it. */
+#define FLOW_ID_SPAN 32
+/* A home under pressure evicts idle flows, and a request under the token of
+ * an evicted flow has an unknown outcome. */
+#define FLOW_IDLE_US (60 * USEC_PER_SEC)
+
+static void on_pump(evutil_socket_t fd, short what, void *arg);
+
+struct client_flow *
+client_flow_new(struct client *client)
+{
+    struct client_flow *flow = calloc(1, sizeof(*flow));
+
+    if (flow == NULL) {
+        return NULL;
+    }
+    flow->client = client;
+    list_init(&flow->queue);
+    list_init(&flow->active);
+    flow->pump = event_new(client_base(client), -1, 0, on_pump, flow);
+    if (flow->pump == NULL) {
+        free(flow);
+        return NULL;
+    }
+    return flow;
+}
+
+static void
+cancel_all(struct list *calls)
+{
+    while (!list_empty(calls)) {
+        call_cancel(container_of(calls->next, struct call, link));
+    }
+}
+
+void
+client_flow_destroy(struct client_flow *flow)
+{
+    if (flow == NULL) {
+        return;
+    }
+    cancel_all(&flow->active);
+    cancel_all(&flow->queue);
+    event_free(flow->pump);
+    free(flow);
+}
+
+unsigned
+client_flow_tokens(const struct client_flow *flow)
+{
+    return flow->tokens;
+}
+
+void
+client_flow_kick(struct client_flow *flow)
+{
+    event_active(flow->pump, EV_TIMEOUT, 0);
+}
+
+struct call *
+client_flow_call(struct client_flow *flow, const struct call_request *request,
+                 call_cb cb, void *ctx)
+{
+    struct call *call = call_new(flow, request, cb, ctx);
+
+    if (call != NULL) {
+        client_flow_enqueue(flow, call, false);
+    }
+    return call;
+}
+
+/* Waits in the queue until the deadline at the longest; the call's timer ends
+ * it then. */
+void
+client_flow_enqueue(struct client_flow *flow, struct call *call, bool first)
+{
+    uint64_t now = clock_monotonic_us();
+    uint64_t left = call->deadline_us > now ? call->deadline_us - now : 0;
+    struct timeval tv = {.tv_sec = (time_t)(left / USEC_PER_SEC),
+                         .tv_usec = (suseconds_t)(left % USEC_PER_SEC)};
+
+    call->state = CALL_STATE_QUEUED;
+    list_remove(&call->link);
+    if (first) {
+        list_push_front(&flow->queue, &call->link);
+    }
+    else {
+        list_push_back(&flow->queue, &call->link);
+    }
+    event_add(call->timer, &tv);
+    client_flow_kick(flow);
+}
+
+static bool
+call_holds_id(const struct call *call)
+{
+    return call->needs_token && call->request.echo_len > 0;
+}
+
+/* True when one more id may be used: few enough are out, and the oldest of
+ * them stays inside the home's window. */
+static bool
+has_room(const struct client_flow *flow)
+{
+    uint64_t oldest = flow->last_id + 1;
+    unsigned count = 0;
+
+    list_for_each (it, &flow->active) {
+        const struct call *call = container_of(it, struct call, link);
+        uint64_t id;
+
+        if (!call_holds_id(call)) {
+            continue;
+        }
+        id = packet_request_id(&call->request);
+        oldest = id < oldest ? id : oldest;
+        count++;
+    }
+    return count < FLOW_IN_FLIGHT_MAX &&
+           flow->last_id + 1 - oldest < FLOW_ID_SPAN;
+}
+
+static bool
+has_call_under_token(const struct client_flow *flow)
+{
+    list_for_each (it, &flow->active) {
+        if (call_holds_id(container_of(it, struct call, link))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+forget_token(struct client_flow *flow)
+{
+    flow->echo_len = 0;
+    flow->last_id = 0;
+}
+
+static void
+forget_idle_token(struct client_flow *flow)
+{
+    if (flow->echo_len > 0 && !has_call_under_token(flow) &&
+        clock_monotonic_us() - flow->used_us > FLOW_IDLE_US) {
+        forget_token(flow);
+    }
+}
+
+static void
+activate(struct client_flow *flow, struct call *call)
+{
+    event_del(call->timer);
+    list_remove(&call->link);
+    list_push_back(&flow->active, &call->link);
+    call_send(call);
+}
+
+/* Sends a call without a token; the answer brings one. */
+static void
+open_with(struct client_flow *flow, struct call *call)
+{
+    flow->opener = call;
+    call->request.echo_len = 0;
+    call->request.fields &= ~(unsigned)FIELD_ECHO;
+    packet_set_request_id(&call->request, 1);
+    activate(flow, call);
+}
+
+static void
+send_under_token(struct client_flow *flow, struct call *call)
+{
+    flow->last_id++;
+    flow->used_us = clock_monotonic_us();
+    memcpy(call->request.echo, flow->echo, flow->echo_len);
+    call->request.echo_len = flow->echo_len;
+    call->request.fields |= FIELD_ECHO;
+    packet_set_request_id(&call->request, flow->last_id);
+    activate(flow, call);
+}
+
+/* Sends one call if it can go now. */
+static void
+try_send(struct client_flow *flow, struct call *call)
+{
+    if (!call->needs_token) {
+        activate(flow, call);
+        return;
+    }
+    if (flow->echo_len == 0) {
+        if (flow->opener == NULL) {
+            open_with(flow, call);
+        }
+        return;
+    }
+    if (has_room(flow)) {
+        send_under_token(flow, call);
+    }
+}
+
+/* Sends what can be sent. */
+static void
+on_pump(evutil_socket_t fd, short what, void *arg)
+{
+    struct client_flow *flow = arg;
+
+    forget_idle_token(flow);
+    list_for_each_safe (it, &flow->queue) {
+        try_send(flow, container_of(it, struct call, link));
+    }
+}
+
+void
+client_flow_adopt(struct client_flow *flow, const struct packet *answer)
+{
+    forget_token(flow);
+    memcpy(flow->echo, answer->echo, answer->echo_len);
+    flow->echo_len = answer->echo_len;
+    flow->used_us = clock_monotonic_us();
+    flow->tokens++;
+}
+
+void
+client_flow_drop_token(struct client_flow *flow, const struct call *call)
+{
+    const struct packet *request = &call->request;
+
+    if (flow->echo_len > 0 && flow->echo_len == request->echo_len &&
+        memcmp(flow->echo, request->echo, flow->echo_len) == 0) {
+        forget_token(flow);
+    }
+}
--- /dev/null
+++ b/src/client/client-flow.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "client/call.h"
+#include "client/client.h"
+
+/* A flow: the requests of one caller to one service. Requests that may not
+ * be repeated go under the flow's token (an Echo value, RFC 9175) with a
+ * request id that rises (Request-Tag), which the flow's home delivers at most
+ * once. The token is obtained when the first of them is sent, and given up
+ * when its home is lost, takes no new work, or has long been idle. What was
+ * sent under one token is never sent under another, unless it was refused as
+ * not run. */
+struct client_flow;
+
+struct client_flow *client_flow_new(struct client *client);
+/* Cancels the calls that are left. */
+void client_flow_destroy(struct client_flow *flow);
+
+/* Starts a call. Returns NULL, and "cb" is not called, when memory is short
+ * or path and query do not fit a request; else "cb" is called exactly once,
+ * never before this returns. */
+struct call *client_flow_call(struct client_flow *flow,
+                              const struct call_request *request, call_cb cb,
+                              void *ctx);
+
+/* Tokens obtained so far. */
+unsigned client_flow_tokens(const struct client_flow *flow);
