--- /dev/null
+++ b/tools/load/pimentohaven-load.c
@@ -0,0 +1,198 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "report.h"
+#include "runner.h"
+
+#define SESSIONS_DEFAULT 100
+#define SESSIONS_MAX 5000
+#define DURATION_DEFAULT_S 10
+#define DURATION_MAX_S 600
+#define LOOPBACK_NET 127
+
+static char **traffic_texts = NULL;
+static char **via_texts = NULL;
+static char **target_texts = NULL;
+static char *journal_path = NULL;
+static char *json_path = NULL;
+static gint sessions = SESSIONS_DEFAULT;
+static gint duration_s = DURATION_DEFAULT_S;
+static gint64 seed = 1;
+
+static const GOptionEntry options[] = {
+    {"traffic", 0, 0, G_OPTION_ARG_STRING_ARRAY, &traffic_texts,
+     "Kind get, post, download or watch; may be repeated",
+     "SERVICE:KIND:RATE:DEADLINE_MS[:SIZE]"},
+    {"via", 0, 0, G_OPTION_ARG_STRING_ARRAY, &via_texts,
+     "Entry address of a service; may be repeated", "SERVICE=IP:PORT"},
+    {"target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &target_texts,
+     "Target stand-in to ask for its counts; may be repeated", "IP:PORT"},
+    {"journal", 0, 0, G_OPTION_ARG_FILENAME, &journal_path,
+     "Journal of the target stand-ins", "FILE"},
+    {"json", 0, 0, G_OPTION_ARG_FILENAME, &json_path,
+     "Write the report as JSON", "FILE"},
+    {"sessions", 0, 0, G_OPTION_ARG_INT, &sessions, "Callers", "N"},
+    {"duration", 0, 0, G_OPTION_ARG_INT, &duration_s, "Of the arrivals", "S"},
+    {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of the arrivals", "N"},
+    {NULL},
+};
+
+static void
+die(const char *what, const char *text)
+{
+    fprintf(stderr, "pimentohaven-load: %s: %s\n", what, text);
+    exit(EXIT_FAILURE);
+}
+
+static void
+parse_options(int argc, char **argv)
+{
+    GOptionContext *context =
+        g_option_context_new("- drive load, on loopback");
+    GError *error = NULL;
+
+    g_option_context_add_main_entries(context, options, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        die("options", error->message);
+    }
+    g_option_context_free(context);
+    if (traffic_texts == NULL || via_texts == NULL) {
+        die("options", "--traffic and --via are needed");
+    }
+    if (sessions < 1 || sessions > SESSIONS_MAX) {
+        die("--sessions", "out of bounds");
+    }
+    if (duration_s < 1 || duration_s > DURATION_MAX_S) {
+        die("--duration", "out of bounds");
+    }
+}
+
+/* Reads "SERVICE=IP:PORT". Addresses outside of 127.0.0.0/8 are refused: the
+ * tool is for stand-ins only. */
+static void
+parse_via(const char *text, struct service_entry *entry)
+{
+    char **parts = g_strsplit(text, "=", 2);
+    char **address =
+        parts[1] != NULL ? g_strsplit(parts[1], ":", 2) : g_new0(char *, 1);
+
+    if (address[0] == NULL || address[1] == NULL ||
+        strlen(parts[0]) >= sizeof(entry->service) ||
+        !endpoint_parse_addr(address[0], &entry->via.addr) ||
+        entry->via.addr >> 24 != LOOPBACK_NET) {
+        die("--via", text);
+    }
+    strcpy(entry->service, parts[0]);
+    entry->via.port = (uint16_t)strtoul(address[1], NULL, 10);
+    g_strfreev(address);
+    g_strfreev(parts);
+}
+
+static void
+parse_traffic(struct traffic *traffic, const struct service_entry *entries,
+              size_t entry_count, const char *text)
+{
+    if (!traffic_parse(text, traffic)) {
+        die("--traffic", text);
+    }
+    for (size_t i = 0; i < entry_count; i++) {
+        if (strcmp(entries[i].service, traffic->service) == 0) {
+            return;
+        }
+    }
+    die("no --via for the service of", text);
+}
+
+static size_t
+count_of(char **texts, size_t max, const char *what)
+{
+    size_t count = texts != NULL ? g_strv_length(texts) : 0;
+
+    if (count > max) {
+        die(what, "too many");
+    }
+    return count;
+}
+
+static void
+write_json(const struct report *report)
+{
+    json_t *json = report_json(report);
+
+    if (json_path != NULL &&
+        json_dump_file(json, json_path, JSON_INDENT(2)) < 0) {
+        die(json_path, "cannot be written");
+    }
+    json_decref(json);
+}
+
+/* Runs the plan between two readings of the targets' counts. */
+static void
+run(struct event_base *base, const struct runner_options *ro)
+{
+    static struct tally tallies[TRAFFIC_MAX];
+    static struct target_stats before[TARGETS_MAX];
+    static struct target_stats after[TARGETS_MAX];
+    struct verify verify;
+    struct status st;
+    struct report report = {.options = ro,
+                            .tallies = tallies,
+                            .verify = &verify,
+                            .targets = after};
+    struct runner *runner;
+
+    report.target_count = count_of(target_texts, TARGETS_MAX, "--target");
+    verify_init(&verify);
+    target_stats_read(base, target_texts, report.target_count, before);
+    runner = runner_new(base, ro, tallies, &verify, &st);
+    if (runner == NULL) {
+        die("runner", st.message);
+    }
+    runner_run(runner);
+    target_stats_read(base, target_texts, report.target_count, after);
+    target_stats_since(after, before, report.target_count);
+    if (journal_path != NULL && !verify_journal(&verify, journal_path)) {
+        die(journal_path, "cannot be read");
+    }
+    verify_count(&verify, &report.commands);
+    report.runner = runner;
+    report_print(&report, stdout);
+    write_json(&report);
+    runner_destroy(runner);
+    verify_clear(&verify);
+    for (size_t i = 0; i < ro->traffic_count; i++) {
+        tally_clear(&tallies[i]);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static struct traffic traffic[TRAFFIC_MAX];
+    static struct service_entry entries[TRAFFIC_MAX];
+    struct runner_options ro = {.traffic = traffic, .entries = entries};
+    struct event_base *base;
+
+    parse_options(argc, argv);
+    signal(SIGPIPE, SIG_IGN);
+    ro.entry_count = count_of(via_texts, TRAFFIC_MAX, "--via");
+    ro.traffic_count = count_of(traffic_texts, TRAFFIC_MAX, "--traffic");
+    for (size_t i = 0; i < ro.entry_count; i++) {
+        parse_via(via_texts[i], &entries[i]);
+    }
+    for (size_t i = 0; i < ro.traffic_count; i++) {
+        parse_traffic(&traffic[i], entries, ro.entry_count, traffic_texts[i]);
+    }
+    ro.sessions = (unsigned)sessions;
+    ro.duration_us = (uint64_t)duration_s * USEC_PER_SEC;
+    ro.seed = (uint64_t)seed;
+    base = event_base_new();
+    run(base, &ro);
+    event_base_free(base);
+    return EXIT_SUCCESS;
+}
--- a/tools/load/plan.c
+++ b/tools/load/plan.c
@@ -98,9 +98,8 @@
     for (size_t i = 0; i < count; i++) {
         random_seed(&plan->random[i], random_mix(seed, i));
         /* Watches last for the whole run and are not arrivals. */
-        plan->next_us[i] = traffic[i].kind == TRAFFIC_WATCH
-                               ? INFINITY
-                               : draw_gap_us(plan, i);
+        plan->next_us[i] =
+            traffic[i].kind == TRAFFIC_WATCH ? INFINITY : draw_gap_us(plan, i);
     }
 }
 
