--- a/tests/unit/test-standins.c
+++ b/tests/unit/test-standins.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,6 +11,8 @@
 #include "kv-history.h"
 #include "standin-common.h"
 
+#define SEEN_SIZE 64
+
 static void
 test_endpoints(void **state)
 {
@@ -83,9 +86,10 @@
 append_key(void *ctx, const struct kv_entry *entry)
 {
     char *text = ctx;
+    size_t len = strlen(text);
 
-    strcat(text, entry->key);
-    strcat(text, entry->value != NULL ? "+" : "-");
+    snprintf(text + len, SEEN_SIZE - len, "%s%s", entry->key,
+             entry->value != NULL ? "+" : "-");
 }
 
 static void
@@ -109,7 +113,7 @@
     kv_history_put(kv, "b", "1");
     kv_history_put(kv, "ab", "1");
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-        char seen[64] = "";
+        char seen[SEEN_SIZE] = "";
 
         assert_int_equal(kv_history_range(kv, cases[i].key, cases[i].end,
                                           cases[i].limit, append_key, seen),
@@ -123,7 +127,7 @@
 test_changes_and_rollback(void **state)
 {
     struct kv_history *kv = kv_history_new();
-    char seen[64] = "";
+    char seen[SEEN_SIZE] = "";
 
     kv_history_put(kv, "a", "1"); /* revision 1 */
     kv_history_put(kv, "a", "2");
--- a/tools/load/pimentohaven-load.c
+++ b/tools/load/pimentohaven-load.c
@@ -87,7 +87,7 @@
         entry->via.addr >> 24 != LOOPBACK_NET) {
         die("--via", text);
     }
-    strcpy(entry->service, parts[0]);
+    snprintf(entry->service, sizeof(entry->service), "%s", parts[0]);
     entry->via.port = (uint16_t)strtoul(address[1], NULL, 10);
     g_strfreev(address);
     g_strfreev(parts);
--- a/tools/load/plan.c
+++ b/tools/load/plan.c
@@ -59,16 +59,15 @@
     char *parts[5];
     size_t count;
 
-    if (strlen(text) >= sizeof(copy)) {
+    if ((size_t)snprintf(copy, sizeof(copy), "%s", text) >= sizeof(copy)) {
         return false;
     }
-    strcpy(copy, text);
     count = split(copy, parts, 5);
     if (count < 4 || strlen(parts[0]) >= sizeof(traffic->service) ||
         !kind_from_name(parts[1], &traffic->kind)) {
         return false;
     }
-    strcpy(traffic->service, parts[0]);
+    snprintf(traffic->service, sizeof(traffic->service), "%s", parts[0]);
     traffic->rate = strtod(parts[2], NULL);
     traffic->deadline_ms = (uint32_t)strtoul(parts[3], NULL, 10);
     traffic->size = count > 4 ? (uint32_t)strtoul(parts[4], NULL, 10) : 0;
