--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -169,7 +169,7 @@
         return NULL;
     }
     t = service_targets_by_hash(job->svc->targets, job->bound);
-    if (t == NULL || !t->leaving || t->health.wrong_service ||
+    if (t == NULL || !target_is_leaving(t) || t->health.wrong_service ||
         !slot_window_open(t, now)) {
         return NULL;
     }
--- a/tests/unit/test-resource-json.c
+++ b/tests/unit/test-resource-json.c
@@ -27,7 +27,8 @@
     {RESOURCE_SERVICE, "{\"tenant\":1}", "tenant: not a string"},
     {RESOURCE_SERVICE, "{\"tenant\":\"\"}", "tenant: " ID_RULE},
     {RESOURCE_SERVICE, "{\"tenant\":\"a\\u0000b\"}",
-     "line 1: \\u0000 is not allowed without JSON_ALLOW_NUL near '\"a'"},
+     "line 1: \\u0000 is not allowed without JSON_ALLOW_NUL near "
+     "'\"a\\u0000b\"'"},
     {RESOURCE_SERVICE, "{\"tenant\":\"t\"}", "port: required, but missing"},
     {RESOURCE_SERVICE, "{\"tenant\":\"t\",\"port\":0}",
      "port: 0 is outside 1 to 65535"},
