--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -28,7 +28,7 @@
     MSG_METRICS_ASK,
     MSG_METRICS_TEXT, /* text, not NUL-terminated */
     /* api -> control and back: struct msg_api_request, struct msg_api_answer,
-     * in coordination/control-api.h */
+     * in daemon/control-api.h */
     MSG_API_REQUEST,
     MSG_API_ANSWER,
 };
