--- a/src/base/backoff.c
+++ b/src/base/backoff.c
@@ -20,11 +20,11 @@
 
 /* Returns the delay before the next attempt, in microseconds. */
 uint64_t
-backoff_next(struct backoff *b, random_cb random, void *ctx)
+backoff_next(struct backoff *b, struct random *random)
 {
     uint64_t from = b->last_us > b->min_us ? b->last_us : b->min_us;
     uint64_t span = 3 * from - b->min_us;
-    uint64_t delay = b->min_us + random(ctx) % (span + 1);
+    uint64_t delay = b->min_us + random_next(random) % (span + 1);
 
     b->last_us = delay < b->max_us ? delay : b->max_us;
     return b->last_us;
--- a/src/base/backoff.h
+++ b/src/base/backoff.h
@@ -2,9 +2,7 @@
 
 #include <stdint.h>
 
-/* Source of random numbers, given by the owner so that decisions can be
- * repeated under test. */
-typedef uint32_t (*random_cb)(void *ctx);
+#include "base/random.h"
 
 /* Delays between attempts, with decorrelated jitter: each delay is drawn
  * between the least delay and three times the one before, up to a cap. */
@@ -16,4 +14,4 @@
 
 void backoff_init(struct backoff *b, uint64_t min_us, uint64_t max_us);
 void backoff_reset(struct backoff *b);
-uint64_t backoff_next(struct backoff *b, random_cb random, void *ctx);
+uint64_t backoff_next(struct backoff *b, struct random *random);
