--- a/tests/unit/test-store-client.c
+++ b/tests/unit/test-store-client.c
@@ -46,7 +46,6 @@
     size_t step_count;
     size_t calls;
     char last_body[4096];
-    uint32_t random;
 
     bool done;
     unsigned callbacks;
@@ -58,15 +57,6 @@
     char values[256];
 };
 
-static uint32_t
-next_random(void *ctx)
-{
-    struct fixture *f = ctx;
-
-    f->random = f->random * 1664525U + 1013904223U;
-    return f->random >> 8;
-}
-
 static void
 cut(struct evhttp_request *req)
 {
@@ -133,7 +123,6 @@
     socklen_t len = sizeof(addr);
 
     memset(&f, 0, sizeof(f));
-    f.random = SEED;
     f.base = event_base_new();
     f.http = evhttp_new(f.base);
     sock = evhttp_bind_socket_with_handle(f.http, "127.0.0.1", 0);
@@ -164,8 +153,7 @@
     options.watch_silence_us = 200 * USEC_PER_MSEC;
     options.backoff_min_us = 1 * USEC_PER_MSEC;
     options.backoff_max_us = 5 * USEC_PER_MSEC;
-    options.random = next_random;
-    options.random_ctx = f;
+    options.random_seed = SEED;
     store_client_set_options(f->sc, &options);
 }
 
