--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -429,6 +429,51 @@
         --via "$FABRIC_ADDR:${SERVICE_PORT[$service]}" "$@" "$path"
 }
 
+# --- load ------------------------------------------------------------------
+
+# Starts the load tool in the background on the services of the deployment.
+# Usage: start_load OPTION...
+start_load() {
+    local args=() id
+    for id in "${SERVICES[@]}"; do
+        args+=(--via "$id=$FABRIC_ADDR:${SERVICE_PORT[$id]}")
+    done
+    for id in "${TARGETS[@]}"; do
+        args+=(--target "${TARGET_ADDR[$id]}:$TARGET_PORT")
+    done
+    start load "$BUILD/tools/load/pimentohaven-load" "${args[@]}" \
+        --journal "$JOURNAL" --json "$WORK/load.json" --seed "${SEED:-1}" "$@"
+}
+
+# Waits for the load tool and prints its report.
+finish_load() {
+    wait "${PIDS[load]}" || fail "the load tool failed"
+    unset "PIDS[load]"
+    cat "$WORK/load.log"
+}
+
+# Usage: report JQ-EXPRESSION
+report() {
+    jq -r "$1" "$WORK/load.json"
+}
+
+# A result summed over the traffic of a kind. Usage: report_sum KIND RESULT
+report_sum() {
+    report "[.traffic[] | select(.kind == \"$1\") | .$2] | add // 0"
+}
+
+# What must hold of commands whatever fails.
+check_commands() {
+    expect_at_least "commands were sent" 1 "$(report .commands.sent)"
+    expect "no command ran twice" 0 "$(report .commands.doubled)"
+    expect "no answered command was lost" 0 "$(report .commands.lost)"
+    expect "no command ran that was said not to" 0 \
+        "$(report .commands.not_run_false)"
+    expect "no command but those sent" 0 "$(report .commands.foreign)"
+    expect "no misdirected request" 0 "$(report .commands.misdirected)"
+    expect "no wrong answer" 0 "$(report '[.traffic[].wrong] | add')"
+}
+
 # --- journals --------------------------------------------------------------
 
 # How many times an event is journalled, for a path if given.
--- a/tools/load/pimentohaven-load.c
+++ b/tools/load/pimentohaven-load.c
@@ -13,6 +13,8 @@
 #define SESSIONS_MAX 5000
 #define DURATION_DEFAULT_S 10
 #define DURATION_MAX_S 600
+#define SETTLE_DEFAULT_S 1
+#define SETTLE_MAX_S 60
 #define LOOPBACK_NET 127
 
 static char **traffic_texts = NULL;
@@ -22,6 +24,7 @@
 static char *json_path = NULL;
 static gint sessions = SESSIONS_DEFAULT;
 static gint duration_s = DURATION_DEFAULT_S;
+static gint settle_s = SETTLE_DEFAULT_S;
 static gint64 seed = 1;
 
 static const GOptionEntry options[] = {
@@ -38,6 +41,8 @@
      "Write the report as JSON", "FILE"},
     {"sessions", 0, 0, G_OPTION_ARG_INT, &sessions, "Callers", "N"},
     {"duration", 0, 0, G_OPTION_ARG_INT, &duration_s, "Of the arrivals", "S"},
+    {"settle", 0, 0, G_OPTION_ARG_INT, &settle_s,
+     "Time between the last answer and the reading of the journal", "S"},
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of the arrivals", "N"},
     {NULL},
 };
@@ -70,6 +75,9 @@
     if (duration_s < 1 || duration_s > DURATION_MAX_S) {
         die("--duration", "out of bounds");
     }
+    if (settle_s < 0 || settle_s > SETTLE_MAX_S) {
+        die("--settle", "out of bounds");
+    }
 }
 
 /* Reads "SERVICE=IP:PORT". Addresses outside of 127.0.0.0/8 are refused: the
@@ -131,6 +139,17 @@
     json_decref(json);
 }
 
+/* Lets what is still on its way arrive: a command that runs late must be in
+ * the journal. */
+static void
+settle(struct event_base *base)
+{
+    const struct timeval limit = {settle_s, 0};
+
+    event_base_loopexit(base, &limit);
+    event_base_loop(base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
 /* Runs the plan between two readings of the targets' counts. */
 static void
 run(struct event_base *base, const struct runner_options *ro)
@@ -154,6 +173,7 @@
         die("runner", st.message);
     }
     runner_run(runner);
+    settle(base);
     target_stats_read(base, target_texts, report.target_count, after);
     target_stats_since(after, before, report.target_count);
     if (journal_path != NULL && !verify_journal(&verify, journal_path)) {
