--- /dev/null
+++ b/src/daemon/store-reader.c
@@ -0,0 +1,293 @@
+#include "daemon/store-reader.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "store"
+#include "base/log.h"
+#include "protocol/resource-json.h"
+#include "state/config-store.h"
+
+#define RETRY_DELAY_MS 1000 /* after a failed range read */
+#define STATUS_DIR "status/"
+
+struct store_reader {
+    struct store_client *client;
+    struct store_reader_callbacks cb;
+    struct event *retry;
+    bool active;
+    bool reading; /* a range read is under way */
+    bool reachable;
+    bool told; /* the callback was called at least once */
+    bool regressed;
+    uint64_t known; /* highest revision seen of the store */
+    uint64_t next;  /* revision from which the watch goes on */
+};
+
+static void read_all(struct store_reader *reader);
+static void watch(struct store_reader *reader);
+
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+    struct store_reader *reader = arg;
+
+    if (reader->active && !reader->reading) {
+        read_all(reader);
+    }
+}
+
+struct store_reader *
+store_reader_new(struct event_base *base, struct store_client *client,
+                 const struct store_reader_callbacks *cb)
+{
+    struct store_reader *reader = calloc(1, sizeof(*reader));
+
+    if (reader == NULL) {
+        return NULL;
+    }
+    reader->client = client;
+    reader->cb = *cb;
+    reader->retry = event_new(base, -1, 0, on_retry, reader);
+    if (reader->retry == NULL) {
+        free(reader);
+        return NULL;
+    }
+    return reader;
+}
+
+void
+store_reader_destroy(struct store_reader *reader)
+{
+    if (reader == NULL) {
+        return;
+    }
+    event_free(reader->retry);
+    free(reader);
+}
+
+static void
+set_reachable(struct store_reader *reader, bool reachable, const char *message)
+{
+    if (reader->told && reader->reachable == reachable) {
+        return;
+    }
+    reader->told = true;
+    reader->reachable = reachable;
+    reader->cb.reachable(reader->cb.ctx, reachable, message);
+}
+
+/* Splits a key below the prefix into kind, service and id. */
+static bool
+parse_name(const char *name, struct resource *r)
+{
+    char kind[ID_SIZE];
+    const char *id = strchr(name, '/');
+    const char *last = strrchr(name, '/');
+
+    if (id == NULL || (size_t)(id - name) >= sizeof(kind)) {
+        return false;
+    }
+    memcpy(kind, name, (size_t)(id - name));
+    kind[id - name] = '\0';
+    if (!resource_kind_from_name(kind, &r->kind) ||
+        strlen(last + 1) >= sizeof(r->id) || last[1] == '\0') {
+        return false;
+    }
+    strcpy(r->id, last + 1);
+    if (r->kind != RESOURCE_TARGET) {
+        return last == id;
+    }
+    if (last == id || (size_t)(last - id) > sizeof(r->target.service)) {
+        return false;
+    }
+    memcpy(r->target.service, id + 1, (size_t)(last - id - 1));
+    return true;
+}
+
+static void
+pass_resource(struct store_reader *reader, const char *name,
+              const struct store_entry *entry)
+{
+    struct resource r;
+    struct status st;
+
+    memset(&r, 0, sizeof(r));
+    if (!parse_name(name, &r)) {
+        LOG_WARN("key %s is not a resource's", entry->key);
+        return;
+    }
+    if (!resource_json_parse(&r, RESOURCE_JSON_STORE, entry->value,
+                             entry->value_len, &st)) {
+        LOG_WARN("key %s is passed over: %s", entry->key, st.message);
+        return;
+    }
+    reader->cb.resource(reader->cb.ctx, &r,
+                        reader->regressed ? CONFIG_REVISION_UNKNOWN
+                                          : entry->mod_revision);
+}
+
+static void
+pass_entry(struct store_reader *reader, const struct store_entry *entry)
+{
+    const char *name = entry->key + strlen(STORE_PREFIX);
+
+    if (strncmp(entry->key, STORE_PREFIX, strlen(STORE_PREFIX)) != 0 ||
+        entry->value == NULL) {
+        return;
+    }
+    if (strncmp(name, STATUS_DIR, strlen(STATUS_DIR)) == 0) {
+        reader->cb.domain_status(reader->cb.ctx, name + strlen(STATUS_DIR),
+                                 entry->value, entry->value_len);
+        return;
+    }
+    pass_resource(reader, name, entry);
+}
+
+/* Notes the store's revision. Below one seen before, the store has lost
+ * writes (restored from a backup, say): what it holds is then taken for news
+ * only where it has a higher version, and proves nothing about completeness.
+ * Returns true when the store has just caught up again. */
+static bool
+note_revision(struct store_reader *reader, uint64_t revision)
+{
+    if (revision < reader->known) {
+        if (!reader->regressed) {
+            reader->regressed = true;
+            reader->cb.regressed(reader->cb.ctx, reader->known, revision);
+        }
+        return false;
+    }
+    reader->known = revision;
+    if (reader->regressed) {
+        reader->regressed = false;
+        return true;
+    }
+    return false;
+}
+
+static void
+retry_later(struct store_reader *reader)
+{
+    struct timeval delay = {.tv_sec = RETRY_DELAY_MS / 1000};
+
+    event_add(reader->retry, &delay);
+}
+
+static void
+on_range(void *ctx, const struct status *st, uint64_t revision,
+         const struct store_entry *entries, size_t count)
+{
+    struct store_reader *reader = ctx;
+
+    reader->reading = false;
+    if (st->kind != ERR_NONE) {
+        set_reachable(reader, false, st->message);
+        retry_later(reader);
+        return;
+    }
+    set_reachable(reader, true, "");
+    note_revision(reader, revision);
+    for (size_t i = 0; i < count; i++) {
+        pass_entry(reader, &entries[i]);
+    }
+    if (!reader->regressed) {
+        reader->cb.complete(reader->cb.ctx, revision);
+    }
+    reader->next = revision + 1;
+    if (reader->active) {
+        watch(reader);
+    }
+}
+
+static void
+read_all(struct store_reader *reader)
+{
+    reader->reading = true;
+    store_client_range(reader->client, STORE_PREFIX, true, on_range, reader);
+}
+
+static void
+on_watch(void *ctx, const struct status *st, uint64_t revision,
+         const struct store_entry *entries, size_t count)
+{
+    struct store_reader *reader = ctx;
+    bool was_regressed = reader->regressed;
+    bool caught_up;
+
+    if (!reader->active) {
+        return;
+    }
+    if (st->kind == ERR_NOT_FOUND) {
+        read_all(reader);
+        return;
+    }
+    if (st->kind != ERR_NONE) {
+        set_reachable(reader, false, st->message);
+        watch(reader);
+        return;
+    }
+    set_reachable(reader, true, "");
+    caught_up = note_revision(reader, revision);
+    if (caught_up || reader->regressed != was_regressed) {
+        /* Everything has to be read again, with revisions that count. */
+        store_client_watch_stop(reader->client);
+        read_all(reader);
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        pass_entry(reader, &entries[i]);
+    }
+    if (revision >= reader->next) {
+        reader->next = revision + 1;
+    }
+    if (!reader->regressed) {
+        reader->cb.complete(reader->cb.ctx, revision);
+    }
+}
+
+static void
+watch(struct store_reader *reader)
+{
+    store_client_watch(reader->client, STORE_PREFIX, reader->next, on_watch,
+                       reader);
+}
+
+void
+store_reader_start(struct store_reader *reader, uint64_t known)
+{
+    if (reader->active) {
+        return;
+    }
+    reader->active = true;
+    if (known > reader->known) {
+        reader->known = known;
+    }
+    if (reader->reading) {
+        return;
+    }
+    if (known == 0 || reader->regressed) {
+        read_all(reader);
+        return;
+    }
+    reader->next = known + 1;
+    watch(reader);
+}
+
+void
+store_reader_stop(struct store_reader *reader)
+{
+    if (!reader->active) {
+        return;
+    }
+    reader->active = false;
+    event_del(reader->retry);
+    store_client_watch_stop(reader->client);
+}
+
+bool
+store_reader_is_reachable(const struct store_reader *reader)
+{
+    return reader->reachable;
+}
