--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -169,8 +169,8 @@
         return NULL;
     }
     t = service_targets_by_hash(job->svc->targets, job->bound);
-    if (t == NULL || !t->leaving || t->health.wrong_service ||
-        !slot_window_open(t, now)) {
+    if (t == NULL || t->health.wrong_service ||
+        t->health.ejected_until_us > now || !slot_window_open(t, now)) {
         return NULL;
     }
     return t;
