--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -170,13 +170,8 @@
         return NULL;
     }
     t = service_targets_by_hash(job->svc->targets, job->bound);
-<<<<<<< HEAD
     if (t == NULL || t->health.wrong_service ||
         t->health.ejected_until_us > now || !slot_window_open(t, now)) {
-=======
-    if (t == NULL || !target_is_leaving(t) || t->health.wrong_service ||
-        !slot_window_open(t, now)) {
->>>>>>> platform
         return NULL;
     }
     return t;
