daemon: control task with store reader, gossip and views

A watcher reads the store, by a range read or a watch from the revision that its peers had; everybody else learns from peers. A view is published after each change, and not before the configuration was complete once.

--- /dev/null
+++ b/src/daemon/control-answers.c
@@ -0,0 +1,193 @@
+#include "daemon/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "daemon/control-api.h"
+#include "daemon/messages.h"
+#include "protocol/resource-json.h"
+
+#define EVENTS_LIMIT_DEFAULT 100
+
+static char *
+dump(json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    json_decref(json);
+    return text;
+}
+
+static void
+answer_resource(struct control_task *task, const struct msg_api_request *req,
+                struct msg_api_answer *answer)
+{
+    struct resource r;
+
+    if (!config_store_get(task->config, req->name, &r, NULL)) {
+        answer->kind = ERR_NOT_FOUND;
+        return;
+    }
+    answer->version = r.version;
+    if (r.deleted) {
+        answer->kind = ERR_NOT_FOUND;
+    }
+    answer->text = resource_json_build(&r, RESOURCE_JSON_OPERATOR);
+}
+
+/* The names of a page, in order; the list is bounded, so an insertion into a
+ * sorted array does. */
+struct page {
+    const struct msg_api_request *req;
+    size_t count;
+    size_t room;
+    char (*names)[RESOURCE_NAME_SIZE];
+};
+
+static bool
+add_name(void *ctx, const struct resource *r, uint64_t revision)
+{
+    struct page *page = ctx;
+    const struct msg_api_request *req = page->req;
+    char name[RESOURCE_NAME_SIZE];
+    size_t pos;
+
+    resource_name(r, name);
+    if (r->deleted || strcmp(name, req->after) <= 0 ||
+        strncmp(name, req->name, strlen(req->name)) != 0) {
+        return true;
+    }
+    pos = page->count;
+    while (pos > 0 && strcmp(page->names[pos - 1], name) > 0) {
+        pos--;
+    }
+    if (pos == page->room) {
+        return true;
+    }
+    if (page->count < page->room) {
+        page->count++;
+    }
+    memmove(page->names[pos + 1], page->names[pos],
+            (page->count - pos - 1) * sizeof(page->names[0]));
+    memcpy(page->names[pos], name, sizeof(name));
+    return true;
+}
+
+static json_t *
+page_items(struct control_task *task, const struct page *page, size_t count)
+{
+    json_t *items = json_array();
+
+    for (size_t i = 0; i < count; i++) {
+        struct resource r;
+        char *text;
+
+        if (!config_store_get(task->config, page->names[i], &r, NULL)) {
+            continue;
+        }
+        text = resource_json_build(&r, RESOURCE_JSON_OPERATOR);
+        if (text != NULL) {
+            json_array_append_new(items, json_loads(text, 0, NULL));
+            free(text);
+        }
+    }
+    return items;
+}
+
+static void
+answer_list(struct control_task *task, const struct msg_api_request *req,
+            struct msg_api_answer *answer)
+{
+    size_t limit = req->limit > 0 ? req->limit : 1;
+    /* One more shows whether the list goes on. */
+    struct page page = {.req = req, .room = limit + 1};
+    json_t *next;
+    json_t *json;
+
+    page.names = calloc(page.room + 1, sizeof(page.names[0]));
+    if (page.names == NULL) {
+        answer->kind = ERR_NO_MEMORY;
+        return;
+    }
+    config_store_each_of_kind(task->config, req->kind, add_name, &page);
+    next =
+        page.count > limit ? json_string(page.names[limit - 1]) : json_null();
+    json = json_pack(
+        "{s:o, s:o}", "items",
+        page_items(task, &page, page.count > limit ? limit : page.count),
+        "next", next);
+    answer->text = dump(json);
+    free(page.names);
+}
+
+static void
+answer_events(struct control_task *task, const struct msg_api_request *req,
+              struct msg_api_answer *answer)
+{
+    uint32_t limit = req->limit > 0 ? req->limit : EVENTS_LIMIT_DEFAULT;
+    const struct event_entry *e = event_ring_after(task->events, req->since);
+    json_t *events = json_array();
+    uint64_t last = req->since;
+
+    for (uint32_t i = 0; i < limit && e != NULL; i++) {
+        last = e->number;
+        json_array_append_new(
+            events, json_pack("{s:I, s:I, s:s, s:s, s:s}", "number",
+                              (json_int_t)e->number, "time_us",
+                              (json_int_t)e->wall_us, "kind", e->kind,
+                              "subject", e->subject, "cause", e->cause));
+        e = event_ring_after(task->events, last);
+    }
+    answer->text = dump(
+        json_pack("{s:o, s:I}", "events", events, "next", (json_int_t)last));
+}
+
+/* A write that this balancer's api task has made needs no watch to be known
+ * here. */
+static void
+take_written(struct control_task *task, const struct msg_api_request *req)
+{
+    if (req->resource != NULL) {
+        spread_offer(task->spread, req->resource, req->revision);
+        spread_flush(task->spread);
+    }
+}
+
+void
+control_answers_handle(struct control_task *task, const void *data,
+                       size_t size)
+{
+    struct msg_api_request req;
+    struct msg_api_answer answer = {.kind = ERR_NONE};
+
+    if (size != sizeof(req)) {
+        return;
+    }
+    memcpy(&req, data, sizeof(req));
+    answer.id = req.id;
+    switch (req.query) {
+    case API_QUERY_RESOURCE:
+        answer_resource(task, &req, &answer);
+        break;
+    case API_QUERY_LIST:
+        answer_list(task, &req, &answer);
+        break;
+    case API_QUERY_EVENTS:
+        answer_events(task, &req, &answer);
+        break;
+    case API_QUERY_WRITTEN:
+        take_written(task, &req);
+        break;
+    case API_QUERY_STATUS:
+    case API_QUERY_METRICS:
+        answer.kind = ERR_NOT_FOUND;
+        break;
+    }
+    free(req.resource);
+    answer.text_len = answer.text == NULL ? 0 : strlen(answer.text);
+    if (!mailbox_send(task->api, MSG_API_ANSWER, &answer, sizeof(answer))) {
+        free(answer.text);
+    }
+}
--- /dev/null
+++ b/src/daemon/control-config.c
@@ -0,0 +1,332 @@
+#include "daemon/control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define LOG_MODULE "config"
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/view-builder.h"
+#include "daemon/messages.h"
+
+#define ENDPOINT_TEXT_SIZE 64
+
+static void
+ask_publish(struct control_task *task)
+{
+    event_active(task->publish, EV_TIMEOUT, 0);
+}
+
+static void
+on_resource_applied(void *ctx, const struct resource *r, uint64_t revision)
+{
+    struct control_task *task = ctx;
+    char name[RESOURCE_NAME_SIZE];
+
+    resource_name(r, name);
+    control_event(task, r->deleted ? "deleted" : "version", name,
+                  "version %llu of revision %llu",
+                  (unsigned long long)r->version,
+                  (unsigned long long)revision);
+    task->view_stale = true;
+    ask_publish(task);
+}
+
+static void
+on_completed(void *ctx, uint64_t revision)
+{
+    struct control_task *task = ctx;
+
+    if (task->view_sequence == 0) {
+        ask_publish(task);
+        return;
+    }
+    if (task->view_stale) {
+        return;
+    }
+    task->view_revision = revision;
+    if (task->view_applied) {
+        task->applied = revision;
+    }
+}
+
+static void
+on_floors_raised(void *ctx)
+{
+    struct control_task *task = ctx;
+
+    if (task->quarantined > 0) {
+        task->view_stale = true;
+        ask_publish(task);
+    }
+}
+
+static void
+on_quarantine(void *ctx, const struct view_quarantine *q)
+{
+    struct control_task *task = ctx;
+
+    task->quarantined++;
+    if (q->domain[0] == '\0') {
+        control_event(task, "quarantine", q->target,
+                      "address is declared by target %s of %s too",
+                      q->former_target, q->former_service);
+        return;
+    }
+    control_event(task, "quarantine", q->target,
+                  "waits for %s to drop target %s of %s", q->domain,
+                  q->former_target, q->former_service);
+}
+
+/* Builds a view and hands it to the data task. Nothing is published before
+ * the configuration was complete once: a part of it could admit an address
+ * that the missing part forbids. */
+static void
+on_publish(evutil_socket_t fd, short what, void *arg)
+{
+    struct control_task *task = arg;
+    struct msg_config_view msg;
+
+    if (spread_revision(task->spread) == 0 ||
+        (task->view_sequence > 0 && !task->view_stale)) {
+        return;
+    }
+    task->quarantined = 0;
+    msg.view = view_builder_build(
+        task->config, &task->floors, task->settings->host.domain,
+        task->view_sequence + 1, on_quarantine, task);
+    if (msg.view == NULL) {
+        LOG_ERR("no memory for a view; tried again with the next change");
+        return;
+    }
+    if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
+        config_view_destroy(msg.view);
+        return;
+    }
+    task->view_sequence++;
+    task->view_stale = false;
+    task->view_applied = false;
+    task->view_revision = spread_revision(task->spread);
+}
+
+void
+control_config_view_applied(struct control_task *task, uint64_t sequence)
+{
+    if (sequence != task->view_sequence || task->view_stale) {
+        return;
+    }
+    task->view_applied = true;
+    task->applied = task->view_revision;
+    LOG_DBG("view %llu is in force, up to revision %llu",
+            (unsigned long long)sequence, (unsigned long long)task->applied);
+}
+
+static void
+report_refused(struct control_task *task, const struct resource *r,
+               enum config_result result)
+{
+    char name[RESOURCE_NAME_SIZE];
+
+    resource_name(r, name);
+    control_event(
+        task, "store_regressed", name, "refused version %llu of the store: %s",
+        (unsigned long long)r->version,
+        result == CONFIG_DIFFERS ? "this version is held with other contents"
+                                 : "a higher version is held");
+}
+
+static void
+on_store_resource(void *ctx, const struct resource *r, uint64_t revision)
+{
+    struct control_task *task = ctx;
+    enum config_result result = spread_offer(task->spread, r, revision);
+
+    if (result == CONFIG_OLDER || result == CONFIG_DIFFERS) {
+        report_refused(task, r, result);
+    }
+}
+
+static void
+on_store_status(void *ctx, const char *domain, const char *text, size_t len)
+{
+}
+
+static void
+on_store_complete(void *ctx, uint64_t revision)
+{
+    struct control_task *task = ctx;
+
+    spread_flush(task->spread);
+    spread_complete(task->spread, revision);
+    if (task->refresh_wanted) {
+        task->refresh_wanted = false;
+        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+    }
+}
+
+static void
+on_store_regressed(void *ctx, uint64_t known, uint64_t found)
+{
+    struct control_task *task = ctx;
+
+    control_event(task, "store_regressed", "store",
+                  "revision %llu after %llu: only higher versions are taken",
+                  (unsigned long long)found, (unsigned long long)known);
+}
+
+static void
+on_store_reachable(void *ctx, bool reachable, const char *message)
+{
+    struct control_task *task = ctx;
+
+    control_event(task, reachable ? "store_up" : "store_down", "store", "%s",
+                  message);
+}
+
+static struct store_client *
+open_store(struct control_task *task, struct status *st)
+{
+    const struct settings *settings = task->settings;
+    unsigned count = settings->platform.endpoints_count;
+    char texts[count + 1][ENDPOINT_TEXT_SIZE];
+    const char *endpoints[count + 1];
+
+    for (unsigned i = 0; i < count; i++) {
+        snprintf(texts[i], sizeof(texts[i]), "%s:%u",
+                 settings->platform.endpoints[i].address,
+                 settings->platform.endpoints[i].port);
+        endpoints[i] = texts[i];
+    }
+    return store_client_new(task->base, endpoints, count, st);
+}
+
+static bool
+open_spread(struct control_task *task, struct status *st)
+{
+    const struct spread_callbacks cb = {
+        .send = control_peers_send,
+        .applied = on_resource_applied,
+        .completed = on_completed,
+        .floors_raised = on_floors_raised,
+        .ctx = task,
+    };
+
+    task->spread = spread_new(task->config, task->members, &task->floors, &cb,
+                              &task->random, clock_monotonic_us());
+    if (task->spread == NULL) {
+        status_set(st, ERR_NO_MEMORY, "control: out of memory");
+        return false;
+    }
+    return true;
+}
+
+static bool
+open_reader(struct control_task *task, struct status *st)
+{
+    const struct store_reader_callbacks cb = {
+        .resource = on_store_resource,
+        .domain_status = on_store_status,
+        .complete = on_store_complete,
+        .regressed = on_store_regressed,
+        .reachable = on_store_reachable,
+        .ctx = task,
+    };
+
+    task->store = open_store(task, st);
+    if (task->store == NULL) {
+        return false;
+    }
+    task->reader = store_reader_new(task->base, task->store, &cb);
+    if (task->reader == NULL) {
+        status_set(st, ERR_NO_MEMORY, "control: out of memory");
+        return false;
+    }
+    return true;
+}
+
+/* Makes the configuration store, the spread between peers and the reader of
+ * the platform's store. The list of members must exist. */
+bool
+control_config_open(struct control_task *task, struct status *st)
+{
+    task->config = config_store_new();
+    task->publish = event_new(task->base, -1, 0, on_publish, task);
+    if (task->config == NULL || task->publish == NULL) {
+        status_set(st, ERR_NO_MEMORY, "control: out of memory");
+        return false;
+    }
+    return open_spread(task, st) && open_reader(task, st);
+}
+
+/* Tells the data task that the view is fresh again, once a peer that holds
+ * the same configuration was heard. */
+static void
+check_refresh(struct control_task *task)
+{
+    if (task->refresh_wanted && spread_is_refreshed(task->spread)) {
+        task->refresh_wanted = false;
+        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+    }
+}
+
+static void
+check_isolation(struct control_task *task, uint64_t now)
+{
+    bool isolated = membership_isolated(task->members, now) &&
+                    !store_reader_is_reachable(task->reader);
+
+    if (isolated == task->isolated) {
+        return;
+    }
+    task->isolated = isolated;
+    control_event(task, isolated ? "isolated" : "connected",
+                  task->settings->host.id,
+                  isolated ? "neither peers nor store answer; goes on with "
+                             "revision %llu"
+                           : "at revision %llu",
+                  (unsigned long long)spread_revision(task->spread));
+}
+
+void
+control_config_tick(struct control_task *task, uint64_t now)
+{
+    spread_tick(task->spread, now);
+    if (spread_is_watcher(task->spread, now)) {
+        store_reader_start(task->reader, spread_revision(task->spread));
+    }
+    else {
+        store_reader_stop(task->reader);
+    }
+    check_refresh(task);
+    check_isolation(task, now);
+}
+
+void
+control_config_refresh(struct control_task *task)
+{
+    const struct member *peer;
+
+    task->refresh_wanted = true;
+    spread_ask_refresh(task->spread, clock_monotonic_us());
+    if (membership_draw(task->members, true, &peer, 1) == 0 &&
+        membership_draw(task->members, false, &peer, 1) == 0) {
+        /* Nobody to compare with: the store itself is asked. */
+        store_reader_stop(task->reader);
+        store_reader_start(task->reader, 0);
+    }
+}
+
+void
+control_config_close(struct control_task *task)
+{
+    if (task->reader != NULL) {
+        store_reader_stop(task->reader);
+    }
+    store_client_destroy(task->store);
+    store_reader_destroy(task->reader);
+    spread_destroy(task->spread);
+    config_store_destroy(task->config);
+    if (task->publish != NULL) {
+        event_free(task->publish);
+    }
+}
--- /dev/null
+++ b/src/daemon/control-peers.c
@@ -0,0 +1,160 @@
+#include "daemon/control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define LOG_MODULE "peers"
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "protocol/gossip-codec.h"
+
+void
+control_peers_send(void *ctx, uint32_t addr, uint16_t port,
+                   const struct gossip_message *m)
+{
+    struct control_task *task = ctx;
+    uint8_t data[GOSSIP_SIZE_MAX];
+    size_t size = gossip_encode(m, data, sizeof(data));
+
+    if (size == 0) {
+        LOG_WARN("a message of kind %d does not fit", m->kind);
+        return;
+    }
+    gossip_endpoint_send(task->gossip, addr, port, data, size,
+                         clock_monotonic_us());
+}
+
+static void
+on_message(void *ctx, const uint8_t *data, size_t size)
+{
+    struct control_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
+
+    if (!gossip_decode(task->in, data, size)) {
+        LOG_DBG("a message of %zu bytes is not sound", size);
+        return;
+    }
+    membership_receive(task->members, task->in, now);
+    spread_receive(task->spread, task->in, now);
+}
+
+static const char *
+state_kind(enum member_state state)
+{
+    static const char *const kinds[] = {
+        [MEMBER_ALIVE] = "peer_alive",
+        [MEMBER_SUSPECT] = "peer_suspect",
+        [MEMBER_DEAD] = "peer_vanished",
+        [MEMBER_LEFT] = "peer_left",
+    };
+
+    return kinds[state];
+}
+
+static void
+on_member_changed(void *ctx, const struct member *m)
+{
+    struct control_task *task = ctx;
+
+    control_event(task, state_kind(m->info.state), m->info.id,
+                  "incarnation %llu in %s",
+                  (unsigned long long)m->info.incarnation, m->info.domain);
+}
+
+static void
+on_paused(void *ctx, uint64_t gap_us)
+{
+    struct control_task *task = ctx;
+
+    control_event(task, "control_paused", task->settings->host.id,
+                  "for %llu ms", (unsigned long long)(gap_us / USEC_PER_MSEC));
+    spread_ask_refresh(task->spread, clock_monotonic_us());
+}
+
+static void
+on_reconnect(void *ctx, uint32_t addr, uint16_t port)
+{
+    struct control_task *task = ctx;
+
+    gossip_endpoint_reset(task->gossip, addr, port);
+}
+
+static void
+fill_summary(void *ctx, struct gossip_message *m)
+{
+    struct control_task *task = ctx;
+
+    spread_summary(task->spread, m);
+}
+
+static void
+fill_self(const struct settings *settings, struct member_info *self)
+{
+    snprintf(self->id, sizeof(self->id), "%s", settings->host.id);
+    snprintf(self->domain, sizeof(self->domain), "%s", settings->host.domain);
+    address_parse(settings->host.address, &self->addr);
+    self->port = settings->ports.gossip;
+    /* Higher than that of any earlier process of this host. */
+    self->incarnation = clock_wall_us();
+}
+
+static void
+add_seeds(struct control_task *task)
+{
+    const struct settings *settings = task->settings;
+
+    for (unsigned i = 0; i < settings->seeds_count; i++) {
+        uint32_t addr;
+
+        if (address_parse(settings->seeds[i].address, &addr)) {
+            membership_add_seed(task->members, addr, settings->seeds[i].port);
+        }
+    }
+}
+
+/* Opens the gossip endpoint and makes the list of members. */
+bool
+control_peers_open(struct control_task *task, struct status *st)
+{
+    const struct membership_callbacks cb = {
+        .send = control_peers_send,
+        .changed = on_member_changed,
+        .paused = on_paused,
+        .reconnect = on_reconnect,
+        .summary = fill_summary,
+        .ctx = task,
+    };
+    struct member_info self = {.state = MEMBER_ALIVE};
+
+    fill_self(task->settings, &self);
+    task->gossip = gossip_endpoint_new(task->zmq_ctx, task->base, self.addr,
+                                       self.port, on_message, task, st);
+    if (task->gossip == NULL) {
+        return false;
+    }
+    task->in = calloc(1, sizeof(*task->in));
+    task->members =
+        membership_new(&self, &cb, &task->random, clock_monotonic_us());
+    if (task->in == NULL || task->members == NULL) {
+        status_set(st, ERR_NO_MEMORY, "control: out of memory");
+        return false;
+    }
+    add_seeds(task);
+    return true;
+}
+
+void
+control_peers_tick(struct control_task *task, uint64_t now)
+{
+    membership_tick(task->members, now);
+    gossip_endpoint_close_idle(task->gossip, now);
+}
+
+void
+control_peers_close(struct control_task *task)
+{
+    membership_destroy(task->members);
+    gossip_endpoint_destroy(task->gossip);
+    free(task->in);
+}
--- /dev/null
+++ b/src/daemon/control.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "base/random.h"
+#include "base/settings.h"
+#include "coordination/membership.h"
+#include "coordination/spread.h"
+#include "daemon/store-reader.h"
+#include "state/config-store.h"
+#include "state/domain-floors.h"
+#include "state/event-ring.h"
+#include "transport/gossip-endpoint.h"
+#include "transport/mailbox.h"
+#include "transport/store-client.h"
+
+/* What the parts of the control task share. Only the control task's thread
+ * touches it. */
+
+struct control_task {
+    const struct settings *settings;
+    void *zmq_ctx;
+    pthread_t thread;
+    bool started;
+
+    struct event_base *base;
+    struct event *tick;
+    struct event *stop;    /* made active by control_task_stop() */
+    struct event *publish; /* made active when the view may have changed */
+    struct mailbox *data;
+    struct mailbox *api;
+
+    struct random random;
+    struct event_ring *events;
+    struct config_store *config;
+    struct domain_floors floors;
+    struct membership *members;
+    struct spread *spread;
+    struct gossip_endpoint *gossip;
+    struct gossip_message *in; /* message being decoded */
+    struct store_client *store;
+    struct store_reader *reader;
+
+    uint64_t view_sequence; /* of the last view sent */
+    uint64_t view_revision; /* the configuration is complete up to it */
+    bool view_stale;        /* news came after the last view was built */
+    bool view_applied;      /* the data task runs the last view */
+    size_t quarantined;     /* targets left out of the last view */
+    uint64_t applied;       /* revision that the data task has in force */
+
+    bool refresh_wanted; /* the data task was paused */
+    bool isolated;       /* neither peers nor store can be reached */
+};
+
+/* Records an event for the log and /v1/events. */
+void control_event(struct control_task *task, const char *kind,
+                   const char *subject, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+
+/* control-peers.c: gossip with other balancers. */
+bool control_peers_open(struct control_task *task, struct status *st);
+/* A gossip_send_cb; "ctx" is the task. */
+void control_peers_send(void *ctx, uint32_t addr, uint16_t port,
+                        const struct gossip_message *m);
+void control_peers_tick(struct control_task *task, uint64_t now);
+void control_peers_close(struct control_task *task);
+
+/* control-config.c: from store and peers to the data task's view. */
+bool control_config_open(struct control_task *task, struct status *st);
+void control_config_tick(struct control_task *task, uint64_t now);
+void control_config_close(struct control_task *task);
+void control_config_view_applied(struct control_task *task, uint64_t sequence);
+/* The data task was paused: answers with MSG_VIEW_FRESH once the
+ * configuration was compared with a peer's or the store's. */
+void control_config_refresh(struct control_task *task);
+
+/* control-answers.c: questions of the api task. */
+void control_answers_handle(struct control_task *task, const void *data,
+                            size_t size);
