--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -42,11 +42,8 @@
     local status=$?
     local name
     for name in "${!PIDS[@]}"; do
-        kill -CONT "${PIDS[$name]}" 2>/dev/null
-        kill -TERM "${PIDS[$name]}" 2>/dev/null
-    done
-    for name in "${!PIDS[@]}"; do
-        wait_gone "$name" 2 || kill -KILL "${PIDS[$name]}" 2>/dev/null
+        kill -KILL "${PIDS[$name]}" 2>/dev/null
+        wait "${PIDS[$name]}" 2>/dev/null
     done
     if [ "$status" -ne 0 ] || [ "$FAILED" -ne 0 ]; then
         echo "logs of the processes:"
@@ -450,6 +447,7 @@
     wait "${PIDS[load]}" || fail "the load tool failed"
     unset "PIDS[load]"
     cat "$WORK/load.log"
+    rm -f "$WORK/load.log"
 }
 
 # Usage: report JQ-EXPRESSION
--- a/tests/standins/standin-target.c
+++ b/tests/standins/standin-target.c
@@ -71,6 +71,7 @@
         {"misdirected", c->misdirected},
         {"streams_opened", c->streams_opened},
         {"busy_us", c->busy_us},
+        {"started_us", target.started_us},
         {"running", (uint64_t)target.running_count},
         {"queued", (uint64_t)target.queued_count},
         {"streams", (uint64_t)target.stream_count},
--- a/tools/load/target-stats.c
+++ b/tools/load/target-stats.c
@@ -36,6 +36,7 @@
                     (double)USEC_PER_SEC;
     stats->begun = json_number_value(json_object_get(body, "begun"));
     stats->shed = json_number_value(json_object_get(body, "shed"));
+    stats->started_us = json_number_value(json_object_get(body, "started_us"));
     stats->known = true;
 }
 
@@ -104,7 +105,8 @@
                    const struct target_stats *before, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        after[i].known = after[i].known && before[i].known;
+        after[i].known = after[i].known && before[i].known &&
+                         after[i].started_us == before[i].started_us;
         after[i].busy_s -= before[i].busy_s;
         after[i].begun -= before[i].begun;
         after[i].shed -= before[i].shed;
--- a/tools/load/target-stats.h
+++ b/tools/load/target-stats.h
@@ -18,7 +18,8 @@
     double busy_s; /* slot seconds */
     double begun;
     double shed;
-    bool known; /* the target has answered */
+    double started_us; /* tells one process from its successor */
+    bool known;        /* the target has answered */
 };
 
 /* Asks each "a.b.c.d:port" for its stats; runs the event loop until all have
@@ -27,6 +28,6 @@
                        size_t count, struct target_stats *stats);
 
 /* Turns "after" into what happened since "before". A target that is missing
- * on either side stays unknown. */
+ * on either side, or was restarted in between, is unknown. */
 void target_stats_since(struct target_stats *after,
                         const struct target_stats *before, size_t count);
