--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -16,8 +16,9 @@
 /* An answer is at most this many times as long as the request of a caller
  * whose address is not verified (RFC 9175 section 2.4). */
 #define AMPLIFICATION_MAX 3
-/* Room of a challenge beside its token: header, CoAP token, option. */
-#define CHALLENGE_OVERHEAD 14
+/* Bytes that may be answered to any request: with its headers, a smallest
+ * Ethernet frame is more than a third of that. Holds a challenge. */
+#define UNVERIFIED_ANSWER_BYTES 136
 
 struct answers {
     struct data_task *task;
@@ -139,13 +140,14 @@
 static bool
 fits_request(const struct caller *caller, size_t size)
 {
-    return size <= caller->request_size * AMPLIFICATION_MAX;
+    return size <= UNVERIFIED_ANSWER_BYTES ||
+           size <= caller->request_size * AMPLIFICATION_MAX;
 }
 
 /* Builds a challenge in place of an answer that is too long for a caller
  * whose address is not verified. Only a read gets there, which may be sent
  * again without harm: a request that changed something came with a token.
- * Returns 0 when a challenge is too long as well. */
+ * Returns 0 when no token can be issued. */
 static size_t
 build_challenge(struct data_task *task, const struct caller *caller,
                 const struct packet *answer, uint8_t *data, size_t size)
@@ -158,7 +160,6 @@
     };
 
     if (port == NULL || port->view == NULL ||
-        !fits_request(caller, TOKEN_SIZE + CHALLENGE_OVERHEAD) ||
         !answer_add_token(task, &challenge, port->view->hash,
                           clock_monotonic_us())) {
         return 0;
@@ -269,10 +270,6 @@
 {
     struct packet answer = {.code = CODE_UNAUTHORIZED};
 
-    if (in->caller.request_size * AMPLIFICATION_MAX <
-        TOKEN_SIZE + CHALLENGE_OVERHEAD) {
-        return;
-    }
     if (!answer_add_token(task, &answer, in->port->view->hash,
                           clock_monotonic_us())) {
         answer_error(task, &in->caller,
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -432,6 +432,12 @@
         deregister(streams, in, stream);
         return;
     }
+    if (stream == NULL && !in->caller.verified) {
+        /* Notifications go on without further requests, so the caller first
+         * shows that it receives them (RFC 9175 section 2.4). */
+        answer_challenge(streams->task, in);
+        return;
+    }
     if (stream == NULL) {
         register_new(streams, &request, has_id, id, now);
         return;
