client: block-wise downloads

Block2 with a window of blocks in flight that grows by a block a window and is halved by a loss. Blocks are joined only when ETag, length and block numbers agree; else the body begins anew, at most six times. An answer with more blocks but no ETag is not accepted as whole.

A flow keeps the last Echo as proof of its address for requests that need no home (RFC 9175 section 2.4).

--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -45,6 +45,10 @@
     uint8_t echo[PACKET_ECHO_MAX];
     uint8_t echo_len;
     uint64_t last_id; /* used under this token */
+    /* The Echo received last, kept when the token is given up: it still
+     * shows that this address is the caller's own. */
+    uint8_t proof[PACKET_ECHO_MAX];
+    uint8_t proof_len;
     uint64_t used_us; /* the token was last used or confirmed */
     unsigned tokens;
     struct event *pump; /* sends what is queued, from the loop */
@@ -69,7 +73,7 @@
                          bool first);
 /* Sends what can be sent, soon, from the loop. */
 void client_flow_kick(struct client_flow *flow);
-/* Takes a new token over. */
+/* Takes the Echo of an answer over as the token of the flow. */
 void client_flow_adopt(struct client_flow *flow, const struct packet *answer);
 /* Gives up the token that a call was sent under, if it is still in use. */
 void client_flow_drop_token(struct client_flow *flow, const struct call *call);
--- a/src/client/call.c
+++ b/src/client/call.c
@@ -5,9 +5,11 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/timeval.h"
 #include "client/backoff.h"
 #include "client/call-private.h"
 #include "client/call-verdict.h"
+#include "client/client-flow.h"
 
 #define CHALLENGES_MAX 3
 #define ASK_AGAIN_MAX 2
@@ -31,21 +33,6 @@
     return names[outcome];
 }
 
-static bool
-copy_text(char *out, size_t size, const char *text)
-{
-    size_t len = text == NULL ? 0 : strlen(text);
-
-    if (len >= size) {
-        return false;
-    }
-    if (len > 0) {
-        memcpy(out, text, len);
-    }
-    out[len] = '\0';
-    return true;
-}
-
 static bool
 copy_body(struct call *call, const struct call_request *request)
 {
@@ -70,8 +57,7 @@
         p->content_format = (uint16_t)request->content_format;
         p->fields |= FIELD_CONTENT_FORMAT;
     }
-    return copy_text(p->path, sizeof(p->path), request->path) &&
-           copy_text(p->query, sizeof(p->query), request->query) &&
+    return packet_set_uri(p, request->path, request->query) &&
            copy_body(call, request);
 }
 
@@ -172,7 +158,8 @@
         event_active(call->timer, EV_TIMEOUT, 0);
         return;
     }
-    if (call->request.echo_len > 0 && upload_at_end(&call->upload)) {
+    if (call->needs_token && call->request.echo_len > 0 &&
+        upload_at_end(&call->upload)) {
         call->may_have_run = true;
     }
 }
@@ -186,6 +173,7 @@
         call_finish(call, CALL_UNKNOWN, NULL);
         return;
     }
+    client_flow_forget_proof(call->flow);
     call_finish(call, CALL_TIMEOUT, NULL);
 }
 
@@ -193,8 +181,7 @@
 static bool
 wait_for(struct call *call, uint64_t wait_us)
 {
-    struct timeval tv = {.tv_sec = (time_t)(wait_us / USEC_PER_SEC),
-                         .tv_usec = (suseconds_t)(wait_us % USEC_PER_SEC)};
+    struct timeval tv = timeval_from_us(wait_us);
 
     if (clock_monotonic_us() + wait_us >= call->deadline_us) {
         return false;
@@ -253,10 +240,12 @@
         call_finish(call, CALL_ANSWERED, answer);
         return;
     }
-    client_flow_adopt(flow, answer);
-    /* A server may ask a repeatable request too for a fresh Echo, RFC 9175
-     * section 2.3. */
-    call->needs_token = true;
+    if (call->needs_token) {
+        client_flow_adopt(flow, answer);
+    }
+    else {
+        client_flow_take_proof(flow, answer);
+    }
     start_over(call);
 }
 
--- a/src/client/client-flow.c
+++ b/src/client/client-flow.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/timeval.h"
 #include "client/call-private.h"
 
 #define FLOW_IN_FLIGHT_MAX 8 /* requests that may not be repeated */
@@ -86,8 +87,7 @@
 {
     uint64_t now = clock_monotonic_us();
     uint64_t left = call->deadline_us > now ? call->deadline_us - now : 0;
-    struct timeval tv = {.tv_sec = (time_t)(left / USEC_PER_SEC),
-                         .tv_usec = (suseconds_t)(left % USEC_PER_SEC)};
+    struct timeval tv = timeval_from_us(left);
 
     call->state = CALL_STATE_QUEUED;
     list_remove(&call->link);
@@ -194,6 +194,7 @@
 try_send(struct client_flow *flow, struct call *call)
 {
     if (!call->needs_token) {
+        client_flow_add_proof(flow, &call->request);
         activate(flow, call);
         return;
     }
@@ -228,6 +229,42 @@
     flow->echo_len = answer->echo_len;
     flow->used_us = clock_monotonic_us();
     flow->tokens++;
+    memcpy(flow->proof, answer->echo, answer->echo_len);
+    flow->proof_len = answer->echo_len;
+}
+
+void
+client_flow_add_proof(const struct client_flow *flow, struct packet *request)
+{
+    if (flow->proof_len > 0) {
+        memcpy(request->echo, flow->proof, flow->proof_len);
+        request->echo_len = flow->proof_len;
+        request->fields |= FIELD_ECHO;
+    }
+}
+
+/* A flow that has no token may as well use this one. */
+void
+client_flow_take_proof(struct client_flow *flow, const struct packet *answer)
+{
+    if (flow->echo_len == 0) {
+        client_flow_adopt(flow, answer);
+        return;
+    }
+    memcpy(flow->proof, answer->echo, answer->echo_len);
+    flow->proof_len = answer->echo_len;
+}
+
+void
+client_flow_forget_proof(struct client_flow *flow)
+{
+    flow->proof_len = 0;
+}
+
+struct client *
+client_flow_client(const struct client_flow *flow)
+{
+    return flow->client;
 }
 
 void
--- a/src/client/client-flow.h
+++ b/src/client/client-flow.h
@@ -23,5 +23,16 @@
                               const struct call_request *request, call_cb cb,
                               void *ctx);
 
+/* For requests that need no home: adds the Echo received last, which lets a
+ * server send an answer much longer than the request (RFC 9175 section 2.4).
+ * A challenge brings a new one; forget it when a server stays silent. */
+void client_flow_add_proof(const struct client_flow *flow,
+                           struct packet *request);
+void client_flow_take_proof(struct client_flow *flow,
+                            const struct packet *answer);
+void client_flow_forget_proof(struct client_flow *flow);
+
+struct client *client_flow_client(const struct client_flow *flow);
+
 /* Tokens obtained so far. */
 unsigned client_flow_tokens(const struct client_flow *flow);
--- a/src/client/client.c
+++ b/src/client/client.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/timeval.h"
 #include "client/backoff.h"
 
 #define COAP_TOKEN_SIZE 8 /* bytes: RFC 7252 section 5.3.1 asks for 4 */
@@ -172,8 +173,7 @@
         (ex->acked || ex->retransmitted < BACKOFF_RETRANSMIT_MAX)) {
         wait = ex->delay_us;
     }
-    tv.tv_sec = (time_t)(wait / USEC_PER_SEC);
-    tv.tv_usec = (suseconds_t)(wait % USEC_PER_SEC);
+    tv = timeval_from_us(wait);
     event_add(ex->timer, &tv);
 }
 
--- /dev/null
+++ b/src/client/download.c
@@ -0,0 +1,472 @@
+#include "client/download.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/timeval.h"
+#include "client/backoff.h"
+#include "client/body-check.h"
+#include "client/call-verdict.h"
+
+#define DOWNLOAD_SZX 6                  /* blocks of 1024 bytes */
+#define BLOCK_BYTES_MAX PACKET_SIZE_MAX /* of an answer without Block2 */
+#define BLOCK_DEADLINE_US (8 * USEC_PER_SEC)
+#define WINDOW_START 4.0
+#define RESTARTS_MAX 6
+#define RESTART_BACKOFF_STEPS 2 /* doublings of the wait, at most */
+#define BLOCK_FAILURES_MAX 5
+#define CHALLENGES_MAX 3
+
+enum slot_state {
+    SLOT_FREE,
+    SLOT_SENT,
+    SLOT_WAITING, /* to be sent again */
+    SLOT_HELD,    /* received, ahead of its turn */
+};
+
+/* One block on its way. Block n uses slot n % DOWNLOAD_WINDOW_MAX. */
+struct slot {
+    struct download *dl;
+    enum slot_state state;
+    uint32_t num;
+    unsigned failures;
+    struct exchange *ex;
+    struct event *timer;
+    size_t len;
+    uint8_t data[BLOCK_BYTES_MAX];
+};
+
+struct download {
+    struct client_flow *flow;
+    struct packet request;
+    struct download_sink sink;
+    struct body_check body;
+    uint64_t deadline_us;
+    struct event *deadline;
+    struct event *restart;
+    uint32_t next_request; /* block to request next */
+    uint32_t next_deliver; /* block to give to the sink next */
+    uint64_t size;
+    double window;
+    unsigned window_max;
+    unsigned restarts;
+    unsigned challenges;
+    struct slot slots[DOWNLOAD_WINDOW_MAX];
+    download_cb cb;
+    void *ctx;
+};
+
+static void on_block(void *ctx, struct exchange *ex,
+                     const struct packet *answer);
+
+static struct slot *
+slot_of(struct download *dl, uint32_t num)
+{
+    return &dl->slots[num % DOWNLOAD_WINDOW_MAX];
+}
+
+static void
+slot_reset(struct slot *slot)
+{
+    if (slot->ex != NULL) {
+        exchange_stop(slot->ex);
+        slot->ex = NULL;
+    }
+    evtimer_del(slot->timer);
+    slot->state = SLOT_FREE;
+    slot->failures = 0;
+}
+
+static void
+reset_slots(struct download *dl)
+{
+    for (size_t i = 0; i < DOWNLOAD_WINDOW_MAX; i++) {
+        slot_reset(&dl->slots[i]);
+    }
+}
+
+static void
+download_free(struct download *dl)
+{
+    for (size_t i = 0; i < DOWNLOAD_WINDOW_MAX; i++) {
+        if (dl->slots[i].timer != NULL) {
+            slot_reset(&dl->slots[i]);
+            event_free(dl->slots[i].timer);
+        }
+    }
+    if (dl->deadline != NULL) {
+        event_free(dl->deadline);
+    }
+    if (dl->restart != NULL) {
+        event_free(dl->restart);
+    }
+    free(dl);
+}
+
+static void
+finish(struct download *dl, enum call_outcome outcome,
+       const struct packet *answer, bool whole)
+{
+    bool is_error = answer != NULL && answer->code != CODE_CONTENT;
+    const struct download_result result = {
+        .outcome = outcome,
+        .code = answer == NULL ? CODE_EMPTY : answer->code,
+        .payload = is_error ? answer->payload : NULL,
+        .payload_len = is_error ? answer->payload_len : 0,
+        .whole = whole,
+        .size = dl->size,
+        .restarts = dl->restarts,
+    };
+
+    reset_slots(dl);
+    dl->cb(dl->ctx, &result);
+    download_free(dl);
+}
+
+void
+download_cancel(struct download *dl)
+{
+    finish(dl, CALL_CANCELLED, NULL, false);
+}
+
+static void
+send_slot(struct slot *slot)
+{
+    struct download *dl = slot->dl;
+    uint64_t deadline = clock_monotonic_us() + BLOCK_DEADLINE_US;
+
+    dl->request.block2.num = slot->num;
+    dl->request.block2.more = false;
+    dl->request.block2.szx = slot->num == 0 ? DOWNLOAD_SZX : dl->body.szx;
+    client_flow_add_proof(dl->flow, &dl->request);
+    if (deadline > dl->deadline_us) {
+        deadline = dl->deadline_us;
+    }
+    slot->state = SLOT_SENT;
+    slot->ex = exchange_start(client_flow_client(dl->flow), &dl->request,
+                              deadline, on_block, slot);
+    if (slot->ex == NULL) {
+        /* Short of memory for now. */
+        struct timeval tv = timeval_from_us(
+            backoff_retry_us(client_random(client_flow_client(dl->flow)), 0));
+
+        slot->state = SLOT_WAITING;
+        evtimer_add(slot->timer, &tv);
+    }
+}
+
+static void
+on_slot_timer(evutil_socket_t fd, short what, void *arg)
+{
+    send_slot(arg);
+}
+
+static void
+request_block(struct download *dl, uint32_t num)
+{
+    struct slot *slot = slot_of(dl, num);
+
+    slot->num = num;
+    slot->failures = 0;
+    send_slot(slot);
+}
+
+/* Requests blocks up to the window. When the length is unknown they go one
+ * by one, because a request past the end would be an error. */
+static void
+fill_window(struct download *dl)
+{
+    unsigned window = (unsigned)dl->window;
+
+    if (dl->body.last == BODY_LAST_UNKNOWN) {
+        window = 1;
+    }
+    while (dl->next_request - dl->next_deliver < window &&
+           dl->next_request <= dl->body.last) {
+        request_block(dl, dl->next_request);
+        dl->next_request++;
+    }
+}
+
+static void
+start_first(struct download *dl)
+{
+    dl->next_request = 1;
+    dl->next_deliver = 0;
+    dl->size = 0;
+    request_block(dl, 0);
+}
+
+/* The resource changed, or a server contradicts another: begin anew after a
+ * short while, in which the change may reach every server. */
+static void
+begin_anew(struct download *dl, const struct packet *answer)
+{
+    struct random *random = client_random(client_flow_client(dl->flow));
+    unsigned steps = dl->restarts < RESTART_BACKOFF_STEPS
+                         ? dl->restarts
+                         : RESTART_BACKOFF_STEPS;
+    struct timeval tv = timeval_from_us(backoff_retry_us(random, steps));
+
+    if (dl->restarts == RESTARTS_MAX) {
+        finish(dl, CALL_ANSWERED, answer, false);
+        return;
+    }
+    dl->restarts++;
+    reset_slots(dl);
+    evtimer_add(dl->restart, &tv);
+}
+
+static void
+on_restart(evutil_socket_t fd, short what, void *arg)
+{
+    start_first(arg);
+}
+
+/* Sends a block again after a time; gives up when that is past the deadline.
+ */
+static void
+send_later(struct slot *slot, uint64_t wait_us, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+    struct timeval tv = timeval_from_us(wait_us);
+
+    if (clock_monotonic_us() + wait_us < dl->deadline_us) {
+        slot->state = SLOT_WAITING;
+        evtimer_add(slot->timer, &tv);
+        return;
+    }
+    finish(dl,
+           answer != NULL && answer->outcome == OUTCOME_NOT_RUN
+               ? CALL_NOT_RUN
+               : (answer != NULL ? CALL_ANSWERED : CALL_TIMEOUT),
+           answer, false);
+}
+
+/* A try of a block failed for a cause that another try may not meet. */
+static void
+on_failure(struct slot *slot, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+    struct random *random = client_random(client_flow_client(dl->flow));
+
+    slot->failures++;
+    if (slot->failures == BLOCK_FAILURES_MAX) {
+        finish(dl, answer == NULL ? CALL_TIMEOUT : CALL_ANSWERED, answer,
+               false);
+        return;
+    }
+    send_later(slot, backoff_retry_us(random, slot->failures), answer);
+}
+
+static void
+clamp_window(struct download *dl)
+{
+    if (dl->window < 1.0) {
+        dl->window = 1.0;
+    }
+    if (dl->window > dl->window_max) {
+        dl->window = dl->window_max;
+    }
+}
+
+/* Additive increase by a block a window, halved by a loss. */
+static void
+adapt_window(struct download *dl, unsigned retransmitted)
+{
+    if (retransmitted > 0) {
+        dl->window /= 2.0;
+    }
+    else {
+        dl->window += 1.0 / dl->window;
+    }
+    clamp_window(dl);
+}
+
+static bool
+deliver(struct download *dl, const uint8_t *data, size_t len)
+{
+    dl->next_deliver++;
+    dl->size += len;
+    return len == 0 || dl->sink.data(dl->sink.ctx, data, len);
+}
+
+/* Gives the sink what is there in order. Returns false when the download has
+ * ended. */
+static bool
+deliver_held(struct download *dl, const struct packet *answer)
+{
+    while (slot_of(dl, dl->next_deliver)->state == SLOT_HELD) {
+        struct slot *slot = slot_of(dl, dl->next_deliver);
+
+        slot->state = SLOT_FREE;
+        if (!deliver(dl, slot->data, slot->len)) {
+            finish(dl, CALL_CANCELLED, NULL, false);
+            return false;
+        }
+    }
+    if (dl->body.last != BODY_LAST_UNKNOWN &&
+        dl->next_deliver > dl->body.last) {
+        finish(dl, CALL_ANSWERED, answer, true);
+        return false;
+    }
+    return true;
+}
+
+static void
+on_content(struct slot *slot, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+    enum body_match match =
+        slot->num == 0 ? body_check_first(&dl->body, answer)
+                       : body_check_next(&dl->body, slot->num, answer);
+
+    if (match == BODY_MALFORMED && slot->num == 0) {
+        finish(dl, CALL_ANSWERED, answer, false);
+        return;
+    }
+    if (match != BODY_MATCHES || answer->payload_len > sizeof(slot->data)) {
+        begin_anew(dl, answer);
+        return;
+    }
+    if (slot->num == 0 &&
+        !dl->sink.begin(dl->sink.ctx,
+                        dl->body.has_total ? dl->body.total : 0)) {
+        finish(dl, CALL_CANCELLED, NULL, false);
+        return;
+    }
+    slot->state = SLOT_HELD;
+    slot->len = answer->payload_len;
+    if (slot->len > 0) {
+        memcpy(slot->data, answer->payload, slot->len);
+    }
+    if (deliver_held(dl, answer)) {
+        fill_window(dl);
+    }
+}
+
+static void
+on_challenge(struct slot *slot, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+
+    dl->challenges++;
+    if (dl->challenges > CHALLENGES_MAX) {
+        finish(dl, CALL_ANSWERED, answer, false);
+        return;
+    }
+    client_flow_take_proof(dl->flow, answer);
+    send_slot(slot);
+}
+
+/* An error in place of a block. On a later block it means that the body is
+ * not what it was: block 0 will tell. */
+static void
+on_error(struct slot *slot, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+    struct random *random = client_random(client_flow_client(dl->flow));
+
+    if (answer->code == CODE_UNAUTHORIZED &&
+        (answer->fields & FIELD_ECHO) != 0) {
+        on_challenge(slot, answer);
+        return;
+    }
+    if (call_code_is_busy(answer->code)) {
+        send_later(slot, backoff_refusal_us(random, answer->max_age_s),
+                   answer);
+        return;
+    }
+    if (answer->code == CODE_BAD_GATEWAY ||
+        answer->code == CODE_GATEWAY_TIMEOUT) {
+        on_failure(slot, answer);
+        return;
+    }
+    if (slot->num > 0) {
+        begin_anew(dl, answer);
+        return;
+    }
+    finish(dl, CALL_ANSWERED, answer, answer->code != CODE_CONTENT);
+}
+
+static void
+on_block(void *ctx, struct exchange *ex, const struct packet *answer)
+{
+    struct slot *slot = ctx;
+    unsigned retransmitted = exchange_retransmitted(ex);
+
+    exchange_stop(ex);
+    slot->ex = NULL;
+    if (answer == NULL) {
+        client_flow_forget_proof(slot->dl->flow);
+        on_failure(slot, NULL);
+        return;
+    }
+    if (answer->code == CODE_CONTENT) {
+        adapt_window(slot->dl, retransmitted);
+        on_content(slot, answer);
+        return;
+    }
+    on_error(slot, answer);
+}
+
+static void
+on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+    finish(arg, CALL_TIMEOUT, NULL, false);
+}
+
+static bool
+make_events(struct download *dl)
+{
+    struct event_base *base = client_base(client_flow_client(dl->flow));
+
+    dl->deadline = evtimer_new(base, on_deadline, dl);
+    dl->restart = evtimer_new(base, on_restart, dl);
+    for (size_t i = 0; i < DOWNLOAD_WINDOW_MAX; i++) {
+        dl->slots[i].dl = dl;
+        dl->slots[i].timer = evtimer_new(base, on_slot_timer, &dl->slots[i]);
+        if (dl->slots[i].timer == NULL) {
+            return false;
+        }
+    }
+    return dl->deadline != NULL && dl->restart != NULL;
+}
+
+struct download *
+download_start(struct client_flow *flow,
+               const struct download_request *request,
+               const struct download_sink *sink, download_cb cb, void *ctx)
+{
+    struct download *dl = calloc(1, sizeof(*dl));
+    struct timeval tv = timeval_from_us(request->deadline_ms * USEC_PER_MSEC);
+    struct packet *p;
+
+    if (dl == NULL) {
+        return NULL;
+    }
+    dl->flow = flow;
+    dl->sink = *sink;
+    dl->cb = cb;
+    dl->ctx = ctx;
+    dl->window = WINDOW_START;
+    dl->window_max =
+        request->window == 0 || request->window > DOWNLOAD_WINDOW_MAX
+            ? DOWNLOAD_WINDOW_MAX
+            : request->window;
+    clamp_window(dl);
+    dl->deadline_us =
+        clock_monotonic_us() + request->deadline_ms * USEC_PER_MSEC;
+    p = &dl->request;
+    p->code = CODE_GET;
+    p->fields = FIELD_BLOCK2;
+    if (!make_events(dl) ||
+        !packet_set_uri(p, request->path, request->query)) {
+        download_free(dl);
+        return NULL;
+    }
+    evtimer_add(dl->deadline, &tv);
+    evtimer_add(dl->restart, &(struct timeval){0});
+    return dl;
+}
--- a/src/protocol/packet.c
+++ b/src/protocol/packet.c
@@ -475,6 +475,25 @@
     return w.failed ? 0 : w.len;
 }
 
+static bool
+copy_text(char *out, size_t size, const char *text)
+{
+    size_t len = text == NULL ? 0 : strlen(text);
+
+    if (len >= size) {
+        return false;
+    }
+    memcpy(out, text == NULL ? "" : text, len + 1);
+    return true;
+}
+
+bool
+packet_set_uri(struct packet *p, const char *path, const char *query)
+{
+    return copy_text(p->path, sizeof(p->path), path) &&
+           copy_text(p->query, sizeof(p->query), query);
+}
+
 /* Fills the header of a piggybacked ACK or of a NON answer (RFC 7252 sections
  * 5.2.1 and 5.2.3). */
 void
--- a/src/protocol/packet.h
+++ b/src/protocol/packet.h
@@ -138,6 +138,10 @@
  * when it does not fit. */
 size_t packet_build(const struct packet *p, uint8_t *data, size_t size);
 
+/* Copies a path and a query, which may be NULL. Returns false when they do not
+ * fit. */
+bool packet_set_uri(struct packet *p, const char *path, const char *query);
+
 /* Fills the header of an answer to "request": an ACK for a CON, a NON for a
  * NON, with its token; "message_id" is used for a NON. */
 void packet_init_answer(struct packet *answer, const struct packet *request,
