--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -110,8 +110,7 @@
             g_hash_table_iter_remove(&iter);
         }
     }
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         pump(d, container_of(it, struct dispatch_service, active), now);
     }
 }
@@ -145,7 +144,8 @@
      uint32_t retry_after_ms)
 {
     release(job);
-    d->ops->failed(d->ctx, job, kind, not_run, retry_after_ms);
+    d->ops->failed(d->ctx, job, kind, not_run && !job->touched,
+                   retry_after_ms);
 }
 
 /* Remembers the target of a try, so that no other try goes there. */
@@ -170,8 +170,8 @@
         return NULL;
     }
     t = service_targets_by_hash(job->svc->targets, job->bound);
-    if (t == NULL || !t->leaving || t->health.wrong_service ||
-        !slot_window_open(t, now)) {
+    if (t == NULL || t->health.wrong_service ||
+        t->health.ejected_until_us > now || !slot_window_open(t, now)) {
         return NULL;
     }
     return t;
@@ -265,24 +265,26 @@
     struct admission_entry *entry;
 
     expire(d, svc, now);
-    while ((entry = admission_next(svc->admission, now)) != NULL) {
+    while ((entry = admission_peek(svc->admission)) != NULL) {
         struct job *job = container_of(entry, struct job, entry);
         enum balance_result result = try_start(d, job, now);
 
-        if (result == BALANCE_PICKED) {
-            continue;
-        }
         if (result == BALANCE_FULL) {
-            admission_unget(svc->admission, entry, now);
             return;
         }
+        if (result == BALANCE_PICKED) {
+            admission_start(svc->admission, entry);
+            continue;
+        }
+        admission_remove(svc->admission, entry);
         fail(d, job, ERR_NO_TARGET, true,
              admission_retry_after_ms(svc->admission, job->class, now));
     }
 }
 
 static void
-init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc, uint64_t now)
+init_job(struct dispatch *d, struct job *job, struct dispatch_service *svc,
+         uint64_t now)
 {
     list_init(&job->link);
     list_init(&job->entry.link);
@@ -291,6 +293,7 @@
     job->arrived_us = now;
     job->started_us = 0;
     job->state = JOB_WAITING;
+    job->touched = false;
     memset(&job->pick, 0, sizeof(job->pick));
     job->pick.flow_hash = job->flow_hash;
     job->pick.class = job->class;
@@ -357,40 +360,80 @@
     }
     target_record_latency(t, took);
     slot_window_on_answer(t, now);
-    admission_completed(job->svc->admission, job->class, took);
+    admission_completed(job->svc->admission, job->class, job->tenant, took,
+                        now);
 }
 
-/* Whether another target may get the request: one that may not be repeated
- * only when the first provably did not take it. */
+/* A request that no target has taken goes back to the head of its queue and
+ * waits for a slot. Returns false when it is out of time or of targets. */
 static bool
-may_try_again(const struct job *job, const struct job_result *result,
-              uint64_t now)
+requeue(struct dispatch *d, struct job *job, const struct job_result *result,
+        uint64_t now)
 {
-    bool untouched = result->refused || !result->sent;
+    struct dispatch_service *svc = job->svc;
 
     if (now >= job->deadline_us) {
         return false;
     }
-    if (job->pick.tried_count >= BALANCE_TRIED_MAX) {
+    if (!result->refused) {
+        /* No connection: not to this target again. One that refused may be
+         * asked again when its window opens. */
+        mark_tried(job);
+        if (job->pick.tried_count >= BALANCE_TRIED_MAX) {
+            return false;
+        }
+    }
+    if (!admission_requeue(svc->admission, &job->entry, job->tenant,
+                           job->class, now)) {
         return false;
     }
-    return untouched || job->repeatable;
+    job->target = NULL;
+    job->state = JOB_WAITING;
+    list_remove(&job->link);
+    pump(d, svc, now);
+    return true;
 }
 
-/* Puts a job back to wait for another target. Returns false when it ended
- * instead. */
+/* Sends a request that may be repeated to another target, within the retry
+ * budget. Returns false when that is not possible. */
 static bool
-try_again(struct dispatch *d, struct job *job, uint64_t now)
+repeat(struct dispatch *d, struct job *job, uint64_t now)
 {
-    enum balance_result result;
-
+    if (!job->repeatable || now >= job->deadline_us) {
+        return false;
+    }
+    mark_tried(job);
+    if (job->pick.tried_count >= BALANCE_TRIED_MAX ||
+        !retry_budget_withdraw(&job->svc->retries)) {
+        return false;
+    }
     job->state = JOB_WAITING;
     list_remove(&job->link);
-    result = try_start(d, job, now);
-    if (result == BALANCE_PICKED) {
-        return true;
+    return try_start(d, job, now) == BALANCE_PICKED;
+}
+
+/* Ends a job that no target has answered, or tries it again. A request that
+ * may not be repeated goes to a second target only when the first provably
+ * did not take it. */
+static void
+handle_failure(struct dispatch *d, struct job *job,
+               const struct job_result *result, uint64_t now)
+{
+    struct dispatch_service *svc = job->svc;
+    bool untouched = result->refused || !result->sent;
+
+    if (!untouched) {
+        job->touched = true;
+    }
+    if (untouched && requeue(d, job, result, now)) {
+        return;
     }
-    return false;
+    if (!untouched && repeat(d, job, now)) {
+        return;
+    }
+    fail(d, job, result->refused ? ERR_TARGET_REFUSED : result->kind,
+         untouched, admission_retry_after_ms(svc->admission, job->class, now));
+    pump(d, svc, now);
 }
 
 bool
@@ -398,28 +441,18 @@
                 const struct job_result *result, uint64_t now)
 {
     struct dispatch_service *svc = job->svc;
-    bool untouched = result->refused || !result->sent;
-    bool answered = result->kind == ERR_NONE && !result->refused;
     struct target_state *t = job->target;
+    bool answered = result->kind == ERR_NONE && !result->refused;
 
     assert(job->state == JOB_RUNNING);
     target_ref(t);
     learn(d, job, result, now);
-    mark_tried(job);
-    job->target = NULL;
     if (answered) {
         release(job);
         pump(d, svc, now);
     }
-    else if (may_try_again(job, result, now) &&
-             retry_budget_withdraw(&svc->retries) && try_again(d, job, now)) {
-        answered = false;
-    }
     else {
-        fail(d, job, result->refused ? ERR_TARGET_REFUSED : result->kind,
-             untouched,
-             admission_retry_after_ms(svc->admission, job->class, now));
-        pump(d, svc, now);
+        handle_failure(d, job, result, now);
     }
     target_unref(t);
     return answered;
@@ -450,8 +483,7 @@
 static void
 expire_running(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
 {
-    list_for_each_safe(it, &svc->running)
-    {
+    list_for_each_safe (it, &svc->running) {
         struct job *job = container_of(it, struct job, link);
         struct job_result result = {.kind = ERR_TARGET_TIMEOUT, .sent = true};
 
@@ -466,8 +498,7 @@
 uint64_t
 dispatch_tick(struct dispatch *d, uint64_t now)
 {
-    list_for_each_safe(it, &d->active)
-    {
+    list_for_each_safe (it, &d->active) {
         struct dispatch_service *svc =
             container_of(it, struct dispatch_service, active);
 
--- a/src/protocol/token.c
+++ b/src/protocol/token.c
@@ -63,7 +63,7 @@
 /* Seals a token. Every field must fit its place: the target 24 bits, the
  * incarnation 40. */
 void
-token_seal(const struct token *token, const struct key_ring *keys,
+token_seal(const struct flow_token *token, const struct key_ring *keys,
            uint8_t out[TOKEN_SIZE])
 {
     uint8_t *pos = out;
@@ -92,7 +92,7 @@
 }
 
 bool
-token_open(struct token *token, const struct key_ring *keys,
+token_open(struct flow_token *token, const struct key_ring *keys,
            const uint8_t *data, size_t size)
 {
     const struct key_ring_key *key;
--- a/tests/unit/test-token.c
+++ b/tests/unit/test-token.c
@@ -23,7 +23,7 @@
     .count = 1, .keys = {{.id = 1, .secret = "another secret"}}};
 static const struct key_ring ring_empty = {.count = 0};
 
-static const struct token tokens[] = {
+static const struct flow_token tokens[] = {
     {0},
     {.service = 0x01020304,
      .target = 0x0a0b0c,
@@ -42,7 +42,7 @@
 };
 
 static void
-assert_tokens_equal(const struct token *a, const struct token *b)
+assert_tokens_equal(const struct flow_token *a, const struct flow_token *b)
 {
     assert_int_equal(a->service, b->service);
     assert_int_equal(a->target, b->target);
@@ -58,7 +58,7 @@
 {
     for (size_t i = 0; i < COUNT(tokens); i++) {
         uint8_t sealed[TOKEN_SIZE];
-        struct token opened;
+        struct flow_token opened;
 
         token_seal(&tokens[i], &ring_both, sealed);
         assert_true(token_open(&opened, &ring_both, sealed, TOKEN_SIZE));
@@ -83,7 +83,7 @@
 {
     for (size_t i = 0; i < COUNT(key_cases); i++) {
         uint8_t sealed[TOKEN_SIZE];
-        struct token opened;
+        struct flow_token opened;
 
         token_seal(&tokens[1], key_cases[i].sealer, sealed);
         assert_int_equal(
@@ -97,7 +97,7 @@
 test_forged(void **state)
 {
     uint8_t sealed[TOKEN_SIZE];
-    struct token opened;
+    struct flow_token opened;
 
     token_seal(&tokens[1], &ring_both, sealed);
     for (size_t bit = 0; bit < TOKEN_SIZE * 8; bit++) {
@@ -111,7 +111,7 @@
 test_sizes(void **state)
 {
     uint8_t sealed[TOKEN_SIZE + 1] = {0};
-    struct token opened;
+    struct flow_token opened;
 
     token_seal(&tokens[1], &ring_both, sealed);
     for (size_t size = 0; size <= sizeof(sealed); size++) {
