client: methods that change something go to the flow's home

PUT and DELETE are taken by the home as POST is, so they need a token and a request id too. An exchange can renew a request under its CoAP token, and a notification no longer ends the retransmission of a renewal.

The error table says nothing on the outcome of a body over the limit: a balancer that is not the home may refuse it, and the limit may differ between balancers during an update.

--- a/src/client/call.c
+++ b/src/client/call.c
@@ -71,8 +71,8 @@
     free(call);
 }
 
-/* Blocks of one body must meet at one balancer, so a block-wise body needs a
- * home even when its request may be repeated. */
+/* Whatever changes something goes to the flow's home, also when it may be
+ * repeated: the blocks of its body must meet at one balancer. */
 struct call *
 call_new(struct client_flow *flow, const struct call_request *request,
          call_cb cb, void *ctx)
@@ -93,7 +93,7 @@
     }
     call->repeatable = packet_method_is_repeatable(request->method);
     call->needs_token =
-        !call->repeatable || upload_is_blockwise(&call->upload);
+        request->method != CODE_GET && request->method != CODE_FETCH;
     call->deadline_us =
         clock_monotonic_us() + request->deadline_ms * USEC_PER_MSEC;
     return call;
--- a/src/client/client.c
+++ b/src/client/client.c
@@ -38,6 +38,7 @@
     struct packet request;
     uint64_t deadline_us;
     uint64_t delay_us; /* to the next transmission */
+    uint64_t acked_timeout_us;
     size_t via;        /* index of the entry address used last */
     unsigned retransmitted;
     bool acked;    /* an empty ACK came */
@@ -183,8 +184,7 @@
 retransmit(struct exchange *ex, uint64_t now)
 {
     struct client *client = ex->client;
-    uint64_t base =
-        ex->acked ? client->acked_timeout_us : client->ack_timeout_us;
+    uint64_t base = ex->acked ? ex->acked_timeout_us : client->ack_timeout_us;
 
     ex->via = (ex->via + 1) % client->via_count;
     ex->retransmitted++;
@@ -209,13 +209,11 @@
 
 /* Draws a CoAP token that no other exchange of the client has. */
 static void
-set_token(struct exchange *ex)
+draw_token(struct exchange *ex)
 {
     do {
         ex->token = random_next(ex->client->random);
     } while (g_hash_table_contains(ex->client->by_token, &ex->token));
-    memcpy(ex->request.token, &ex->token, COAP_TOKEN_SIZE);
-    ex->request.token_len = COAP_TOKEN_SIZE;
 }
 
 static void
@@ -235,7 +233,7 @@
 }
 
 static struct exchange *
-exchange_alloc(struct client *client, const struct packet *request)
+exchange_alloc(struct client *client)
 {
     struct exchange *ex = calloc(1, sizeof(*ex));
 
@@ -248,39 +246,83 @@
         return NULL;
     }
     ex->client = client;
+    ex->acked_timeout_us = client->acked_timeout_us;
+    ex->via = random_below(client->random, (uint32_t)client->via_count);
+    return ex;
+}
+
+/* After 65536 further requests the id may name another exchange. */
+static void
+forget_message_id(struct exchange *ex)
+{
+    GHashTable *ids = ex->client->by_message_id;
+    void *id = GUINT_TO_POINTER(ex->request.message_id);
+
+    if (g_hash_table_lookup(ids, id) == ex) {
+        g_hash_table_remove(ids, id);
+    }
+}
+
+/* Sends the first copy of a request under the exchange's token. */
+static bool
+send_first(struct exchange *ex, const struct packet *request,
+           uint64_t deadline_us)
+{
+    struct client *client = ex->client;
+    uint64_t now = clock_monotonic_us();
+
+    forget_message_id(ex);
     ex->request = *request;
     ex->request.type = PACKET_CON;
-    set_token(ex);
+    memcpy(ex->request.token, &ex->token, COAP_TOKEN_SIZE);
+    ex->request.token_len = COAP_TOKEN_SIZE;
     set_message_id(ex);
-    return ex;
+    ex->deadline_us = deadline_us > now ? deadline_us : now;
+    ex->delay_us = backoff_first_us(client->random, client->ack_timeout_us);
+    ex->retransmitted = 0;
+    ex->acked = false;
+    if (!transmit(ex, now)) {
+        return false;
+    }
+    g_hash_table_insert(client->by_message_id,
+                        GUINT_TO_POINTER(ex->request.message_id), ex);
+    set_timer(ex, now);
+    return true;
 }
 
 struct exchange *
 exchange_start(struct client *client, const struct packet *request,
                uint64_t deadline_us, exchange_cb cb, void *ctx)
 {
-    struct exchange *ex = exchange_alloc(client, request);
-    uint64_t now = clock_monotonic_us();
+    struct exchange *ex = exchange_alloc(client);
 
     if (ex == NULL) {
         return NULL;
     }
-    ex->deadline_us = deadline_us > now ? deadline_us : now;
     ex->cb = cb;
     ex->ctx = ctx;
-    ex->via = random_below(client->random, (uint32_t)client->via_count);
-    ex->delay_us = backoff_first_us(client->random, client->ack_timeout_us);
-    if (!transmit(ex, now)) {
+    draw_token(ex);
+    if (!send_first(ex, request, deadline_us)) {
         exchange_free(ex);
         return NULL;
     }
     g_hash_table_insert(client->by_token, &ex->token, ex);
-    g_hash_table_insert(client->by_message_id,
-                        GUINT_TO_POINTER(ex->request.message_id), ex);
-    set_timer(ex, now);
     return ex;
 }
 
+bool
+exchange_renew(struct exchange *ex, const struct packet *request,
+               uint64_t deadline_us)
+{
+    return send_first(ex, request, deadline_us);
+}
+
+void
+exchange_set_acked_timeout(struct exchange *ex, uint64_t timeout_us)
+{
+    ex->acked_timeout_us = timeout_us;
+}
+
 static void
 remember_answered(struct client *client, uint64_t token)
 {
@@ -303,16 +345,12 @@
 exchange_stop(struct exchange *ex)
 {
     struct client *client = ex->client;
-    void *id = GUINT_TO_POINTER(ex->request.message_id);
 
     if (ex->answered) {
         remember_answered(client, ex->token);
     }
     g_hash_table_remove(client->by_token, &ex->token);
-    /* After 65536 further requests the id may name another exchange. */
-    if (g_hash_table_lookup(client->by_message_id, id) == ex) {
-        g_hash_table_remove(client->by_message_id, id);
-    }
+    forget_message_id(ex);
     exchange_free(ex);
 }
 
@@ -335,7 +373,7 @@
         return;
     }
     ex->acked = true;
-    ex->delay_us = backoff_first_us(client->random, client->acked_timeout_us);
+    ex->delay_us = backoff_first_us(client->random, ex->acked_timeout_us);
     set_timer(ex, clock_monotonic_us());
 }
 
@@ -356,6 +394,15 @@
     }
 }
 
+/* A notification says nothing of the request sent last, nor does a copy of
+ * an answer to an earlier one. */
+static bool
+ends_retransmission(const struct exchange *ex, const struct packet *p)
+{
+    return p->type == PACKET_CON ||
+           (p->type == PACKET_ACK && p->message_id == ex->request.message_id);
+}
+
 static void
 on_answer(struct client *client, const struct endpoint *from,
           const struct packet *p)
@@ -374,7 +421,9 @@
     if (p->type == PACKET_CON) {
         send_empty(client, from, PACKET_ACK, p->message_id);
     }
-    event_del(ex->timer);
+    if (ends_retransmission(ex, p)) {
+        event_del(ex->timer);
+    }
     /* A notification is not the last message of its exchange. */
     ex->answered = (p->fields & FIELD_OBSERVE) == 0;
     ex->cb(ex->ctx, ex, p);
--- a/src/client/client.h
+++ b/src/client/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -54,22 +55,32 @@
 /* A request on its way, with retransmission. */
 struct exchange;
 
-/* Called for each answer with the exchange's CoAP token, and once with NULL
- * when the deadline passes without one. May stop the exchange. "answer" is
- * valid during the call only. */
+/* Called for each answer with the exchange's CoAP token, and with NULL when
+ * the deadline passes without one. May stop the exchange. "answer" is valid
+ * during the call only. */
 typedef void (*exchange_cb)(void *ctx, struct exchange *ex,
                             const struct packet *answer);
 
 /* Sends a request as a CON with a message id and a CoAP token of its own, with
  * the milliseconds left to the deadline (monotonic, microseconds). The
  * payload must stay valid until the exchange is stopped. Retransmission ends
- * with the first answer; the exchange goes on receiving until it is stopped.
+ * with the answer, which a notification (NON) is not; the exchange goes on
+ * receiving until it is stopped.
  * Returns NULL when memory is short or the request does not fit a datagram. */
 struct exchange *exchange_start(struct client *client,
                                 const struct packet *request,
                                 uint64_t deadline_us, exchange_cb cb,
                                 void *ctx);
 
+/* Sends another request in an exchange, under the same CoAP token: a renewed
+ * observation (RFC 7641 section 3.3.1). Returns false when it does not fit. */
+bool exchange_renew(struct exchange *ex, const struct packet *request,
+                    uint64_t deadline_us);
+
+/* How long after an empty ACK the request is sent again, instead of the time
+ * in the client's options. */
+void exchange_set_acked_timeout(struct exchange *ex, uint64_t timeout_us);
+
 /* Ends and frees an exchange. Later answers are rejected with a Reset, unless
  * an answer had come already: then a copy of it is acknowledged. */
 void exchange_stop(struct exchange *ex);
--- a/src/protocol/error-table.c
+++ b/src/protocol/error-table.c
@@ -41,7 +41,7 @@
                       "this balancer takes no new work"},
     [ERR_STALE_VIEW] = {CODE_UNAVAILABLE, 503, OUTCOME_NOT_RUN,
                         "configuration not yet refreshed after a pause"},
-    [ERR_TOO_LARGE] = {CODE_TOO_LARGE, 413, OUTCOME_NOT_RUN,
+    [ERR_TOO_LARGE] = {CODE_TOO_LARGE, 413, OUTCOME_NONE,
                        "body over the limit"},
     [ERR_CANCELLED] = {0, 408, OUTCOME_NONE, "cancelled by the caller"},
     [ERR_INVALID] = {CODE_BAD_REQUEST, 400, OUTCOME_NONE, "invalid input"},
--- a/tests/unit/test-error-table.c
+++ b/tests/unit/test-error-table.c
@@ -47,6 +47,7 @@
     {ERR_NO_MEMORY, OUTCOME_UNKNOWN},
     {ERR_BAD_OPTION, OUTCOME_NONE},
     {ERR_WRONG_SERVICE, OUTCOME_NONE},
+    {ERR_TOO_LARGE, OUTCOME_NONE},
 };
 
 static void
