daemon: the operators' API over HTTP

An HTTP server on the host's address with limits for bodies, headers and silent connections; resources, lists, events, metrics; PUT and DELETE run the operator-write machine against the store. The fate of a write can be asked of any balancer by its id, resource and base version.

--- a/src/coordination/operator-write.c
+++ b/src/coordination/operator-write.c
@@ -200,31 +200,34 @@
     }
 }
 
-/* Checks the rules; "others" is NULL when none are needed. */
 static enum operator_step
-validate(struct operator_write *w, const struct resource *current,
-         const struct list *others)
+validate(struct operator_write *w, const struct resource_context *context)
 {
-    struct list none;
-    struct resource_context context = {
-        .current = current,
-        .others = others == NULL ? &none : others,
-        .domains = w->request.domains,
-        .domain_count = w->request.domain_count,
-    };
     struct status st;
-    bool valid;
+    bool valid = w->request.deletion
+                     ? resource_rules_check_delete(&w->next, context, &st)
+                     : resource_rules_check_put(&w->next, context, &st);
 
-    list_init(&none);
-    valid = w->request.deletion
-                ? resource_rules_check_delete(&w->next, &context, &st)
-                : resource_rules_check_put(&w->next, &context, &st);
     if (!valid) {
         return end_with(w, &st, w->base_version);
     }
     return go(w, OPERATOR_CAS);
 }
 
+/* Checks what needs no other resources. */
+static enum operator_step
+validate_alone(struct operator_write *w, const struct resource *current)
+{
+    struct list none;
+    const struct resource_context context = {
+        .current = current,
+        .others = &none,
+    };
+
+    list_init(&none);
+    return validate(w, &context);
+}
+
 /* A deletion of what is not there is done already. */
 static bool
 is_deleted_already(const struct operator_write *w,
@@ -266,7 +269,7 @@
     if (resource_rules_needs(w->next.kind, w->request.deletion) != 0) {
         return go(w, OPERATOR_READ_OTHERS);
     }
-    return validate(w, live, NULL);
+    return validate_alone(w, live);
 }
 
 /* Reads the fate of a write off the key. */
@@ -318,13 +321,14 @@
 
 enum operator_step
 operator_write_on_others(struct operator_write *w, uint64_t now,
-                         const struct status *st, const struct list *others)
+                         const struct status *st,
+                         const struct resource_context *c)
 {
     assert(w->step == OPERATOR_READ_OTHERS);
     if (st->kind != ERR_NONE) {
         return end_with(w, st, 0);
     }
-    return validate(w, NULL, others);
+    return validate(w, c);
 }
 
 enum operator_step
--- a/src/coordination/operator-write.h
+++ b/src/coordination/operator-write.h
@@ -89,11 +89,12 @@
                                           const struct resource *current,
                                           uint64_t revision);
 
-/* Result of OPERATOR_READ_OTHERS: a list of struct resource. */
+/* Result of OPERATOR_READ_OTHERS: "others" and "domains" of the context are
+ * used. */
 enum operator_step operator_write_on_others(struct operator_write *w,
                                             uint64_t now,
                                             const struct status *st,
-                                            const struct list *others);
+                                            const struct resource_context *c);
 
 /* Result of OPERATOR_CAS, with the kinds of store_cas_cb. */
 enum operator_step operator_write_on_cas(struct operator_write *w,
--- a/src/coordination/resource-rules.c
+++ b/src/coordination/resource-rules.c
@@ -13,7 +13,7 @@
 {
     switch (kind) {
     case RESOURCE_SERVICE:
-        return deletion ? NEED_TARGETS : NEED_SERVICES;
+        return deletion ? NEED_TARGETS : NEED_SERVICES | NEED_HOSTS;
     case RESOURCE_TARGET:
         return deletion ? 0 : NEED_SERVICES | NEED_TARGETS;
     default:
@@ -29,6 +29,14 @@
             return true;
         }
     }
+    list_for_each (it, context->others) {
+        const struct resource *r = resource_of(it);
+
+        if (r->kind == RESOURCE_HOST && !r->deleted &&
+            strcmp(r->host.domain, domain) == 0) {
+            return true;
+        }
+    }
     return context->domain_count == 0;
 }
 
@@ -149,18 +157,6 @@
     return true;
 }
 
-static bool
-check_host(const struct resource *wanted,
-           const struct resource_context *context, struct status *st)
-{
-    if (!domain_is_known(context, wanted->host.domain)) {
-        status_set(st, ERR_INVALID, "domain: no failure domain %s is known",
-                   wanted->host.domain);
-        return false;
-    }
-    return true;
-}
-
 static bool
 ring_has_key(const struct key_ring *ring, uint8_t id)
 {
@@ -213,10 +209,11 @@
         return check_service(wanted, context, st);
     case RESOURCE_TARGET:
         return check_target(wanted, context, st);
-    case RESOURCE_HOST:
-        return check_host(wanted, context, st);
-    default:
+    case RESOURCE_KEY_RING:
         return check_key_ring(wanted, context, st);
+    default:
+        /* A host may be declared before it, or its domain, is up. */
+        return true;
     }
 }
 
--- a/src/coordination/resource-rules.h
+++ b/src/coordination/resource-rules.h
@@ -15,6 +15,7 @@
 enum resource_need {
     NEED_SERVICES = 1 << 0,
     NEED_TARGETS = 1 << 1,
+    NEED_HOSTS = 1 << 2, /* and the failure domains known */
 };
 
 unsigned resource_rules_needs(enum resource_kind kind, bool deletion);
@@ -23,8 +24,10 @@
 struct resource_context {
     const struct resource *current; /* NULL when absent or deleted */
     const struct list *others;      /* struct resource, by their links */
-    const char (*domains)[ID_SIZE]; /* failure domains known */
-    size_t domain_count;            /* 0: not known, not checked */
+    /* Failure domains that the platform knows; those of declared hosts are
+     * known too. */
+    const char (*domains)[ID_SIZE];
+    size_t domain_count; /* 0: not known, not checked */
 };
 
 /* Each returns false with ERR_INVALID and a message that begins with the path
--- /dev/null
+++ b/src/daemon/api-task.c
@@ -0,0 +1,529 @@
+#include "daemon/api-task.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/thread.h>
+
+#define LOG_MODULE "api"
+#include "base/clock.h"
+#include "base/log.h"
+#include "daemon/api.h"
+#include "daemon/messages.h"
+#include "protocol/error-table.h"
+#include "protocol/resource-json.h"
+
+#define CALLS_MAX 256 /* requests in progress */
+#define HEADERS_MAX 8192
+#define CONNECTION_TIMEOUT_S 15
+#define CONTROL_TIMEOUT_S 3
+#define RETRY_AFTER_S "2"
+#define LIST_LIMIT_DEFAULT 100
+#define LIST_LIMIT_MAX 1000
+#define METRICS_SIZE 4096 /* bytes of the api task's own metrics */
+#define JSON_TYPE "application/json"
+#define METRICS_TYPE "text/plain; version=0.0.4"
+
+static void
+call_destroy(struct api_call *call)
+{
+    list_remove(&call->link);
+    call->task->call_count--;
+    if (call->timer != NULL) {
+        event_free(call->timer);
+    }
+    api_write_destroy(call->write);
+    free(call);
+}
+
+static void
+reply_typed(struct api_call *call, int http_status, const char *type,
+            const char *text, size_t len)
+{
+    if (http_status == HTTP_SERVUNAVAIL) {
+        http_exchange_add_header(call->x, "Retry-After", RETRY_AFTER_S);
+    }
+    http_exchange_reply(call->x, http_status, type, text, len);
+    call_destroy(call);
+}
+
+void
+api_call_reply(struct api_call *call, int http_status, const char *text,
+               size_t len)
+{
+    reply_typed(call, http_status, JSON_TYPE, text, len);
+}
+
+void
+api_call_fail(struct api_call *call, const struct status *st)
+{
+    char *text = api_error_text(st);
+    int http_status = error_answer(st->kind)->http_status;
+
+    api_call_reply(call, http_status, text, text == NULL ? 0 : strlen(text));
+    free(text);
+}
+
+static void
+fail_with(struct api_call *call, enum error_kind kind, const char *message)
+{
+    struct status st;
+
+    status_set(&st, kind, "%s", message);
+    api_call_fail(call, &st);
+}
+
+static void
+on_control_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+    struct api_call *call = ctx;
+
+    call->asked = 0;
+    fail_with(call, ERR_STALE_VIEW, "the control task does not answer");
+}
+
+void
+api_call_ask(struct api_call *call, struct msg_api_request *request,
+             api_answer_cb on_answer)
+{
+    const struct timeval limit = {.tv_sec = CONTROL_TIMEOUT_S};
+    struct api_task *task = call->task;
+
+    request->id = ++task->next_id;
+    call->asked = request->id;
+    call->on_answer = on_answer;
+    event_add(call->timer, &limit);
+    if (!mailbox_send(task->control, MSG_API_REQUEST, request,
+                      sizeof(*request))) {
+        LOG_WARN("the control task's mailbox is full");
+    }
+}
+
+void
+api_tell(struct api_task *task, struct msg_api_request *request)
+{
+    request->id = ++task->next_id;
+    if (!mailbox_send(task->control, MSG_API_REQUEST, request,
+                      sizeof(*request))) {
+        free(request->resource);
+    }
+}
+
+static struct api_call *
+find_asked(struct api_task *task, uint64_t id)
+{
+    list_for_each (it, &task->calls) {
+        struct api_call *call = container_of(it, struct api_call, link);
+
+        if (call->asked == id) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_control_message(void *ctx, uint32_t type, const void *data, size_t size)
+{
+    struct api_task *task = ctx;
+    struct msg_api_answer answer;
+    struct api_call *call;
+
+    if (type != MSG_API_ANSWER || size != sizeof(answer)) {
+        return;
+    }
+    memcpy(&answer, data, sizeof(answer));
+    call = find_asked(task, answer.id);
+    if (call != NULL) {
+        call->asked = 0;
+        event_del(call->timer);
+        call->on_answer(call, &answer);
+    }
+    free(answer.text);
+}
+
+static void
+on_text(struct api_call *call, const struct msg_api_answer *answer)
+{
+    if (answer->kind != ERR_NONE) {
+        fail_with(call, answer->kind, error_answer(answer->kind)->text);
+        return;
+    }
+    api_call_reply(call, HTTP_OK, answer->text, answer->text_len);
+}
+
+static void
+on_resource(struct api_call *call, const struct msg_api_answer *answer)
+{
+    char etag[API_ETAG_SIZE];
+
+    if (answer->kind == ERR_NONE) {
+        api_etag_format(answer->version, etag);
+        http_exchange_add_header(call->x, "ETag", etag);
+    }
+    on_text(call, answer);
+}
+
+/* Writes the api task's own counters. */
+static size_t
+own_metrics(const struct api_task *task, char *out, size_t size)
+{
+    int len = snprintf(out, size,
+                       "# TYPE pimentohaven_api_requests_total counter\n"
+                       "pimentohaven_api_requests_total %" PRIu64 "\n"
+                       "# TYPE pimentohaven_api_store_calls_total counter\n"
+                       "pimentohaven_api_store_calls_total %" PRIu64 "\n"
+                       "# TYPE pimentohaven_api_writes_total counter\n",
+                       task->requests, store_client_calls(task->store));
+
+    for (int kind = 0; kind < ERR_KIND_COUNT; kind++) {
+        if (task->outcomes[kind] > 0 && len > 0 && (size_t)len < size) {
+            len += snprintf(out + len, size - (size_t)len,
+                            "pimentohaven_api_writes_total{outcome=\"%s\"} "
+                            "%" PRIu64 "\n",
+                            error_kind_name(kind), task->outcomes[kind]);
+        }
+    }
+    return (size_t)len < size ? (size_t)len : size - 1;
+}
+
+/* Metrics stay available in part when the other tasks have none. */
+static void
+on_metrics(struct api_call *call, const struct msg_api_answer *answer)
+{
+    size_t size = answer->text_len + METRICS_SIZE;
+    char *text = malloc(size);
+    size_t len;
+
+    if (text == NULL) {
+        fail_with(call, ERR_NO_MEMORY, "out of memory");
+        return;
+    }
+    len = own_metrics(call->task, text, METRICS_SIZE);
+    if (answer->text_len > 0) {
+        memcpy(text + len, answer->text, answer->text_len);
+        len += answer->text_len;
+    }
+    reply_typed(call, HTTP_OK, METRICS_TYPE, text, len);
+    free(text);
+}
+
+/* Reads a number from the query. Returns false when it is malformed or above
+ * "max". */
+static bool
+query_number(const struct api_call *call, const char *name, uint64_t fallback,
+             uint64_t max, uint64_t *out)
+{
+    const char *text = http_exchange_query(call->x, name);
+    char *end;
+
+    *out = fallback;
+    if (text == NULL) {
+        return true;
+    }
+    if (text[0] < '0' || text[0] > '9') {
+        return false;
+    }
+    *out = strtoull(text, &end, 10);
+    return *end == '\0' && *out <= max;
+}
+
+static void
+ask_list(struct api_call *call)
+{
+    struct msg_api_request request = {
+        .query = API_QUERY_LIST,
+        .kind = call->route.resource,
+    };
+    const char *after = http_exchange_query(call->x, "after");
+    uint64_t limit;
+
+    if (!query_number(call, "limit", LIST_LIMIT_DEFAULT, LIST_LIMIT_MAX,
+                      &limit) ||
+        limit == 0) {
+        fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
+        return;
+    }
+    request.limit = (uint32_t)limit;
+    memcpy(request.name, call->route.name, sizeof(request.name));
+    snprintf(request.after, sizeof(request.after), "%s",
+             after == NULL ? "" : after);
+    api_call_ask(call, &request, on_text);
+}
+
+static void
+ask_events(struct api_call *call)
+{
+    struct msg_api_request request = {.query = API_QUERY_EVENTS};
+    uint64_t limit;
+
+    if (!query_number(call, "after", 0, UINT64_MAX, &request.since)) {
+        fail_with(call, ERR_INVALID, "after: expected a number");
+        return;
+    }
+    if (!query_number(call, "limit", LIST_LIMIT_DEFAULT, LIST_LIMIT_MAX,
+                      &limit)) {
+        fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
+        return;
+    }
+    request.limit = (uint32_t)limit;
+    api_call_ask(call, &request, on_text);
+}
+
+static void
+ask_resource(struct api_call *call)
+{
+    struct msg_api_request request = {
+        .query = API_QUERY_RESOURCE,
+        .kind = call->route.resource,
+    };
+
+    memcpy(request.name, call->route.name, sizeof(request.name));
+    api_call_ask(call, &request, on_resource);
+}
+
+static void
+handle_get(struct api_call *call)
+{
+    struct msg_api_request request = {.query = API_QUERY_STATUS};
+
+    switch (call->route.kind) {
+    case ROUTE_RESOURCE:
+        ask_resource(call);
+        break;
+    case ROUTE_LIST:
+        ask_list(call);
+        break;
+    case ROUTE_WRITE:
+        api_write_look_up(call);
+        break;
+    case ROUTE_STATUS:
+        api_call_ask(call, &request, on_text);
+        break;
+    case ROUTE_EVENTS:
+        ask_events(call);
+        break;
+    case ROUTE_METRICS:
+        request.query = API_QUERY_METRICS;
+        api_call_ask(call, &request, on_metrics);
+        break;
+    }
+}
+
+static void
+handle(struct api_call *call)
+{
+    struct status st;
+
+    if (!api_route_parse(&call->route, http_exchange_path(call->x), &st)) {
+        api_call_fail(call, &st);
+    }
+    else if (http_exchange_method(call->x) == EVHTTP_REQ_GET) {
+        handle_get(call);
+    }
+    else if (call->route.kind == ROUTE_RESOURCE) {
+        api_write_start(call);
+    }
+    else {
+        fail_with(call, ERR_METHOD, "only GET is served here");
+    }
+}
+
+static struct api_call *
+call_new(struct api_task *task, struct http_exchange *x)
+{
+    struct api_call *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        return NULL;
+    }
+    call->task = task;
+    call->x = x;
+    call->timer = event_new(task->base, -1, 0, on_control_timeout, call);
+    list_push_back(&task->calls, &call->link);
+    task->call_count++;
+    return call;
+}
+
+static void
+on_exchange(void *ctx, struct http_exchange *x)
+{
+    struct api_task *task = ctx;
+    struct api_call *call = call_new(task, x);
+
+    task->requests++;
+    if (call == NULL) {
+        http_exchange_reply(x, HTTP_SERVUNAVAIL, JSON_TYPE, NULL, 0);
+        return;
+    }
+    if (task->call_count > CALLS_MAX) {
+        fail_with(call, ERR_OVERLOADED, "too many requests in progress");
+        return;
+    }
+    handle(call);
+}
+
+static void
+on_stop(evutil_socket_t fd, short what, void *ctx)
+{
+    struct api_task *task = ctx;
+
+    event_base_loopbreak(task->base);
+}
+
+static bool
+open_server(struct api_task *task, struct status *st)
+{
+    const struct http_server_options options = {
+        .address = task->settings->host.address,
+        .port = task->settings->ports.api,
+        .body_max = RESOURCE_JSON_SIZE_MAX,
+        .headers_max = HEADERS_MAX,
+        .timeout_s = CONNECTION_TIMEOUT_S,
+    };
+
+    task->server =
+        http_server_new(task->base, &options, on_exchange, task, st);
+    return task->server != NULL;
+}
+
+/* Opens a client of the store. An attempt that fails is not repeated there:
+ * the state machine of a write decides on that. */
+static bool
+open_store(struct api_task *task, struct status *st)
+{
+    const struct settings *settings = task->settings;
+    size_t count = settings->platform.endpoints_count;
+    struct store_client_options options;
+    char texts[count][32];
+    const char *endpoints[count];
+
+    for (size_t i = 0; i < count; i++) {
+        snprintf(texts[i], sizeof(texts[i]), "%s:%u",
+                 settings->platform.endpoints[i].address,
+                 settings->platform.endpoints[i].port);
+        endpoints[i] = texts[i];
+    }
+    task->store = store_client_new(task->base, endpoints, count, st);
+    if (task->store == NULL) {
+        return false;
+    }
+    store_client_options_default(&options);
+    options.attempts = 1;
+    store_client_set_options(task->store, &options);
+    return true;
+}
+
+static bool
+open_loop(struct api_task *task, struct status *st)
+{
+    if (evthread_use_pthreads() < 0) {
+        status_set(st, ERR_SYSTEM, "api: no threads");
+        return false;
+    }
+    task->base = event_base_new();
+    if (task->base == NULL) {
+        status_set(st, ERR_NO_MEMORY, "api: out of memory");
+        return false;
+    }
+    task->stop = event_new(task->base, -1, 0, on_stop, task);
+    if (task->stop == NULL) {
+        status_set(st, ERR_NO_MEMORY, "api: out of memory");
+        return false;
+    }
+    return true;
+}
+
+struct api_task *
+api_task_new(void *zmq_ctx, const struct settings *settings, struct status *st)
+{
+    struct api_task *task = calloc(1, sizeof(*task));
+
+    if (task == NULL) {
+        status_set(st, ERR_NO_MEMORY, "api: out of memory");
+        return NULL;
+    }
+    task->settings = settings;
+    list_init(&task->calls);
+    if (!open_loop(task, st) || !open_store(task, st) ||
+        !open_server(task, st)) {
+        api_task_destroy(task);
+        return NULL;
+    }
+    task->control = mailbox_new(zmq_ctx, task->base, MAILBOX_CONTROL_API,
+                                false, on_control_message, task, st);
+    if (task->control == NULL) {
+        api_task_destroy(task);
+        return NULL;
+    }
+    return task;
+}
+
+static void *
+run(void *arg)
+{
+    struct api_task *task = arg;
+
+    event_base_dispatch(task->base);
+    return NULL;
+}
+
+bool
+api_task_start(struct api_task *task, struct status *st)
+{
+    if (pthread_create(&task->thread, NULL, run, task) != 0) {
+        status_set(st, ERR_SYSTEM, "api: cannot start its thread");
+        return false;
+    }
+    task->started = true;
+    return true;
+}
+
+void
+api_task_stop(struct api_task *task)
+{
+    event_active(task->stop, EV_TIMEOUT, 0);
+}
+
+void
+api_task_join(struct api_task *task)
+{
+    if (task->started) {
+        pthread_join(task->thread, NULL);
+        task->started = false;
+    }
+}
+
+/* Ends the calls in progress; their exchanges only free themselves, since the
+ * server is gone. */
+static void
+end_calls(struct api_task *task)
+{
+    list_for_each_safe (it, &task->calls) {
+        struct api_call *call = container_of(it, struct api_call, link);
+
+        http_exchange_reply(call->x, HTTP_SERVUNAVAIL, JSON_TYPE, NULL, 0);
+        call_destroy(call);
+    }
+}
+
+void
+api_task_destroy(struct api_task *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    store_client_destroy(task->store);
+    http_server_destroy(task->server);
+    end_calls(task);
+    mailbox_destroy(task->control);
+    if (task->stop != NULL) {
+        event_free(task->stop);
+    }
+    if (task->base != NULL) {
+        event_base_free(task->base);
+    }
+    free(task);
+}
--- /dev/null
+++ b/src/daemon/api.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "base/list.h"
+#include "base/settings.h"
+#include "base/status.h"
+#include "daemon/api-route.h"
+#include "daemon/control-api.h"
+#include "transport/http-server.h"
+#include "transport/mailbox.h"
+#include "transport/store-client.h"
+
+/* What the parts of the api task share. Only the api task's thread touches
+ * it. */
+
+struct api_task {
+    const struct settings *settings;
+    pthread_t thread;
+    bool started;
+    struct event_base *base;
+    struct event *stop; /* made active by api_task_stop() */
+    struct mailbox *control;
+    struct http_server *server;
+    struct store_client *store;
+    struct list calls;
+    size_t call_count;
+    uint64_t next_id;
+    uint64_t requests;
+    uint64_t outcomes[ERR_KIND_COUNT]; /* of writes */
+};
+
+struct api_call;
+struct api_write;
+
+/* Runs with the control task's answer, which stays the caller's. */
+typedef void (*api_answer_cb)(struct api_call *call,
+                              const struct msg_api_answer *answer);
+
+/* One request of an operator. */
+struct api_call {
+    struct list link;
+    struct api_task *task;
+    struct http_exchange *x;
+    struct api_route route;
+    uint64_t asked;      /* id of the question to the control task, 0: none */
+    struct event *timer; /* time limit of that question */
+    api_answer_cb on_answer;
+    struct api_write *write; /* of a PUT or DELETE */
+};
+
+/* api-task.c */
+
+/* Asks the control task; "on_answer" runs once, unless the call is ended
+ * before. */
+void api_call_ask(struct api_call *call, struct msg_api_request *request,
+                  api_answer_cb on_answer);
+/* Tells the control task something, without an answer. */
+void api_tell(struct api_task *task, struct msg_api_request *request);
+/* Each replies and ends the call. */
+void api_call_reply(struct api_call *call, int http_status, const char *text,
+                    size_t len);
+void api_call_fail(struct api_call *call, const struct status *st);
+
+/* api-answer.c: bodies of answers; the caller frees them. */
+
+/* {"error", "message", "field"}; the field is taken from a message of
+ * ERR_INVALID, which begins with it. */
+char *api_error_text(const struct status *st);
+/* The same with the resource's current version. */
+char *api_error_text_version(const struct status *st, uint64_t version);
+/* An ETag from a version, and a version from an If-Match value; false when
+ * that is not a version in quotes. */
+#define API_ETAG_SIZE 24 /* bytes */
+void api_etag_format(uint64_t version, char out[API_ETAG_SIZE]);
+bool api_etag_parse(const char *text, uint64_t *version);
+
+/* api-write.c: PUT and DELETE of a resource, and the fate of a write. */
+void api_write_start(struct api_call *call);
+void api_write_destroy(struct api_write *write);
+void api_write_look_up(struct api_call *call);
