--- a/src/daemon/api-task.c
+++ b/src/daemon/api-task.c
@@ -180,10 +180,12 @@
 
     for (int kind = 0; kind < ERR_KIND_COUNT; kind++) {
         if (task->outcomes[kind] > 0 && len > 0 && (size_t)len < size) {
-            len += snprintf(out + len, size - (size_t)len,
-                            "pimentohaven_api_writes_total{outcome=\"%s\"} "
-                            "%" PRIu64 "\n",
-                            error_kind_name(kind), task->outcomes[kind]);
+            len +=
+                snprintf(out + len, size - (size_t)len,
+                         "pimentohaven_api_writes_total{outcome=\"%s\"} "
+                         "%" PRIu64 "\n",
+                         kind == ERR_NONE ? "accepted" : error_kind_name(kind),
+                         task->outcomes[kind]);
         }
     }
     return (size_t)len < size ? (size_t)len : size - 1;
--- a/src/daemon/api-write.c
+++ b/src/daemon/api-write.c
@@ -406,7 +406,9 @@
 finish(struct api_write *write)
 {
     const struct operator_outcome *outcome = &write->machine.outcome;
-    const char *kind = error_kind_name(outcome->status.kind);
+    const char *kind = outcome->status.kind == ERR_NONE
+                           ? "accepted"
+                           : error_kind_name(outcome->status.kind);
 
     write->call->task->outcomes[outcome->status.kind]++;
     log_fields(LOG_LEVEL_INFO, LOG_MODULE,
--- a/src/daemon/cmd-serve.c
+++ b/src/daemon/cmd-serve.c
@@ -11,6 +11,7 @@
 #define LOG_MODULE "serve"
 #include "base/log.h"
 #include "base/settings.h"
+#include "daemon/api-task.h"
 #include "daemon/commands.h"
 #include "daemon/control-task.h"
 #include "daemon/data-task.h"
@@ -28,6 +29,7 @@
     void *zmq_ctx;
     struct control_task *control;
     struct data_task *data;
+    struct api_task *api;
 };
 
 static bool
@@ -76,13 +78,19 @@
     if (server->data == NULL) {
         return false;
     }
+    server->api = api_task_new(server->zmq_ctx, settings, st);
+    if (server->api == NULL) {
+        return false;
+    }
     return control_task_start(server->control, st) &&
-           data_task_start(server->data, st);
+           data_task_start(server->data, st) &&
+           api_task_start(server->api, st);
 }
 
 static void
 destroy_tasks(struct server *server)
 {
+    api_task_destroy(server->api);
     data_task_destroy(server->data);
     control_task_destroy(server->control);
 }
@@ -127,6 +135,8 @@
         control_task_stop(server.control);
         data_task_join(server.data);
         control_task_join(server.control);
+        api_task_stop(server.api);
+        api_task_join(server.api);
         LOG_INFO("stopped");
     }
     else {
