--- a/src/coordination/operator-write.c
+++ b/src/coordination/operator-write.c
@@ -40,9 +40,11 @@
 }
 
 static enum operator_step
-accept(struct operator_write *w, uint64_t version, uint64_t revision)
+accept(struct operator_write *w, uint64_t version, uint64_t revision,
+       bool exact)
 {
     status_ok(&w->outcome.status);
+    w->outcome.exact = exact;
     w->outcome.version = version;
     w->outcome.revision = revision;
     return go(w, OPERATOR_DONE);
@@ -251,8 +253,9 @@
     /* The same request may come again, by way of another balancer. */
     if (current != NULL &&
         resource_version_of_write(current, w->request.write_id) > 0) {
-        return accept(
-            w, resource_version_of_write(current, w->request.write_id), 0);
+        return accept(w,
+                      resource_version_of_write(current, w->request.write_id),
+                      revision, false);
     }
     if (!check_not_regressed(w, current, &st)) {
         return end_with(w, &st, version);
@@ -285,7 +288,7 @@
     struct status st;
 
     if (written > 0) {
-        return accept(w, written, revision);
+        return accept(w, written, revision, written == version);
     }
     if (revision == w->revision) {
         status_set(&st, ERR_STORE_DOWN, "the store does not take the write");
@@ -338,7 +341,7 @@
     assert(w->step == OPERATOR_CAS);
     switch (st->kind) {
     case ERR_NONE:
-        return accept(w, w->next.version, revision);
+        return accept(w, w->next.version, revision, true);
     case ERR_CONFLICT:
         /* The change may be our own, from an attempt whose answer was lost;
          * and the current version is wanted for the answer. */
--- a/src/coordination/operator-write.h
+++ b/src/coordination/operator-write.h
@@ -56,7 +56,8 @@
 struct operator_outcome {
     struct status status;
     uint64_t version;
-    uint64_t revision; /* the store's, of an accepted write; 0 when unknown */
+    uint64_t revision; /* the store's, at or after an accepted write */
+    bool exact;        /* "revision" is that of the write itself */
 };
 
 struct operator_write {
--- a/src/daemon/api-write.c
+++ b/src/daemon/api-write.c
@@ -330,8 +330,7 @@
         .revision = outcome->revision,
     };
 
-    if (outcome->revision == 0 ||
-        outcome->version != write->machine.next.version) {
+    if (!outcome->exact) {
         return;
     }
     request.resource = malloc(sizeof(*request.resource));
@@ -362,9 +361,9 @@
     http_exchange_add_header(write->call->x, "ETag", etag);
     snprintf(body, sizeof(body),
              "{\"resource\":\"%s\",\"version\":%" PRIu64
-             ",\"write_id\":\"%s\"}",
+             ",\"revision\":%" PRIu64 ",\"write_id\":\"%s\"}",
              write->call->route.name, write->machine.outcome.version,
-             write->machine.request.write_id);
+             write->machine.outcome.revision, write->machine.request.write_id);
     api_call_reply(write->call, HTTP_ACCEPTED, body, strlen(body));
 }
 
