client: live streams

Observe with frames numbered by ETag: delivered once and in order, a gap repaired by registering again after the last frame, and reported lost when the source no longer has the frames. A registration is renewed before it lapses and moved to another balancer, without the Echo that would lead back, when its own is stopping (Max-Age 0), refuses, or has gone silent; the one before goes on until the new one is answered.

--- a/src/client/client.c
+++ b/src/client/client.c
@@ -39,7 +39,7 @@
     uint64_t deadline_us;
     uint64_t delay_us; /* to the next transmission */
     uint64_t acked_timeout_us;
-    size_t via;        /* index of the entry address used last */
+    size_t via; /* index of the entry address used last */
     unsigned retransmitted;
     bool acked;    /* an empty ACK came */
     bool answered; /* by an answer that ends it */
--- /dev/null
+++ b/src/client/watch.c
@@ -0,0 +1,659 @@
+#include "client/watch.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/timeval.h"
+#include "client/backoff.h"
+#include "client/call-verdict.h"
+#include "client/frame-order.h"
+
+#define OBSERVE_REGISTER 0
+#define OBSERVE_DEREGISTER 1
+#define MAX_AGE_DEFAULT_S 60 /* RFC 7252 section 5.10.5 */
+/* Renewed after this share of Max-Age, less a jitter of a tenth. */
+#define RENEW_SHARE 0.66
+#define RENEW_JITTER 0.1
+#define REGISTER_DEADLINE_US (40 * USEC_PER_SEC)
+/* A stream that is quiet is acknowledged but not answered until its first
+ * frame; asking again sooner would only open it elsewhere too. */
+#define QUIET_TIMEOUT_US (20 * USEC_PER_SEC)
+#define SILENCE_DEFAULT_MS 15000
+/* Notifications overtake each other by less than this. */
+#define REORDER_US (30 * USEC_PER_MSEC)
+#define REPAIR_WAIT_US (300 * USEC_PER_MSEC)
+#define REPAIR_WAIT_MAX_US (2 * USEC_PER_SEC)
+#define REPAIRS_MAX 5         /* for one gap */
+#define REPAIRS_AT_HOME_MAX 2 /* then another balancer is tried */
+#define MOVE_SPREAD_MS 300
+#define CHALLENGES_MAX 3
+#define EVENT_ID_KEY "last-event-id="
+
+struct watch {
+    struct client_flow *flow;
+    struct packet request;
+    size_t query_len; /* of the request's query without the position */
+    struct exchange *current;
+    struct exchange *former; /* goes on until the current one is answered */
+    struct frame_order order;
+    uint64_t silence_us;
+    unsigned repairs;  /* of the gap at hand */
+    unsigned failures; /* registrations in a row */
+    unsigned challenges;
+    bool confirmed;    /* the current registration was answered */
+    bool leaving;      /* its balancer is stopping */
+    /* Highest number below the last frame's that came since then, and the
+     * one of the silence before. */
+    uint64_t stale_id;
+    uint64_t former_stale_id;
+    uint64_t available_from; /* first frame that the source still has */
+    struct event *renew; /* also: register after a failure */
+    struct event *gap;   /* repair */
+    struct event *silence;
+    struct event *end;
+    struct watch_counters counters;
+    watch_cb cb;
+    void *ctx;
+};
+
+static void on_answer(void *ctx, struct exchange *ex,
+                      const struct packet *answer);
+
+static struct random *
+watch_random(const struct watch *watch)
+{
+    return client_random(client_flow_client(watch->flow));
+}
+
+static void
+set_timer(struct event *timer, uint64_t us)
+{
+    struct timeval tv = timeval_from_us(us);
+
+    evtimer_add(timer, &tv);
+}
+
+static void
+stop_exchange(struct exchange **ex)
+{
+    if (*ex != NULL) {
+        exchange_stop(*ex);
+        *ex = NULL;
+    }
+}
+
+static void
+free_timer(struct event *timer)
+{
+    if (timer != NULL) {
+        event_free(timer);
+    }
+}
+
+static void
+watch_free(struct watch *watch)
+{
+    stop_exchange(&watch->current);
+    stop_exchange(&watch->former);
+    free_timer(watch->renew);
+    free_timer(watch->gap);
+    free_timer(watch->silence);
+    free_timer(watch->end);
+    frame_order_fini(&watch->order);
+    free(watch);
+}
+
+static void
+end_watch(struct watch *watch, enum call_outcome outcome,
+          const struct packet *answer)
+{
+    const struct watch_event event = {
+        .kind = WATCH_ENDED,
+        .outcome = outcome,
+        .code = answer == NULL ? CODE_EMPTY : answer->code,
+        .data = answer == NULL ? NULL : answer->payload,
+        .size = answer == NULL ? 0 : answer->payload_len,
+    };
+
+    stop_exchange(&watch->current);
+    stop_exchange(&watch->former);
+    watch->cb(watch->ctx, &event);
+    watch_free(watch);
+}
+
+/* Writes the position into the query. It was made sure that it fits. */
+static void
+set_position(struct watch *watch)
+{
+    char *at = watch->request.query + watch->query_len;
+    size_t room = sizeof(watch->request.query) - watch->query_len;
+
+    *at = '\0';
+    if (watch->order.started) {
+        snprintf(at, room, "%s%s%" PRIu64, watch->query_len > 0 ? "&" : "",
+                 EVENT_ID_KEY, watch->order.last);
+    }
+}
+
+static void
+fill_request(struct watch *watch)
+{
+    struct packet *p = &watch->request;
+
+    set_position(watch);
+    p->fields = FIELD_OBSERVE;
+    p->observe = OBSERVE_REGISTER;
+    p->echo_len = 0;
+    client_flow_add_proof(watch->flow, p);
+}
+
+/* Tries again after a while what could not be sent. */
+static void
+retry_later(struct watch *watch)
+{
+    set_timer(watch->renew,
+              backoff_retry_us(watch_random(watch), watch->failures));
+    watch->failures++;
+}
+
+/* Registers under a CoAP token of its own; the registration before stays
+ * until this one is answered, so that no frame falls between them. */
+static void
+register_anew(struct watch *watch)
+{
+    uint64_t deadline = clock_monotonic_us() + REGISTER_DEADLINE_US;
+
+    if (watch->former == NULL && watch->confirmed) {
+        watch->former = watch->current;
+        watch->current = NULL;
+    }
+    stop_exchange(&watch->current);
+    watch->confirmed = false;
+    watch->leaving = false;
+    watch->counters.registrations++;
+    fill_request(watch);
+    watch->current =
+        exchange_start(client_flow_client(watch->flow), &watch->request,
+                       deadline, on_answer, watch);
+    if (watch->current == NULL) {
+        retry_later(watch);
+        return;
+    }
+    exchange_set_acked_timeout(watch->current, QUIET_TIMEOUT_US);
+}
+
+/* Registers again under the same CoAP token, which the balancer that holds
+ * the registration takes as a renewal (RFC 7641 section 3.3.1). */
+static void
+renew(struct watch *watch)
+{
+    uint64_t deadline = clock_monotonic_us() + REGISTER_DEADLINE_US;
+
+    if (watch->current == NULL) {
+        register_anew(watch);
+        return;
+    }
+    watch->counters.registrations++;
+    fill_request(watch);
+    if (!exchange_renew(watch->current, &watch->request, deadline)) {
+        retry_later(watch);
+    }
+}
+
+/* Registers at another balancer: without the Echo value, which would lead
+ * back to the one that issued it. */
+static void
+move(struct watch *watch)
+{
+    watch->counters.moves++;
+    client_flow_forget_proof(watch->flow);
+    register_anew(watch);
+}
+
+static void
+on_renew(evutil_socket_t fd, short what, void *arg)
+{
+    struct watch *watch = arg;
+
+    if (watch->leaving) {
+        move(watch);
+        return;
+    }
+    renew(watch);
+}
+
+static bool
+report_lost(struct watch *watch, uint64_t first, uint64_t last)
+{
+    const struct watch_event event = {
+        .kind = WATCH_LOST, .has_id = true, .id = first, .last_id = last};
+
+    return watch->cb(watch->ctx, &event);
+}
+
+static bool
+on_frame(void *ctx, uint64_t id, const uint8_t *data, size_t size)
+{
+    struct watch *watch = ctx;
+    const struct watch_event event = {
+        .kind = WATCH_FRAME,
+        .has_id = true,
+        .id = id,
+        .data = data,
+        .size = size,
+    };
+
+    watch->counters.frames++;
+    watch->stale_id = 0;
+    watch->former_stale_id = 0;
+    return watch->cb(watch->ctx, &event);
+}
+
+/* The frames before the first one held are not to be had: goes on behind
+ * them. Returns false when the watch was freed. */
+static bool
+give_up_gap(struct watch *watch)
+{
+    uint64_t first;
+    uint64_t last;
+
+    frame_order_skip(&watch->order, &first, &last);
+    watch->repairs = 0;
+    if (!report_lost(watch, first, last) ||
+        !frame_order_drain(&watch->order, on_frame, watch)) {
+        watch_stop(watch);
+        return false;
+    }
+    return true;
+}
+
+/* True when the missing frames were asked for in vain. */
+static bool
+gap_is_final(const struct watch *watch)
+{
+    return watch->repairs == REPAIRS_MAX ||
+           watch->available_from > watch->order.last + 1;
+}
+
+/* A gap has outlasted the reordering of datagrams. */
+static void
+on_gap(evutil_socket_t fd, short what, void *arg)
+{
+    struct watch *watch = arg;
+    uint64_t wait = REPAIR_WAIT_US;
+
+    if (gap_is_final(watch)) {
+        if (give_up_gap(watch) && frame_order_has_gap(&watch->order)) {
+            set_timer(watch->gap, REORDER_US);
+        }
+        return;
+    }
+    for (unsigned i = 0; i < watch->repairs; i++) {
+        wait = backoff_next_us(wait, REPAIR_WAIT_MAX_US);
+    }
+    watch->repairs++;
+    watch->counters.repairs++;
+    set_timer(watch->gap, wait);
+    if (watch->repairs > REPAIRS_AT_HOME_MAX) {
+        move(watch);
+        return;
+    }
+    renew(watch);
+}
+
+/* Starts or ends the wait for missing frames. "last" is the frame delivered
+ * last before. */
+static void
+check_gap(struct watch *watch, bool delivered)
+{
+    if (!frame_order_has_gap(&watch->order)) {
+        watch->repairs = 0;
+        evtimer_del(watch->gap);
+        return;
+    }
+    if (delivered) {
+        watch->repairs = 0;
+    }
+    if (!evtimer_pending(watch->gap, NULL)) {
+        set_timer(watch->gap, REORDER_US);
+    }
+}
+
+static uint64_t
+frame_id(const struct packet *answer)
+{
+    uint64_t id = 0;
+
+    for (size_t i = 0; i < answer->etag_len; i++) {
+        id = id << 8 | answer->etag[i];
+    }
+    return id;
+}
+
+/* The answer to a registration is the first frame after the position that the
+ * registration named: those between them are gone. */
+static void
+note_available(struct watch *watch, const struct packet *answer)
+{
+    uint64_t id = frame_id(answer);
+
+    if (!watch->order.started || id <= watch->order.last + 1) {
+        return;
+    }
+    watch->available_from = id;
+    set_timer(watch->gap, REORDER_US);
+}
+
+/* Returns false when the watch was freed. */
+static bool
+take_frame(struct watch *watch, const struct packet *answer)
+{
+    uint64_t id = frame_id(answer);
+    enum frame_verdict verdict;
+    bool stopped;
+
+    verdict = frame_order_push(&watch->order, id, answer->payload,
+                               answer->payload_len, on_frame, watch, &stopped);
+    if (stopped) {
+        watch_stop(watch);
+        return false;
+    }
+    if (verdict == FRAME_DUPLICATE) {
+        watch->counters.duplicates++;
+        if (id > watch->stale_id && id < watch->order.last) {
+            watch->stale_id = id;
+        }
+        return true;
+    }
+    set_timer(watch->silence, watch->silence_us);
+    check_gap(watch, verdict == FRAME_DELIVERED);
+    return true;
+}
+
+/* A frame without a number cannot be told from a copy, so only those of the
+ * current registration count. */
+static bool
+take_unnumbered(struct watch *watch, const struct packet *answer)
+{
+    const struct watch_event event = {
+        .kind = WATCH_FRAME,
+        .data = answer->payload,
+        .size = answer->payload_len,
+    };
+
+    watch->counters.frames++;
+    set_timer(watch->silence, watch->silence_us);
+    if (!watch->cb(watch->ctx, &event)) {
+        watch_stop(watch);
+        return false;
+    }
+    return true;
+}
+
+/* The balancer is stopping: its registrations go on for a few seconds, in
+ * which all its callers move. */
+static void
+on_leaving(struct watch *watch)
+{
+    if (!watch->leaving && watch->former == NULL) {
+        watch->leaving = true;
+        set_timer(watch->renew,
+                  random_below(watch_random(watch), MOVE_SPREAD_MS) *
+                      USEC_PER_MSEC);
+    }
+}
+
+static void
+schedule_renewal(struct watch *watch, uint32_t max_age_s)
+{
+    double share =
+        RENEW_SHARE - RENEW_JITTER * random_unit(watch_random(watch));
+
+    set_timer(watch->renew,
+              (uint64_t)((double)max_age_s * USEC_PER_SEC * share));
+}
+
+/* The current registration holds; the one before may end. Its next frame is
+ * rejected with a Reset, which ends it at its balancer too. */
+static void
+confirm(struct watch *watch, const struct packet *answer)
+{
+    watch->confirmed = true;
+    watch->failures = 0;
+    watch->challenges = 0;
+    stop_exchange(&watch->former);
+    if ((answer->fields & FIELD_ECHO) != 0) {
+        client_flow_take_proof(watch->flow, answer);
+    }
+}
+
+static void
+on_notification(struct watch *watch, struct exchange *ex,
+                const struct packet *answer)
+{
+    bool is_current = ex == watch->current;
+    bool has_age = (answer->fields & FIELD_MAX_AGE) != 0;
+    uint32_t max_age_s = has_age ? answer->max_age_s : MAX_AGE_DEFAULT_S;
+
+    if (is_current) {
+        bool was_confirmed = watch->confirmed;
+
+        confirm(watch, answer);
+        if (max_age_s == 0) {
+            on_leaving(watch);
+        }
+        else if (!was_confirmed || answer->type != PACKET_NON) {
+            schedule_renewal(watch, max_age_s);
+        }
+    }
+    if (answer->payload_len == 0) {
+        /* The answer to a renewal: it holds no frame. */
+        return;
+    }
+    if (answer->etag_len > 0) {
+        if (is_current && answer->type != PACKET_NON) {
+            note_available(watch, answer);
+        }
+        take_frame(watch, answer);
+        return;
+    }
+    if (is_current) {
+        take_unnumbered(watch, answer);
+    }
+}
+
+static void
+on_refusal(struct watch *watch, const struct packet *answer)
+{
+    struct random *random = watch_random(watch);
+    uint64_t wait = backoff_retry_us(random, watch->failures);
+
+    /* A registration that still runs is about to end: looks for another
+     * balancer at once. Else the advice of this one counts. */
+    if (watch->former == NULL && (answer->fields & FIELD_MAX_AGE) != 0) {
+        wait = backoff_refusal_us(random, answer->max_age_s);
+    }
+    watch->failures++;
+    watch->leaving = true;
+    set_timer(watch->renew, wait);
+}
+
+/* An error ends the registration (RFC 7641 section 4.2). */
+static void
+on_error(struct watch *watch, struct exchange *ex, const struct packet *answer)
+{
+    if (ex == watch->former) {
+        stop_exchange(&watch->former);
+        return;
+    }
+    if (answer->code == CODE_UNAUTHORIZED &&
+        (answer->fields & FIELD_ECHO) != 0 &&
+        watch->challenges < CHALLENGES_MAX) {
+        watch->challenges++;
+        client_flow_take_proof(watch->flow, answer);
+        renew(watch);
+        return;
+    }
+    watch->confirmed = false;
+    if (call_code_is_busy(answer->code) || answer->code == CODE_BAD_GATEWAY ||
+        answer->code == CODE_GATEWAY_TIMEOUT) {
+        on_refusal(watch, answer);
+        return;
+    }
+    end_watch(watch, CALL_ANSWERED, answer);
+}
+
+static void
+on_answer(void *ctx, struct exchange *ex, const struct packet *answer)
+{
+    struct watch *watch = ctx;
+
+    if (answer == NULL) {
+        if (ex == watch->former) {
+            stop_exchange(&watch->former);
+            return;
+        }
+        watch->failures++;
+        move(watch);
+        return;
+    }
+    if (answer->code != CODE_CONTENT) {
+        on_error(watch, ex, answer);
+        return;
+    }
+    if ((answer->fields & FIELD_OBSERVE) == 0) {
+        /* The resource is there, but it is not a stream. */
+        end_watch(watch, CALL_ANSWERED, answer);
+        return;
+    }
+    on_notification(watch, ex, answer);
+}
+
+/* Only old frames come, and their numbers rise from one silence to the next:
+ * the source counts from the beginning. Copies of frames that were delivered
+ * end at the same number each time. */
+static bool
+numbers_began_anew(const struct watch *watch)
+{
+    return watch->former_stale_id > 0 &&
+           watch->stale_id > watch->former_stale_id;
+}
+
+/* No new frame for too long: something on the way may have lost track of the
+ * registration. */
+static void
+on_silence(evutil_socket_t fd, short what, void *arg)
+{
+    static const struct watch_event reset = {.kind = WATCH_RESET};
+    struct watch *watch = arg;
+
+    set_timer(watch->silence, watch->silence_us);
+    if (!numbers_began_anew(watch)) {
+        watch->former_stale_id = watch->stale_id;
+        watch->stale_id = 0;
+        move(watch);
+        return;
+    }
+    frame_order_reset(&watch->order);
+    watch->available_from = 0;
+    watch->former_stale_id = 0;
+    watch->stale_id = 0;
+    if (!watch->cb(watch->ctx, &reset)) {
+        watch_stop(watch);
+        return;
+    }
+    move(watch);
+}
+
+static void
+on_end(evutil_socket_t fd, short what, void *arg)
+{
+    end_watch(arg, CALL_TIMEOUT, NULL);
+}
+
+static bool
+make_timers(struct watch *watch)
+{
+    struct event_base *base = client_base(client_flow_client(watch->flow));
+
+    watch->renew = evtimer_new(base, on_renew, watch);
+    watch->gap = evtimer_new(base, on_gap, watch);
+    watch->silence = evtimer_new(base, on_silence, watch);
+    watch->end = evtimer_new(base, on_end, watch);
+    return watch->renew != NULL && watch->gap != NULL &&
+           watch->silence != NULL && watch->end != NULL;
+}
+
+static bool
+copy_request(struct watch *watch, const struct watch_request *request)
+{
+    /* "&", the key and the 20 digits of the largest number. */
+    size_t position_len = 1 + strlen(EVENT_ID_KEY) + 20;
+
+    watch->request.code = CODE_GET;
+    if (!packet_set_uri(&watch->request, request->path, request->query)) {
+        return false;
+    }
+    watch->query_len = strlen(watch->request.query);
+    if (request->resume) {
+        frame_order_resume(&watch->order, request->last_id);
+    }
+    return watch->query_len + position_len < sizeof(watch->request.query);
+}
+
+struct watch *
+watch_start(struct client_flow *flow, const struct watch_request *request,
+            watch_cb cb, void *ctx)
+{
+    struct watch *watch = calloc(1, sizeof(*watch));
+    uint32_t silence_ms =
+        request->silence_ms == 0 ? SILENCE_DEFAULT_MS : request->silence_ms;
+
+    if (watch == NULL) {
+        return NULL;
+    }
+    watch->flow = flow;
+    watch->cb = cb;
+    watch->ctx = ctx;
+    watch->silence_us = silence_ms * USEC_PER_MSEC;
+    frame_order_init(&watch->order);
+    if (!make_timers(watch) || !copy_request(watch, request)) {
+        watch_free(watch);
+        return NULL;
+    }
+    if (request->timeout_ms > 0) {
+        set_timer(watch->end, request->timeout_ms * USEC_PER_MSEC);
+    }
+    set_timer(watch->silence, watch->silence_us);
+    set_timer(watch->renew, 0);
+    return watch;
+}
+
+/* Tells the balancer that holds the registration, once; should that be lost,
+ * the Reset to its next frame does the same. */
+static void
+deregister(struct watch *watch)
+{
+    if (watch->current == NULL) {
+        return;
+    }
+    fill_request(watch);
+    watch->request.observe = OBSERVE_DEREGISTER;
+    exchange_renew(watch->current, &watch->request, 0);
+}
+
+void
+watch_stop(struct watch *watch)
+{
+    deregister(watch);
+    watch_free(watch);
+}
+
+const struct watch_counters *
+watch_counters(const struct watch *watch)
+{
+    return &watch->counters;
+}
--- /dev/null
+++ b/tests/unit/test-frame-order.c
@@ -0,0 +1,170 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "client/frame-order.h"
+
+#define COUNT(array) (sizeof(array) / sizeof(*(array)))
+#define SEED 7
+#define FRAMES 100
+
+struct case_order {
+    const char *name;
+    int resume; /* -1: no */
+    const char *in;  /* numbers as letters, a = 1 */
+    const char *out;
+    bool gap;
+};
+
+static const struct case_order cases[] = {
+    {"in order", -1, "abc", "abc", false},
+    {"begins anywhere", -1, "cde", "cde", false},
+    {"duplicates", -1, "aabbca", "abc", false},
+    {"overtaken", -1, "acb", "abc", false},
+    {"overtaken twice", -1, "adcb", "abcd", false},
+    {"held copies", -1, "acccb", "abc", false},
+    {"gap", -1, "acd", "a", true},
+    {"resumed", 2, "abcd", "cd", false},
+    {"resumed before a gap", 1, "cd", "", true},
+};
+
+struct sink {
+    char text[FRAMES + 1];
+    size_t len;
+    size_t stop_at;
+};
+
+static bool
+on_frame(void *ctx, uint64_t id, const uint8_t *data, size_t size)
+{
+    struct sink *sink = ctx;
+
+    assert_int_equal(size, 1);
+    sink->text[sink->len] = (char)data[0];
+    sink->len++;
+    return sink->len != sink->stop_at;
+}
+
+static enum frame_verdict
+push(struct frame_order *order, uint64_t id, struct sink *sink)
+{
+    uint8_t data = (uint8_t)('a' + id - 1);
+    bool stopped;
+
+    return frame_order_push(order, id, &data, 1, on_frame, sink, &stopped);
+}
+
+static void
+test_orders(void **state)
+{
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct frame_order order;
+        struct sink sink = {.len = 0};
+
+        frame_order_init(&order);
+        if (cases[i].resume >= 0) {
+            frame_order_resume(&order, (uint64_t)cases[i].resume);
+        }
+        for (const char *p = cases[i].in; *p != '\0'; p++) {
+            push(&order, (uint64_t)(*p - 'a' + 1), &sink);
+        }
+        if (strcmp(sink.text, cases[i].out) != 0 ||
+            frame_order_has_gap(&order) != cases[i].gap) {
+            fail_msg("%s: %s", cases[i].name, sink.text);
+        }
+        frame_order_fini(&order);
+    }
+}
+
+static void
+test_skip(void **state)
+{
+    struct frame_order order;
+    struct sink sink = {.len = 0};
+    uint64_t first;
+    uint64_t last;
+
+    frame_order_init(&order);
+    push(&order, 1, &sink);
+    push(&order, 4, &sink);
+    push(&order, 5, &sink);
+    frame_order_skip(&order, &first, &last);
+    assert_int_equal(first, 2);
+    assert_int_equal(last, 3);
+    assert_true(frame_order_drain(&order, on_frame, &sink));
+    assert_string_equal(sink.text, "ade");
+    assert_int_equal(push(&order, 3, &sink), FRAME_DUPLICATE);
+    frame_order_fini(&order);
+}
+
+/* Any permutation with copies comes out in order; what does not fit is asked
+ * for again. */
+static void
+test_shuffled(void **state)
+{
+    struct frame_order order;
+    struct sink sink = {.len = 0};
+    struct random random;
+
+    printf("seed %d\n", SEED);
+    random_seed(&random, SEED);
+    frame_order_init(&order);
+    frame_order_resume(&order, 0);
+    while (order.last < FRAMES) {
+        push(&order, 1 + random_below(&random, FRAMES), &sink);
+    }
+    assert_int_equal(sink.len, FRAMES);
+    assert_false(frame_order_has_gap(&order));
+    frame_order_fini(&order);
+}
+
+static void
+test_bounded(void **state)
+{
+    struct frame_order order;
+    struct sink sink = {.len = 0};
+
+    frame_order_init(&order);
+    frame_order_resume(&order, 0);
+    for (uint64_t id = 2; id < 3 * FRAME_ORDER_HELD_MAX; id++) {
+        push(&order, id, &sink);
+    }
+    assert_int_equal(order.held_count, FRAME_ORDER_HELD_MAX);
+    frame_order_fini(&order);
+}
+
+static void
+test_stop(void **state)
+{
+    struct frame_order order;
+    struct sink sink = {.stop_at = 2};
+    uint8_t data = 0;
+    bool stopped;
+
+    frame_order_init(&order);
+    frame_order_resume(&order, 0);
+    push(&order, 2, &sink);
+    push(&order, 3, &sink);
+    frame_order_push(&order, 1, &data, 1, on_frame, &sink, &stopped);
+    assert_true(stopped);
+    assert_int_equal(sink.len, 2);
+    frame_order_fini(&order);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_orders),   cmocka_unit_test(test_skip),
+        cmocka_unit_test(test_shuffled), cmocka_unit_test(test_bounded),
+        cmocka_unit_test(test_stop),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
