--- a/src/daemon/store-reader.c
+++ b/src/daemon/store-reader.c
@@ -95,7 +95,7 @@
         strlen(last + 1) >= sizeof(r->id) || last[1] == '\0') {
         return false;
     }
-    strcpy(r->id, last + 1);
+    snprintf(r->id, sizeof(r->id), "%s", last + 1);
     if (r->kind != RESOURCE_TARGET) {
         return last == id;
     }
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -276,7 +276,7 @@
     list_for_each_safe (it, &ep->links) {
         struct gossip_link *link = container_of(it, struct gossip_link, link);
 
-        if (now - link->used < LINK_IDLE_US) {
+        if (now < link->used + LINK_IDLE_US) {
             return;
         }
         close_link(ep, link);
--- a/tests/unit/test-config-store.c
+++ b/tests/unit/test-config-store.c
@@ -62,13 +62,13 @@
     rs[1].target.state = ADMIN_DRAINING;
     rs[2].kind = RESOURCE_HOST;
     rs[2].version = 1;
-    strcpy(rs[2].id, "host-1");
-    strcpy(rs[2].host.domain, "karen");
+    snprintf(rs[2].id, sizeof(rs[2].id), "%s", "host-1");
+    snprintf(rs[2].host.domain, sizeof(rs[2].host.domain), "%s", "karen");
     rs[2].host.addr = 0x7f000101;
     rs[2].host.state = ADMIN_DRAINING;
     rs[3].kind = RESOURCE_KEY_RING;
     rs[3].version = 2;
-    strcpy(rs[3].id, "tokens");
+    snprintf(rs[3].id, sizeof(rs[3].id), "%s", "tokens");
     rs[3].key_ring.count = 2;
     rs[3].key_ring.keys[1].id = 200;
     memset(rs[3].key_ring.keys[1].secret, 0xa5, KEY_SECRET_SIZE);
--- /dev/null
+++ b/tests/unit/test-gossip-endpoint.c
@@ -0,0 +1,104 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <event2/event.h>
+#include <zmq.h>
+
+#include "transport/gossip-endpoint.h"
+
+#define ADDR_A 0x7f480101 /* 127.72.1.1 */
+#define ADDR_B 0x7f480102
+#define PORT 27402
+
+struct side {
+    struct gossip_endpoint *ep;
+    size_t received;
+    size_t bytes;
+};
+
+static void
+on_message(void *ctx, const uint8_t *data, size_t size)
+{
+    struct side *side = ctx;
+
+    side->received++;
+    side->bytes += size;
+}
+
+static void
+turn_until(struct event_base *base, const size_t *count, size_t wanted)
+{
+    for (int i = 0; i < 200 && *count < wanted; i++) {
+        struct timeval tv = {.tv_usec = 10000};
+
+        event_base_loopexit(base, &tv);
+        event_base_dispatch(base);
+    }
+}
+
+/* Messages arrive both ways, also over a connection that was given up and
+ * opened again; a peer that is not there costs nothing but its messages. */
+static void
+test_two_endpoints(void **state)
+{
+    void *zmq_ctx = zmq_ctx_new();
+    struct event_base *base = event_base_new();
+    struct side a = {0};
+    struct side b = {0};
+    uint8_t data[3000] = {1, 2, 3};
+    struct status st;
+
+    a.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a,
+                               &st);
+    b.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b,
+                               &st);
+    assert_non_null(a.ep);
+    assert_non_null(b.ep);
+    assert_null(gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message,
+                                    &a, &st));
+    assert_int_equal(st.kind, ERR_SYSTEM);
+
+    assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 10, 1));
+    assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 3000, 1));
+    assert_true(gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 20, 1));
+    gossip_endpoint_send(a.ep, ADDR_B, PORT + 1, data, 10, 1);
+    /* A clock read before the sends must not make their links look idle. */
+    gossip_endpoint_close_idle(a.ep, 0);
+    gossip_endpoint_close_idle(b.ep, 0);
+    turn_until(base, &b.received, 2);
+    turn_until(base, &a.received, 1);
+    assert_int_equal(b.received, 2);
+    assert_int_equal(b.bytes, 3010);
+    assert_int_equal(a.bytes, 20);
+
+    gossip_endpoint_reset(a.ep, ADDR_B, PORT);
+    assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 30, 1));
+    turn_until(base, &b.received, 3);
+    assert_int_equal(b.bytes, 3040);
+
+    gossip_endpoint_close_idle(a.ep, UINT64_MAX);
+    assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 40, 1));
+    turn_until(base, &b.received, 4);
+    assert_int_equal(b.bytes, 3080);
+    assert_int_equal(gossip_endpoint_counters(a.ep)->dropped, 0);
+
+    gossip_endpoint_destroy(a.ep);
+    gossip_endpoint_destroy(b.ep);
+    event_base_free(base);
+    zmq_ctx_term(zmq_ctx);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_two_endpoints),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test-view-builder.c
+++ b/tests/unit/test-view-builder.c
@@ -49,7 +49,7 @@
     assert_int_equal(view->service_count, 0);
     config_view_destroy(view);
 
-    strcpy(ring.id, "tokens");
+    snprintf(ring.id, sizeof(ring.id), "%s", "tokens");
     ring.key_ring.count = 1;
     apply(&f, ring, 1);
     apply(&f, make_service("export", 1, "karen"), 2);
