coordination, daemon: what is in force, per failure domain

Each balancer reports the revision that its data task runs; the first by rank keeps a floor among the balancers and a small status in the store, written by compare-and-swap only when it says something new.

--- a/src/coordination/gossip-message.h
+++ b/src/coordination/gossip-message.h
@@ -75,6 +75,8 @@
     size_t floor_count;
     struct domain_floor floors[DOMAIN_FLOORS_MAX];
 
+    uint64_t applied; /* GOSSIP_REPORT: revision in force at the sender */
+
     /* GOSSIP_DIGEST, GOSSIP_LEAF_DIGEST */
     struct config_digest digest;
 
--- a/src/coordination/member-table.h
+++ b/src/coordination/member-table.h
@@ -20,6 +20,9 @@
     uint64_t heard;    /* last message from it, us; 0: never */
     uint64_t revision; /* configuration that it claims to hold */
     uint64_t checksum; /* of that configuration */
+    bool reported;     /* "applied" is known to us as the reporter */
+    uint64_t applied;  /* revision that it has in force */
+    uint64_t behind;   /* since when it lacks something, us; 0: it does not */
     bool local;        /* of the own failure domain */
     bool neighbor;     /* gets heartbeats from us */
     unsigned rumors;   /* times still to be passed on */
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -23,6 +23,9 @@
 #define RUMORS_PER_MESSAGE 6
 #define RUMOR_FACTOR 3 /* times log2 of the domain's size */
 #define REMOTE_PER_DOMAIN 8
+/* Refutations raise an incarnation by one; a new process starts with the
+ * wall clock in microseconds, which is further off. */
+#define REFUTATIONS_MAX 10000
 #define RELAYS_MAX 32 /* probes made for others */
 #define SEEDS_MAX 64
 
@@ -357,6 +360,10 @@
         return m;
     }
     old = m->info.state;
+    if (info->incarnation - m->info.incarnation > REFUTATIONS_MAX) {
+        /* Another process: what the earlier one reported is void. */
+        m->reported = false;
+    }
     m->info = *info;
     m->info.state = old;
     m->local = strcmp(info->domain, ms->self.domain) == 0;
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -167,8 +167,8 @@
     return result;
 }
 
-void
-spread_complete(struct spread *sp, uint64_t revision)
+static void
+set_revision(struct spread *sp, uint64_t revision)
 {
     if (revision > sp->revision) {
         sp->revision = revision;
@@ -176,6 +176,13 @@
     }
 }
 
+void
+spread_complete(struct spread *sp)
+{
+    spread_flush(sp);
+    set_revision(sp, config_store_revision(sp->cs));
+}
+
 void
 spread_offer_floor(struct spread *sp, const char *domain, uint64_t revision)
 {
@@ -185,6 +192,14 @@
     }
 }
 
+/* Whether a message is part of a comparison that is under way. */
+static bool
+is_comparison(enum gossip_kind kind)
+{
+    return kind == GOSSIP_DIGEST || kind == GOSSIP_LEAF_DIGEST ||
+           kind == GOSSIP_VERSIONS || kind == GOSSIP_PULL;
+}
+
 /* Takes what a message says of its sender's configuration. A peer that holds
  * the same and knows it to be complete makes ours complete. A peer that holds
  * something else is asked to compare, at most every SYNC_MIN_GAP_US. */
@@ -194,10 +209,10 @@
 {
     if (m->checksum == config_store_checksum(sp->cs)) {
         sp->refresh_wanted = false;
-        spread_complete(sp, m->revision);
+        set_revision(sp, m->revision);
         return;
     }
-    if (now < sp->next_sync) {
+    if (is_comparison(m->kind) || now < sp->next_sync) {
         return;
     }
     sp->next_sync = now + SYNC_MIN_GAP_US;
@@ -441,11 +456,7 @@
     default:
         break;
     }
-    /* These are the answers to a comparison that is under way. */
-    if (m->kind != GOSSIP_LEAF_DIGEST && m->kind != GOSSIP_VERSIONS &&
-        m->kind != GOSSIP_PULL && m->kind != GOSSIP_DIGEST) {
-        compare_summary(sp, m, now);
-    }
+    compare_summary(sp, m, now);
 }
 
 static void
@@ -505,6 +516,12 @@
            membership_rank(sp->ms, sp->watcher_salt) < SPREAD_WATCHERS;
 }
 
+uint64_t
+spread_watcher_salt(const struct spread *sp)
+{
+    return sp->watcher_salt;
+}
+
 void
 spread_ask_refresh(struct spread *sp, uint64_t now)
 {
--- a/src/coordination/spread.h
+++ b/src/coordination/spread.h
@@ -42,8 +42,8 @@
 enum config_result spread_offer(struct spread *sp, const struct resource *r,
                                 uint64_t revision);
 void spread_flush(struct spread *sp);
-/* Everything up to a revision of the store has been offered. */
-void spread_complete(struct spread *sp, uint64_t revision);
+/* Everything that the platform's store holds has been offered. */
+void spread_complete(struct spread *sp);
 /* Takes a failure domain's floor read from the platform's store. */
 void spread_offer_floor(struct spread *sp, const char *domain,
                         uint64_t revision);
@@ -57,13 +57,17 @@
 /* Fills the summary of a message about to be sent. */
 void spread_summary(const struct spread *sp, struct gossip_message *m);
 
-/* The store's revision up to which this balancer's configuration is complete,
- * 0 when that is not known. */
+/* The revision up to which this balancer's configuration is complete, 0 when
+ * that is not known. It is always the revision of a resource: other writes to
+ * the store do not count. */
 uint64_t spread_revision(const struct spread *sp);
 
 /* Whether the own balancer is one of the watchers of its domain. */
 bool spread_is_watcher(const struct spread *sp, uint64_t now);
 
+/* The salt of the ranks that decide on watchers and the reporter. */
+uint64_t spread_watcher_salt(const struct spread *sp);
+
 /* After a pause: true once a peer, heard since, holds the same
  * configuration. */
 void spread_ask_refresh(struct spread *sp, uint64_t now);
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -32,6 +32,13 @@
     ask_publish(task);
 }
 
+static void
+set_applied(struct control_task *task, uint64_t revision)
+{
+    task->applied = revision;
+    report_applied(task->report, revision);
+}
+
 static void
 on_completed(void *ctx, uint64_t revision)
 {
@@ -46,7 +53,7 @@
     }
     task->view_revision = revision;
     if (task->view_applied) {
-        task->applied = revision;
+        set_applied(task, revision);
     }
 }
 
@@ -116,7 +123,7 @@
         return;
     }
     task->view_applied = true;
-    task->applied = task->view_revision;
+    set_applied(task, task->view_revision);
     LOG_DBG("view %llu is in force, up to revision %llu",
             (unsigned long long)sequence, (unsigned long long)task->applied);
 }
@@ -147,17 +154,17 @@
 }
 
 static void
-on_store_status(void *ctx, const char *domain, const char *text, size_t len)
+on_store_status(void *ctx, const char *domain, const struct store_entry *entry)
 {
+    control_status_seen(ctx, domain, entry);
 }
 
 static void
-on_store_complete(void *ctx, uint64_t revision)
+on_store_complete(void *ctx)
 {
     struct control_task *task = ctx;
 
-    spread_flush(task->spread);
-    spread_complete(task->spread, revision);
+    spread_complete(task->spread);
     if (task->refresh_wanted) {
         task->refresh_wanted = false;
         mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -37,6 +37,7 @@
     }
     membership_receive(task->members, task->in, now);
     spread_receive(task->spread, task->in, now);
+    report_receive(task->report, task->in);
 }
 
 static const char *
--- a/src/daemon/control-task.c
+++ b/src/daemon/control-task.c
@@ -105,6 +105,7 @@
 
     control_peers_tick(task, now);
     control_config_tick(task, now);
+    control_status_tick(task, now);
 }
 
 static void
@@ -169,7 +170,8 @@
     task->settings = settings;
     task->zmq_ctx = zmq_ctx;
     if (!open_loop(task, st) || !open_mailboxes(task, st) ||
-        !control_peers_open(task, st) || !control_config_open(task, st)) {
+        !control_peers_open(task, st) || !control_config_open(task, st) ||
+        !control_status_open(task, st)) {
         control_task_destroy(task);
         return NULL;
     }
@@ -227,6 +229,7 @@
     if (task == NULL) {
         return;
     }
+    control_status_close(task);
     control_config_close(task);
     control_peers_close(task);
     mailbox_destroy(task->api);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/settings.h"
 #include "coordination/membership.h"
+#include "coordination/report.h"
 #include "coordination/spread.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -44,6 +45,8 @@
     struct gossip_message *in; /* message being decoded */
     struct store_client *store;
     struct store_reader *reader;
+    struct report *report;
+    uint64_t status_revision; /* mod_revision of the own domain's status */
 
     uint64_t view_sequence; /* of the last view sent */
     uint64_t view_revision; /* the configuration is complete up to it */
@@ -78,6 +81,14 @@
  * configuration was compared with a peer's or the store's. */
 void control_config_refresh(struct control_task *task);
 
+/* control-status.c: what is in force. */
+bool control_status_open(struct control_task *task, struct status *st);
+void control_status_tick(struct control_task *task, uint64_t now);
+void control_status_close(struct control_task *task);
+/* A domain's status was read from the platform's store. */
+void control_status_seen(struct control_task *task, const char *domain,
+                         const struct store_entry *entry);
+
 /* control-answers.c: questions of the api task. */
 void control_answers_handle(struct control_task *task, const void *data,
                             size_t size);
--- a/src/daemon/store-reader.c
+++ b/src/daemon/store-reader.c
@@ -139,7 +139,7 @@
     }
     if (strncmp(name, STATUS_DIR, strlen(STATUS_DIR)) == 0) {
         reader->cb.domain_status(reader->cb.ctx, name + strlen(STATUS_DIR),
-                                 entry->value, entry->value_len);
+                                 entry);
         return;
     }
     pass_resource(reader, name, entry);
@@ -193,7 +193,7 @@
         pass_entry(reader, &entries[i]);
     }
     if (!reader->regressed) {
-        reader->cb.complete(reader->cb.ctx, revision);
+        reader->cb.complete(reader->cb.ctx);
     }
     reader->next = revision + 1;
     if (reader->active) {
@@ -243,7 +243,7 @@
         reader->next = revision + 1;
     }
     if (!reader->regressed) {
-        reader->cb.complete(reader->cb.ctx, revision);
+        reader->cb.complete(reader->cb.ctx);
     }
 }
 
--- a/src/daemon/store-reader.h
+++ b/src/daemon/store-reader.h
@@ -23,10 +23,10 @@
      * was seen of it before. */
     void (*resource)(void *ctx, const struct resource *r, uint64_t revision);
     /* A value under status/, which a domain's reporter wrote. */
-    void (*domain_status)(void *ctx, const char *domain, const char *text,
-                          size_t len);
-    /* Everything up to a revision was passed on. */
-    void (*complete)(void *ctx, uint64_t revision);
+    void (*domain_status)(void *ctx, const char *domain,
+                          const struct store_entry *entry);
+    /* Everything that the store holds by now was passed on. */
+    void (*complete)(void *ctx);
     /* The store's revision is below one seen before. */
     void (*regressed)(void *ctx, uint64_t known, uint64_t found);
     /* The store answers again, or has stopped answering. */
--- a/src/protocol/gossip-codec.c
+++ b/src/protocol/gossip-codec.c
@@ -205,6 +205,9 @@
             put_resource(out, &m->resources[i]);
         }
         break;
+    case GOSSIP_REPORT:
+        put_number(out, m->applied);
+        break;
     default:
         break;
     }
@@ -487,6 +490,9 @@
             get_resource(in, &m->resources[i]);
         }
         break;
+    case GOSSIP_REPORT:
+        m->applied = get_number(in, UINT64_MAX);
+        break;
     default:
         break;
     }
--- a/src/state/config-store.c
+++ b/src/state/config-store.c
@@ -32,6 +32,7 @@
     size_t chain_count;
     size_t count;
     size_t bytes;
+    uint64_t revision;
     uint64_t older_count;
     struct config_digest digest;
 };
@@ -394,9 +395,18 @@
     return rec;
 }
 
+static void
+note_revision(struct config_store *cs, uint64_t revision)
+{
+    if (revision != CONFIG_REVISION_UNKNOWN && revision > cs->revision) {
+        cs->revision = revision;
+    }
+}
+
 /* The same version again: whether it is the same write, too. */
 static enum config_result
-compare_contents(struct record *old, const struct record *rec)
+compare_contents(struct config_store *cs, struct record *old,
+                 const struct record *rec)
 {
     if (old->deleted != rec->deleted || old->size != rec->size ||
         memcmp(old->body, rec->body, rec->size) != 0) {
@@ -404,6 +414,7 @@
     }
     if (old->revision == CONFIG_REVISION_UNKNOWN) {
         old->revision = rec->revision;
+        note_revision(cs, rec->revision);
     }
     return CONFIG_SAME;
 }
@@ -415,6 +426,7 @@
     cs->count++;
     cs->bytes += sizeof(*rec) + rec->size;
     digest_toggle(cs, rec);
+    note_revision(cs, rec->revision);
     grow(cs);
 }
 
@@ -436,7 +448,7 @@
         return CONFIG_NO_MEMORY;
     }
     if (old != NULL && old->version == r->version) {
-        result = compare_contents(old, rec);
+        result = compare_contents(cs, old, rec);
         free(rec);
         return result;
     }
@@ -573,6 +585,12 @@
     return cs->count;
 }
 
+uint64_t
+config_store_revision(const struct config_store *cs)
+{
+    return cs->revision;
+}
+
 uint64_t
 config_store_older_count(const struct config_store *cs)
 {
--- a/src/state/config-store.h
+++ b/src/state/config-store.h
@@ -84,6 +84,8 @@
 uint64_t config_store_checksum(const struct config_store *cs);
 
 size_t config_store_count(const struct config_store *cs);
+/* Highest known revision among the resources held, 0 for none. */
+uint64_t config_store_revision(const struct config_store *cs);
 /* Updates refused because a higher version is held. */
 uint64_t config_store_older_count(const struct config_store *cs);
 /* Bytes of memory in use. */
--- a/tests/unit/test-config-store.c
+++ b/tests/unit/test-config-store.c
@@ -47,6 +47,7 @@
     }
     assert_int_equal(config_store_older_count(cs), 2);
     assert_int_equal(config_store_count(cs), 1);
+    assert_int_equal(config_store_revision(cs), 105);
     config_store_destroy(cs);
 }
 
@@ -166,6 +167,7 @@
     uint64_t revision;
 
     config_store_apply(cs, &r, CONFIG_REVISION_UNKNOWN);
+    assert_int_equal(config_store_revision(cs), 0);
     assert_int_equal(config_store_apply(cs, &other, 5), CONFIG_DIFFERS);
     assert_int_equal(config_store_apply(cs, &r, 6), CONFIG_SAME);
     assert_int_equal(config_store_apply(cs, &r, 9), CONFIG_SAME);
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -53,14 +53,14 @@
     uint8_t data[3000] = {1, 2, 3};
     struct status st;
 
-    a.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a,
-                               &st);
-    b.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b,
-                               &st);
+    a.ep =
+        gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a, &st);
+    b.ep =
+        gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b, &st);
     assert_non_null(a.ep);
     assert_non_null(b.ep);
-    assert_null(gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message,
-                                    &a, &st));
+    assert_null(
+        gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a, &st));
     assert_int_equal(st.kind, ERR_SYSTEM);
 
     assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 10, 1));
