--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -67,18 +67,14 @@
     size_t endpoint_count;
     size_t current; /* endpoint of the next attempt */
     struct backoff backoff;
+    struct random random;
     uint64_t calls;
     struct list operations;
     struct watch *watch;
     uint64_t watch_sequence; /* rises when the watch starts or stops */
 };
 
-static uint32_t
-default_random(void *ctx)
-{
-    return randombytes_random();
-}
-
+/* Fills in the defaults; the seed is drawn anew for each client. */
 void
 store_client_options_default(struct store_client_options *options)
 {
@@ -88,8 +84,8 @@
         .backoff_min_us = BACKOFF_MIN_US,
         .backoff_max_us = BACKOFF_MAX_US,
         .attempts = ATTEMPTS,
-        .random = default_random,
     };
+    randombytes_buf(&options->random_seed, sizeof(options->random_seed));
 }
 
 /* Replaces the limits; operations that have started keep theirs. */
@@ -98,6 +94,7 @@
                          const struct store_client_options *options)
 {
     sc->options = *options;
+    random_seed(&sc->random, options->random_seed);
     backoff_init(&sc->backoff, options->backoff_min_us,
                  options->backoff_max_us);
 }
@@ -166,7 +163,7 @@
         store_client_destroy(sc);
         return NULL;
     }
-    sc->current = options.random(NULL) % endpoint_count;
+    sc->current = random_next(&sc->random) % endpoint_count;
     status_ok(st);
     return sc;
 }
@@ -254,8 +251,7 @@
 static uint64_t
 next_delay(struct store_client *sc)
 {
-    return backoff_next(&sc->backoff, sc->options.random,
-                        sc->options.random_ctx);
+    return backoff_next(&sc->backoff, &sc->random);
 }
 
 /* Ends an operation and tells its caller. */
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -52,9 +52,8 @@
     uint64_t watch_silence_us; /* a watch without a line for so long is dead */
     uint64_t backoff_min_us;
     uint64_t backoff_max_us;
-    unsigned attempts; /* of a read, or of a write that was not sent */
-    random_cb random;
-    void *random_ctx;
+    unsigned attempts;    /* of a read, or of a write that was not sent */
+    uint64_t random_seed; /* of the jitter */
 };
 
 /* "endpoints" are "a.b.c.d:port" strings, copied. Returns NULL with "st" set.
