tests: membership, spread and reports on a fake network

In process, on a fake clock, with loss, doubling, reordering and cuts, a store that is down or behind, frozen and killed balancers; messages pass through the codec.

--- a/src/coordination/report.c
+++ b/src/coordination/report.c
@@ -6,11 +6,11 @@
 
 #include "base/clock.h"
 
-#define RESEND_MIN_US (1 * USEC_PER_SEC)   /* until the floor shows it */
+#define RESEND_MIN_US (1 * USEC_PER_SEC) /* until the floor shows it */
 #define RESEND_MAX_US (16 * USEC_PER_SEC)
 #define REPORT_INTERVAL_US (20 * USEC_PER_SEC) /* without any change */
-#define BEHIND_GRACE_US (1 * USEC_PER_SEC) /* the usual time to spread */
-#define WRITE_GAP_US (300 * USEC_PER_MSEC) /* between two writes */
+#define BEHIND_GRACE_US (1 * USEC_PER_SEC)     /* the usual time to spread */
+#define WRITE_GAP_US (300 * USEC_PER_MSEC)     /* between two writes */
 #define WRITE_RETRY_US (1 * USEC_PER_SEC)
 #define WRITE_INTERVAL_US (60 * USEC_PER_SEC) /* without any change */
 #define EXPECT_AFTER_US (10 * USEC_PER_SEC)   /* hosts may join until then */
@@ -33,7 +33,7 @@
     uint64_t resend_us;
 
     /* Collecting. */
-    uint64_t started; /* first tick */
+    uint64_t started;        /* first tick */
     uint64_t hosts_checksum; /* configuration at the last check of hosts */
     uint64_t next_hosts;
     uint64_t next_write;
@@ -215,9 +215,8 @@
 {
     const struct member_info *self = membership_self(rp->ms);
     uint64_t proven = domain_floors_get(rp->floors, self->domain);
-    struct report_waiting own = {.reported = true,
-                                 .applied = rp->applied,
-                                 .since_us = rp->behind};
+    struct report_waiting own = {
+        .reported = true, .applied = rp->applied, .since_us = rp->behind};
 
     memset(status, 0, sizeof(*status));
     snprintf(status->domain, sizeof(status->domain), "%s", self->domain);
--- /dev/null
+++ b/tests/unit/fake-net.c
@@ -0,0 +1,488 @@
+#include "fake-net.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "protocol/gossip-codec.h"
+
+#define ADDR_BASE 0x7f100000U
+#define PORT 7402
+#define SEEDS 3
+#define STEP_US (10 * USEC_PER_MSEC)
+#define APPLY_DELAY_US (5 * USEC_PER_MSEC)
+#define WALL_BASE_US 1700000000000000ULL
+
+struct fake_packet {
+    uint64_t at;
+    uint64_t order; /* of sending, for equal times */
+    size_t to;
+    size_t from;
+    size_t size;
+    uint8_t data[];
+};
+
+static uint64_t packet_order;
+
+static bool
+earlier(const struct fake_packet *a, const struct fake_packet *b)
+{
+    return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void
+heap_push(struct fake_net *net, struct fake_packet *p)
+{
+    size_t i = net->heap_count;
+
+    if (i == net->heap_room) {
+        net->heap_room = net->heap_room == 0 ? 1024 : net->heap_room * 2;
+        net->heap = realloc(net->heap, net->heap_room * sizeof(*net->heap));
+    }
+    net->heap_count++;
+    while (i > 0 && earlier(p, net->heap[(i - 1) / 2])) {
+        net->heap[i] = net->heap[(i - 1) / 2];
+        i = (i - 1) / 2;
+    }
+    net->heap[i] = p;
+}
+
+static struct fake_packet *
+heap_pop(struct fake_net *net)
+{
+    struct fake_packet *top = net->heap[0];
+    struct fake_packet *last = net->heap[net->heap_count - 1];
+    size_t i = 0;
+
+    net->heap_count--;
+    for (;;) {
+        size_t child = 2 * i + 1;
+
+        if (child >= net->heap_count) {
+            break;
+        }
+        if (child + 1 < net->heap_count &&
+            earlier(net->heap[child + 1], net->heap[child])) {
+            child++;
+        }
+        if (!earlier(net->heap[child], last)) {
+            break;
+        }
+        net->heap[i] = net->heap[child];
+        i = child;
+    }
+    net->heap[i] = last;
+    return top;
+}
+
+static void
+post(struct fake_net *net, size_t from, size_t to, const uint8_t *data,
+     size_t size)
+{
+    struct fake_packet *p = malloc(sizeof(*p) + size);
+    uint64_t spread = net->delay_max_us - net->delay_min_us;
+
+    p->at = net->now + net->delay_min_us +
+            (spread > 0 ? random_below(&net->random, (uint32_t)spread) : 0);
+    p->order = packet_order;
+    packet_order++;
+    p->from = from;
+    p->to = to;
+    p->size = size;
+    memcpy(p->data, data, size);
+    heap_push(net, p);
+}
+
+static void
+on_send(void *ctx, uint32_t addr, uint16_t port,
+        const struct gossip_message *m)
+{
+    struct fake_node *node = ctx;
+    struct fake_net *net = node->net;
+    size_t to = addr - ADDR_BASE;
+    uint8_t data[GOSSIP_SIZE_MAX];
+    size_t size = gossip_encode(m, data, sizeof(data));
+
+    if (size == 0) {
+        abort();
+    }
+    node->bytes_out += size;
+    node->messages_out++;
+    if (to >= net->node_count || random_unit(&net->random) < net->loss) {
+        return;
+    }
+    post(net, node->index, to, data, size);
+    if (random_unit(&net->random) < net->doubling) {
+        post(net, node->index, to, data, size);
+    }
+}
+
+static void
+on_changed(void *ctx, const struct member *m)
+{
+}
+
+static void
+on_paused(void *ctx, uint64_t gap_us)
+{
+    struct fake_node *node = ctx;
+
+    node->pauses++;
+    spread_ask_refresh(node->sp, node->net->now);
+}
+
+static void
+on_reconnect(void *ctx, uint32_t addr, uint16_t port)
+{
+}
+
+static void
+on_summary(void *ctx, struct gossip_message *m)
+{
+    struct fake_node *node = ctx;
+
+    spread_summary(node->sp, m);
+}
+
+static void
+on_applied(void *ctx, const struct resource *r, uint64_t revision)
+{
+}
+
+/* The data task of the node runs the new view a moment later. */
+static void
+on_completed(void *ctx, uint64_t revision)
+{
+    struct fake_node *node = ctx;
+
+    if (node->apply_at == 0 && node->apply_delay_us != UINT64_MAX) {
+        node->apply_at = node->net->now + node->apply_delay_us;
+    }
+}
+
+static void
+on_floors(void *ctx)
+{
+}
+
+static struct domain_status *
+find_status(struct fake_net *net, const char *domain)
+{
+    for (size_t i = 0; i < net->status_count; i++) {
+        if (strcmp(net->statuses[i].domain, domain) == 0) {
+            return &net->statuses[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+on_write(void *ctx, const struct domain_status *status)
+{
+    struct fake_node *node = ctx;
+    struct fake_net *net = node->net;
+    struct domain_status *held = find_status(net, status->domain);
+
+    node->store_calls++;
+    if (net->store_down || node->store_cut) {
+        report_written(node->rp, false, net->now);
+        return;
+    }
+    if (held == NULL) {
+        held = &net->statuses[net->status_count];
+        net->status_count++;
+    }
+    *held = *status;
+    net->status_writes++;
+    report_written(node->rp, true, net->now);
+}
+
+struct fake_net *
+fake_net_new(size_t node_count, size_t domain_count, uint64_t seed)
+{
+    struct fake_net *net = calloc(1, sizeof(*net));
+
+    net->nodes = calloc(node_count, sizeof(*net->nodes));
+    net->in = calloc(1, sizeof(*net->in));
+    net->node_count = node_count;
+    net->now = 1000 * USEC_PER_SEC;
+    net->delay_min_us = 500;
+    net->delay_max_us = 1500;
+    random_seed(&net->random, seed);
+    for (size_t i = 0; i < node_count; i++) {
+        struct fake_node *node = &net->nodes[i];
+
+        node->net = net;
+        node->index = i;
+        node->apply_delay_us = APPLY_DELAY_US;
+        snprintf(node->self.id, ID_SIZE, "h%zu", i);
+        snprintf(node->self.domain, ID_SIZE, "d%zu", i % domain_count);
+        node->self.addr = ADDR_BASE + (uint32_t)i;
+        node->self.port = PORT;
+        random_seed(&node->random, seed * 1000003 + i);
+    }
+    return net;
+}
+
+static void
+free_node(struct fake_node *node)
+{
+    report_destroy(node->rp);
+    spread_destroy(node->sp);
+    membership_destroy(node->ms);
+    config_store_destroy(node->cs);
+    node->rp = NULL;
+    node->sp = NULL;
+    node->ms = NULL;
+    node->cs = NULL;
+}
+
+void
+fake_net_destroy(struct fake_net *net)
+{
+    for (size_t i = 0; i < net->node_count; i++) {
+        free_node(&net->nodes[i]);
+    }
+    while (net->heap_count > 0) {
+        free(heap_pop(net));
+    }
+    free(net->heap);
+    free(net->changes);
+    free(net->nodes);
+    free(net->in);
+    free(net);
+}
+
+void
+fake_net_start(struct fake_net *net, size_t index)
+{
+    struct fake_node *node = &net->nodes[index];
+    const struct membership_callbacks mcb = {on_send, on_changed, on_paused,
+                                             on_reconnect, on_summary, node};
+    const struct spread_callbacks scb = {on_send, on_applied, on_completed,
+                                         on_floors, node};
+    const struct report_callbacks rcb = {on_send, on_write, node};
+
+    node->self.incarnation = WALL_BASE_US + net->now;
+    node->incarnations++;
+    memset(&node->floors, 0, sizeof(node->floors));
+    node->cs = config_store_new();
+    node->ms = membership_new(&node->self, &mcb, &node->random, net->now);
+    node->sp = spread_new(node->cs, node->ms, &node->floors, &scb,
+                          &node->random, net->now);
+    node->rp = report_new(node->ms, node->sp, node->cs, &node->floors, &rcb,
+                          &node->random);
+    for (size_t i = 0; i < SEEDS && i < net->node_count; i++) {
+        membership_add_seed(node->ms, net->nodes[i].self.addr, PORT);
+    }
+    node->running = true;
+    node->frozen = false;
+    node->watching = false;
+    node->store_pos = 0;
+    node->applied = 0;
+    node->apply_at = 0;
+}
+
+void
+fake_net_start_all(struct fake_net *net)
+{
+    for (size_t i = 0; i < net->node_count; i++) {
+        fake_net_start(net, i);
+    }
+}
+
+void
+fake_net_kill(struct fake_net *net, size_t index)
+{
+    net->nodes[index].running = false;
+    free_node(&net->nodes[index]);
+}
+
+static void
+deliver(struct fake_net *net, struct fake_packet *p)
+{
+    struct fake_node *to = &net->nodes[p->to];
+    const struct fake_node *from = &net->nodes[p->from];
+
+    if (to->running && to->frozen) {
+        /* It waits in the socket until the process goes on. */
+        p->at = net->now + STEP_US;
+        heap_push(net, p);
+        return;
+    }
+    if (to->running && to->side == from->side) {
+        to->bytes_in += p->size;
+        to->messages_in++;
+        if (!gossip_decode(net->in, p->data, p->size)) {
+            abort();
+        }
+        membership_receive(to->ms, net->in, net->now);
+        spread_receive(to->sp, net->in, net->now);
+        report_receive(to->rp, net->in);
+    }
+    free(p);
+}
+
+/* The watch of a node: passes on what it has not yet seen. A watch is one
+ * call, counted when it is opened. */
+static void
+read_store(struct fake_node *node)
+{
+    struct fake_net *net = node->net;
+    bool watcher = spread_is_watcher(node->sp, net->now);
+
+    if (!watcher || net->store_down || node->store_cut) {
+        node->watching = false;
+        return;
+    }
+    if (!node->watching) {
+        node->watching = true;
+        node->store_calls++;
+    }
+    for (; node->store_pos < net->change_count; node->store_pos++) {
+        const struct fake_change *c = &net->changes[node->store_pos];
+
+        spread_offer(node->sp, &c->resource, c->revision);
+    }
+    spread_complete(node->sp);
+    for (size_t i = 0; i < net->status_count; i++) {
+        spread_offer_floor(node->sp, net->statuses[i].domain,
+                           net->statuses[i].floor);
+        if (strcmp(net->statuses[i].domain, node->self.domain) == 0) {
+            report_seen(node->rp, &net->statuses[i], net->now);
+        }
+    }
+}
+
+static void
+step_node(struct fake_node *node, bool tick)
+{
+    struct fake_net *net = node->net;
+
+    read_store(node);
+    if (node->apply_at != 0 && net->now >= node->apply_at) {
+        node->apply_at = 0;
+        node->applied = spread_revision(node->sp);
+        report_applied(node->rp, node->applied);
+    }
+    if (tick) {
+        membership_tick(node->ms, net->now);
+        spread_tick(node->sp, net->now);
+        report_tick(node->rp, net->now, WALL_BASE_US + net->now);
+    }
+}
+
+static void
+step(struct fake_net *net)
+{
+    uint64_t end = net->now + STEP_US;
+
+    while (net->heap_count > 0 && net->heap[0]->at <= end) {
+        struct fake_packet *p = heap_pop(net);
+
+        if (p->at > net->now) {
+            net->now = p->at;
+        }
+        deliver(net, p);
+    }
+    net->now = end;
+    for (size_t i = 0; i < net->node_count; i++) {
+        struct fake_node *node = &net->nodes[i];
+        /* Ticks of different nodes do not fall together. */
+        uint64_t phase = (end / STEP_US + i) % (MEMBERSHIP_TICK_US / STEP_US);
+
+        if (node->running && !node->frozen) {
+            step_node(node, phase == 0);
+        }
+    }
+}
+
+void
+fake_net_run(struct fake_net *net, uint64_t us)
+{
+    uint64_t end = net->now + us;
+
+    while (net->now < end) {
+        step(net);
+    }
+}
+
+uint64_t
+fake_net_write(struct fake_net *net, const struct resource *r)
+{
+    if (net->change_count == net->change_room) {
+        net->change_room = net->change_room == 0 ? 64 : net->change_room * 2;
+        net->changes =
+            realloc(net->changes, net->change_room * sizeof(*net->changes));
+    }
+    net->store_revision++;
+    net->changes[net->change_count].resource = *r;
+    net->changes[net->change_count].revision = net->store_revision;
+    net->change_count++;
+    return net->store_revision;
+}
+
+bool
+fake_net_in_force(const struct fake_net *net, const char *domain,
+                  uint64_t revision)
+{
+    for (size_t i = 0; i < net->node_count; i++) {
+        const struct fake_node *node = &net->nodes[i];
+
+        if (node->running && node->applied < revision &&
+            (domain[0] == '\0' || strcmp(node->self.domain, domain) == 0)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint64_t
+fake_net_run_until_in_force(struct fake_net *net, uint64_t revision,
+                            uint64_t limit_us)
+{
+    uint64_t start = net->now;
+
+    while (net->now - start < limit_us) {
+        step(net);
+        if (fake_net_in_force(net, "", revision)) {
+            return net->now - start;
+        }
+    }
+    return UINT64_MAX;
+}
+
+bool
+fake_net_same(const struct fake_net *net)
+{
+    const struct fake_node *first = NULL;
+
+    for (size_t i = 0; i < net->node_count; i++) {
+        const struct fake_node *node = &net->nodes[i];
+
+        if (!node->running) {
+            continue;
+        }
+        if (first == NULL) {
+            first = node;
+        }
+        if (config_store_checksum(node->cs) !=
+            config_store_checksum(first->cs)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint64_t
+fake_node_version(const struct fake_node *node, const char *name)
+{
+    return config_store_version(node->cs, id_hash(name));
+}
+
+const struct domain_status *
+fake_net_status(const struct fake_net *net, const char *domain)
+{
+    return find_status((struct fake_net *)net, domain);
+}
--- /dev/null
+++ b/tests/unit/test-spread.c
@@ -0,0 +1,307 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "config-fixture.h"
+#include "fake-net.h"
+
+#define SEED 20240612
+#define IN_FORCE_US (4 * USEC_PER_SEC) /* the stated target */
+#define SETTLE_US (10 * USEC_PER_SEC)
+/* A frozen watcher has to be found first. */
+#define REPLACE_US (12 * USEC_PER_SEC)
+#define BULK 5000 /* resources */
+#define BULK_US (20 * USEC_PER_SEC)
+
+static uint64_t
+write_target(struct fake_net *net, const char *id, uint64_t version,
+             bool deleted)
+{
+    struct resource r = make_target("live", id, version, 7, deleted);
+
+    return fake_net_write(net, &r);
+}
+
+static struct fake_net *
+start(size_t nodes, size_t domains, uint64_t seed)
+{
+    struct fake_net *net = fake_net_new(nodes, domains, seed);
+    struct resource service = make_service("live", 1, "d0,d1");
+
+    fake_net_write(net, &service);
+    write_target(net, "t1", 1, false);
+    fake_net_start_all(net);
+    fake_net_run(net, SETTLE_US);
+    assert_true(fake_net_in_force(net, "", 2));
+    return net;
+}
+
+static bool
+all_have(const struct fake_net *net, const char *name, uint64_t version)
+{
+    for (size_t i = 0; i < net->node_count; i++) {
+        if (net->nodes[i].running &&
+            fake_node_version(&net->nodes[i], name) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+struct network_case {
+    const char *name;
+    size_t nodes;
+    size_t domains;
+    double loss;
+    double doubling;
+    uint64_t delay_max_us;
+};
+
+/* An accepted change is in force everywhere in time on any network that gets
+ * something through, and only the watchers talk to the store. */
+static void
+test_change_in_force(void **state)
+{
+    const struct network_case cases[] = {
+        {"one", 1, 1, 0, 0, 1500},
+        {"two", 2, 2, 0, 0, 1500},
+        {"eight in four domains", 8, 4, 0, 0, 1500},
+        {"forty in four domains", 40, 4, 0, 0, 1500},
+        {"loss", 40, 4, 0.1, 0, 1500},
+        {"lost, doubled, reordered", 40, 4, 0.1, 0.2, 80000},
+        {"half is lost", 8, 2, 0.5, 0, 1500},
+    };
+
+    for (size_t c = 0; c < sizeof(cases) / sizeof(*cases); c++) {
+        struct fake_net *net =
+            start(cases[c].nodes, cases[c].domains, SEED + c);
+        uint64_t worst = 0;
+        size_t readers = 0;
+
+        net->loss = cases[c].loss;
+        net->doubling = cases[c].doubling;
+        net->delay_max_us = cases[c].delay_max_us;
+        for (uint64_t v = 2; v < 12; v++) {
+            uint64_t took = fake_net_run_until_in_force(
+                net, write_target(net, "t1", v, false), 60 * USEC_PER_SEC);
+
+            worst = took > worst ? took : worst;
+            assert_true(all_have(net, "target/live/t1", v));
+        }
+        for (size_t i = 0; i < net->node_count; i++) {
+            readers += net->nodes[i].watching;
+        }
+        print_message("%s: worst %llu ms\n", cases[c].name,
+                      (unsigned long long)(worst / USEC_PER_MSEC));
+        assert_true(worst <= IN_FORCE_US);
+        if (cases[c].loss == 0) {
+            assert_true(readers <= cases[c].domains * SPREAD_WATCHERS);
+        }
+        fake_net_destroy(net);
+    }
+}
+
+/* While the store is down, all balancers of a domain restart: they take the
+ * newest versions, tombstones included, from the other domain. */
+static void
+test_domain_restarts_in_outage(void **state)
+{
+    struct fake_net *net = start(16, 2, SEED);
+
+    write_target(net, "t2", 4, true);
+    fake_net_run(net, SETTLE_US);
+    net->store_down = true;
+    for (size_t i = 0; i < net->node_count; i += 2) {
+        fake_net_kill(net, i);
+    }
+    fake_net_run(net, 60 * USEC_PER_SEC);
+    for (size_t i = 0; i < net->node_count; i += 2) {
+        fake_net_start(net, i);
+    }
+    fake_net_run(net, SETTLE_US);
+    assert_true(fake_net_same(net));
+    assert_true(all_have(net, "target/live/t2", 4));
+    assert_true(fake_net_in_force(net, "", net->store_revision));
+    fake_net_destroy(net);
+}
+
+/* A domain cut off from the store, but not from its peers, keeps up. */
+static void
+test_domain_cut_from_store(void **state)
+{
+    struct fake_net *net = start(16, 4, SEED);
+    uint64_t revision;
+
+    for (size_t i = 0; i < net->node_count; i += 4) {
+        net->nodes[i].store_cut = true;
+    }
+    fake_net_run(net, SETTLE_US);
+    revision = write_target(net, "t1", 2, false);
+    assert_true(fake_net_run_until_in_force(net, revision, IN_FORCE_US) <=
+                IN_FORCE_US);
+    fake_net_destroy(net);
+}
+
+/* Changes on both sides of a cut, each accepted by the store but seen by one
+ * side only, a deletion among them: afterwards all have all of them. */
+static void
+test_cut_with_changes(void **state)
+{
+    struct fake_net *net = start(12, 2, SEED);
+    struct resource r = make_target("live", "t1", 2, 7, true);
+
+    for (size_t i = 0; i < net->node_count; i++) {
+        net->nodes[i].side = i % 2;
+        net->nodes[i].store_cut = i % 2 == 1;
+    }
+    fake_net_run(net, 30 * USEC_PER_SEC);
+    write_target(net, "t2", 1, false);
+    /* The write was made through a balancer on the far side. */
+    assert_int_equal(spread_offer(net->nodes[5].sp, &r, 4), CONFIG_APPLIED);
+    fake_net_run(net, SETTLE_US);
+    assert_int_equal(fake_node_version(&net->nodes[0], "target/live/t1"), 1);
+    assert_int_equal(fake_node_version(&net->nodes[1], "target/live/t1"), 2);
+    assert_int_equal(fake_node_version(&net->nodes[1], "target/live/t2"), 0);
+    /* What the far side lacks it does not claim to have in force. */
+    assert_int_equal(net->nodes[1].applied, 2);
+    for (size_t i = 0; i < net->node_count; i++) {
+        net->nodes[i].side = 0;
+    }
+    fake_net_run(net, 20 * USEC_PER_SEC);
+    assert_true(fake_net_same(net));
+    assert_true(all_have(net, "target/live/t1", 2));
+    assert_true(all_have(net, "target/live/t2", 1));
+    fake_net_destroy(net);
+}
+
+/* One cut off from all goes on with what it has. */
+static void
+test_one_cut_from_all(void **state)
+{
+    struct fake_net *net = start(8, 2, SEED);
+    struct fake_node *alone = &net->nodes[3];
+
+    alone->side = 1;
+    alone->store_cut = true;
+    write_target(net, "t1", 2, false);
+    fake_net_run(net, 30 * USEC_PER_SEC);
+    assert_int_equal(fake_node_version(alone, "target/live/t1"), 1);
+    assert_int_equal(alone->applied, 2);
+    assert_true(membership_isolated(alone->ms, net->now));
+    alone->side = 0;
+    alone->store_cut = false;
+    fake_net_run(net, SETTLE_US);
+    assert_int_equal(fake_node_version(alone, "target/live/t1"), 2);
+    assert_int_equal(alone->applied, 3);
+    fake_net_destroy(net);
+}
+
+/* Both watchers of a domain stand still, the domain being cut off from the
+ * other: others take their place. After the thaw they catch up, and nothing
+ * of what they knew comes back. */
+static void
+test_frozen_watchers(void **state)
+{
+    struct fake_net *net = start(16, 2, SEED);
+    uint64_t revision;
+    uint64_t start_us;
+
+    for (size_t i = 0; i < net->node_count; i++) {
+        net->nodes[i].side = i % 2;
+        net->nodes[i].frozen = i % 2 == 0 && net->nodes[i].watching;
+    }
+    revision = write_target(net, "t1", 2, true);
+    start_us = net->now;
+    for (size_t i = 0; i < net->node_count; i += 2) {
+        while (!net->nodes[i].frozen && net->nodes[i].applied < revision &&
+               net->now - start_us < REPLACE_US) {
+            fake_net_run(net, 100 * USEC_PER_MSEC);
+        }
+        assert_true(net->nodes[i].frozen || net->nodes[i].applied >= revision);
+    }
+    for (size_t i = 0; i < net->node_count; i++) {
+        net->nodes[i].side = 0;
+        net->nodes[i].frozen = false;
+    }
+    assert_true(fake_net_run_until_in_force(net, revision, IN_FORCE_US) <=
+                IN_FORCE_US);
+    assert_true(all_have(net, "target/live/t1", 2));
+    fake_net_destroy(net);
+}
+
+/* A store that comes back with older versions changes nothing anywhere, and
+ * nothing learnt from it counts as complete. */
+static void
+test_older_store(void **state)
+{
+    struct fake_net *net = start(8, 2, SEED);
+    struct resource old = make_target("live", "t1", 1, 7, false);
+    struct resource news = make_target("live", "t3", 1, 9, false);
+
+    write_target(net, "t1", 3, false);
+    fake_net_run(net, SETTLE_US);
+    net->store_down = true;
+    for (size_t i = 0; i < net->node_count; i++) {
+        assert_int_equal(spread_offer(net->nodes[i].sp, &old, 2),
+                         CONFIG_OLDER);
+    }
+    /* The one resource that is new there is taken, but proves nothing. */
+    spread_offer(net->nodes[0].sp, &news, CONFIG_REVISION_UNKNOWN);
+    fake_net_run(net, SETTLE_US);
+    assert_true(all_have(net, "target/live/t1", 3));
+    assert_true(all_have(net, "target/live/t3", 1));
+    for (size_t i = 0; i < net->node_count; i++) {
+        assert_int_equal(spread_revision(net->nodes[i].sp), 3);
+        assert_int_equal(config_store_revision(net->nodes[i].cs), 3);
+    }
+    fake_net_destroy(net);
+}
+
+/* A balancer that starts while the store is down takes thousands of
+ * resources from its peers, in messages of bounded size. */
+static void
+test_bulk_from_peers(void **state)
+{
+    struct fake_net *net = fake_net_new(4, 1, SEED);
+    uint64_t revision = 0;
+
+    for (int i = 0; i < BULK; i++) {
+        char id[ID_SIZE];
+
+        snprintf(id, sizeof(id), "t%d", i);
+        revision = write_target(net, id, 1, false);
+    }
+    for (size_t i = 0; i < 3; i++) {
+        fake_net_start(net, i);
+    }
+    fake_net_run(net, BULK_US);
+    assert_true(fake_net_in_force(net, "", revision));
+    net->store_down = true;
+    fake_net_start(net, 3);
+    assert_true(fake_net_run_until_in_force(net, revision, BULK_US) <=
+                BULK_US);
+    assert_int_equal(config_store_count(net->nodes[3].cs), BULK);
+    fake_net_destroy(net);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_change_in_force),
+        cmocka_unit_test(test_domain_restarts_in_outage),
+        cmocka_unit_test(test_domain_cut_from_store),
+        cmocka_unit_test(test_cut_with_changes),
+        cmocka_unit_test(test_one_cut_from_all),
+        cmocka_unit_test(test_frozen_watchers),
+        cmocka_unit_test(test_older_store),
+        cmocka_unit_test(test_bulk_from_peers),
+    };
+
+    print_message("seed %d\n", SEED);
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
