--- a/tests/unit/test-frame-order.c
+++ b/tests/unit/test-frame-order.c
@@ -16,8 +16,8 @@
 
 struct case_order {
     const char *name;
-    int resume; /* -1: no */
-    const char *in;  /* numbers as letters, a = 1 */
+    int resume;     /* -1: no */
+    const char *in; /* numbers as letters, a = 1 */
     const char *out;
     bool gap;
 };
--- a/tests/unit/test-report.c
+++ b/tests/unit/test-report.c
@@ -30,9 +30,8 @@
 write_host(struct fake_net *net, const char *id, uint64_t version,
            enum admin_state state, bool deleted)
 {
-    struct resource r = {.kind = RESOURCE_HOST,
-                         .version = version,
-                         .deleted = deleted};
+    struct resource r = {
+        .kind = RESOURCE_HOST, .version = version, .deleted = deleted};
 
     snprintf(r.id, sizeof(r.id), "%s", id);
     snprintf(r.host.domain, sizeof(r.host.domain), "d0");
@@ -202,10 +201,10 @@
             assert_string_equal(s->waiting[0].host, id);
             assert_int_equal(s->waiting[0].state, MEMBER_DEAD);
             fake_net_run(net, 120 * USEC_PER_SEC);
-            assert_int_equal(domain_floors_get(
-                                 &net->nodes[reporter_of_d0(net)].floors,
-                                 "d0"),
-                             before);
+            assert_int_equal(
+                domain_floors_get(&net->nodes[reporter_of_d0(net)].floors,
+                                  "d0"),
+                before);
         }
         net->nodes[gone].frozen = false;
         if (cases[c].ending == ENDING_RESTARTS) {
@@ -254,8 +253,8 @@
 {
     struct fake_net *net = start(12, SEED);
     size_t cut = other_of_d0(net);
-    uint64_t before = write_host(net, net->nodes[cut].self.id, 1,
-                                 ADMIN_ACTIVE, false);
+    uint64_t before =
+        write_host(net, net->nodes[cut].self.id, 1, ADMIN_ACTIVE, false);
 
     fake_net_run(net, SHOWN_US);
     net->nodes[cut].side = 1;
