--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -21,14 +21,28 @@
 API_PORT=7403
 CONTROL_PORT=9000
 
-# Sets up a test. The number gives the test its own part of 127.0.0.0/8; a
-# digest of the build directory's path keeps several checkouts apart.
+# Takes the first free network 127.NUMBER.1 to 127.NUMBER.250 and keeps a lock
+# on it while this shell lives, so that tests of several checkouts can run at
+# the same time. Usage: take_network NUMBER
+take_network() {
+    local i
+    for i in $(seq 1 250); do
+        exec {NET_LOCK}>"${TMPDIR:-/tmp}/pimentohaven-net-$1-$i.lock"
+        if flock -n "$NET_LOCK"; then
+            NET="127.$1.$i"
+            return
+        fi
+        exec {NET_LOCK}>&-
+    done
+    echo "no free network" >&2
+    exit 1
+}
+
+# Sets up a test. The number gives the test its own part of 127.0.0.0/8.
 # Usage: e2e_init NUMBER BUILD-DIRECTORY
 e2e_init() {
     BUILD=$(cd "$2" && pwd) || exit 1
-    local digest
-    digest=$(printf '%s' "$BUILD" | cksum | cut -d' ' -f1)
-    NET="127.$1.$((digest % 250 + 1))"
+    take_network "$1"
     STORE="$NET.200:$STORE_PORT"
     FABRIC_ADDR="$NET.210"
     WORK=$(mktemp -d)
