--- a/src/client/watch.c
+++ b/src/client/watch.c
@@ -43,15 +43,15 @@
     unsigned repairs;  /* of the gap at hand */
     unsigned failures; /* registrations in a row */
     unsigned challenges;
-    bool confirmed;    /* the current registration was answered */
-    bool leaving;      /* its balancer is stopping */
+    bool confirmed; /* the current registration was answered */
+    bool leaving;   /* its balancer is stopping */
     /* Highest number below the last frame's that came since then, and the
      * one of the silence before. */
     uint64_t stale_id;
     uint64_t former_stale_id;
     uint64_t available_from; /* first frame that the source still has */
-    struct event *renew; /* also: register after a failure */
-    struct event *gap;   /* repair */
+    struct event *renew;     /* also: register after a failure */
+    struct event *gap;       /* repair */
     struct event *silence;
     struct event *end;
     struct watch_counters counters;
--- a/tests/unit/test-frame-order.c
+++ b/tests/unit/test-frame-order.c
@@ -16,8 +16,8 @@
 
 struct case_order {
     const char *name;
-    int resume; /* -1: no */
-    const char *in;  /* numbers as letters, a = 1 */
+    int resume;     /* -1: no */
+    const char *in; /* numbers as letters, a = 1 */
     const char *out;
     bool gap;
 };
@@ -72,7 +72,7 @@
             frame_order_resume(&order, (uint64_t)cases[i].resume);
         }
         for (const char *p = cases[i].in; *p != '\0'; p++) {
-            push(&order, (uint64_t)(*p - 'a' + 1), &sink);
+            push(&order, (uint64_t)*p - 'a' + 1, &sink);
         }
         if (strcmp(sink.text, cases[i].out) != 0 ||
             frame_order_has_gap(&order) != cases[i].gap) {
--- a/tests/unit/test-watch.c
+++ b/tests/unit/test-watch.c
@@ -41,7 +41,7 @@
     unsigned resets;
     unsigned moves_least;
     unsigned repairs_most; /* 0: any */
-    bool ends; /* by itself */
+    bool ends;             /* by itself */
     uint8_t code;
     enum call_outcome outcome;
 };
@@ -54,36 +54,62 @@
     {.name = "duplicates", .frames = 200, .faults = {0, 40, 0, 0}},
     {.name = "reordering", .frames = 200, .faults = {0, 0, 60, 25}},
     {.name = "all faults", .frames = 200, .faults = {5, 20, 40, 25}},
-    {.name = "balancer goes silent", .frames = 100, .silent_after = 30,
-     .silence_ms = 150, .moves_least = 1},
-    {.name = "balancer goes silent, with loss", .frames = 100,
-     .silent_after = 30, .silence_ms = 150, .faults = {5, 5, 20, 10},
+    {.name = "balancer goes silent",
+     .frames = 100,
+     .silent_after = 30,
+     .silence_ms = 150,
      .moves_least = 1},
-    {.name = "balancer stops", .frames = 200, .stop_after = 30,
+    {.name = "balancer goes silent, with loss",
+     .frames = 100,
+     .silent_after = 30,
+     .silence_ms = 150,
+     .faults = {5, 5, 20, 10},
      .moves_least = 1},
-    {.name = "balancer stops, with loss", .frames = 200, .stop_after = 30,
-     .faults = {5, 5, 20, 10}, .moves_least = 1},
-    {.name = "refused at first", .frames = 20, .refuse = 3,
-     .moves_least = 3},
-    {.name = "frames that are gone", .frames = 40, .resume = 10,
-     .forget_before = 15, .lost = 4, .repairs_most = 1},
-    {.name = "source begins anew", .frames = 150, .renumber_at = 60,
-     .silence_ms = 100, .resets = 1, .moves_least = 2},
+    {.name = "balancer stops",
+     .frames = 200,
+     .stop_after = 30,
+     .moves_least = 1},
+    {.name = "balancer stops, with loss",
+     .frames = 200,
+     .stop_after = 30,
+     .faults = {5, 5, 20, 10},
+     .moves_least = 1},
+    {.name = "refused at first", .frames = 20, .refuse = 3, .moves_least = 3},
+    {.name = "frames that are gone",
+     .frames = 40,
+     .resume = 10,
+     .forget_before = 15,
+     .lost = 4,
+     .repairs_most = 1},
+    {.name = "source begins anew",
+     .frames = 150,
+     .renumber_at = 60,
+     .silence_ms = 100,
+     .resets = 1,
+     .moves_least = 2},
     {.name = "renewal", .frames = 500, .max_age_s = 1},
-    {.name = "not found", .error = CODE_NOT_FOUND, .ends = true,
+    {.name = "not found",
+     .error = CODE_NOT_FOUND,
+     .ends = true,
      .code = CODE_NOT_FOUND},
-    {.name = "not a stream", .not_observable = true, .ends = true,
+    {.name = "not a stream",
+     .not_observable = true,
+     .ends = true,
      .code = CODE_CONTENT},
-    {.name = "silence to the end", .faults = {100, 0, 0, 0},
-     .silence_ms = 50, .timeout_ms = 300, .ends = true,
-     .outcome = CALL_TIMEOUT, .moves_least = 3},
+    {.name = "silence to the end",
+     .faults = {100, 0, 0, 0},
+     .silence_ms = 50,
+     .timeout_ms = 300,
+     .ends = true,
+     .outcome = CALL_TIMEOUT,
+     .moves_least = 3},
 };
 
 /* A registration as a balancer holds it. */
 struct registration {
     uint64_t token;
     struct endpoint to;
-    uint64_t next;  /* frame to send */
+    uint64_t next; /* frame to send */
     unsigned sent;
     bool first;   /* the one that goes silent or stops */
     bool stopped; /* ended */
@@ -103,8 +129,8 @@
     struct registration regs[REGISTRATIONS_MAX];
     unsigned reg_count;
     unsigned requests;
-    uint64_t now_frame;  /* newest frame of the source */
-    unsigned epoch;      /* of its numbers */
+    uint64_t now_frame; /* newest frame of the source */
+    unsigned epoch;     /* of its numbers */
     unsigned renewals;
     unsigned deregistered;
 
@@ -446,8 +472,7 @@
                "registrations, %u moves\n",
                c->name, w.got, w.lost, (unsigned)w.counters.duplicates,
                (unsigned)w.counters.repairs,
-               (unsigned)w.counters.registrations,
-               (unsigned)w.counters.moves);
+               (unsigned)w.counters.registrations, (unsigned)w.counters.moves);
         if (w.got != c->frames || w.disorder || w.lost != c->lost ||
             w.resets != c->resets || w.ended != c->ends ||
             w.counters.moves < c->moves_least || w.code != c->code ||
