client: answers in blocks, and servers that ignore Block1

The answer to a request that may not be repeated is collected block by block under its request id. A success in reply to a block that is not the last means that the server took it for the whole body; the outcome is reported as unknown.

--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include "base/list.h"
+#include "client/answer-blocks.h"
 #include "client/call.h"
 #include "client/client.h"
 #include "client/upload.h"
@@ -33,6 +34,7 @@
     uint64_t deadline_us;
     struct exchange *ex;
     struct event *timer;
+    struct answer_blocks *blocks; /* owned; the answer is being collected */
     call_cb cb;
     void *ctx;
 };
--- a/src/client/call.c
+++ b/src/client/call.c
@@ -19,6 +19,8 @@
 
 static void on_answer(void *ctx, struct exchange *ex,
                       const struct packet *answer);
+static void on_next_block(void *ctx, struct exchange *ex,
+                          const struct packet *answer);
 static void on_timer(evutil_socket_t fd, short what, void *arg);
 
 const char *
@@ -67,6 +69,7 @@
     if (call->timer != NULL) {
         event_free(call->timer);
     }
+    answer_blocks_destroy(call->blocks);
     free(call->body);
     free(call);
 }
@@ -164,10 +167,22 @@
     }
 }
 
+/* Reports an answer in blocks as far as it came; the last block has told
+ * whether that is all of it. */
+static void
+finish_blocks(struct call *call)
+{
+    call_finish(call, CALL_ANSWERED, answer_blocks_packet(call->blocks));
+}
+
 /* The deadline passed, or nothing could be sent. */
 static void
 expire(struct call *call)
 {
+    if (call->blocks != NULL) {
+        finish_blocks(call);
+        return;
+    }
     if (call->may_have_run && !call->repeatable) {
         client_flow_drop_token(call->flow, call);
         call_finish(call, CALL_UNKNOWN, NULL);
@@ -297,6 +312,52 @@
     call->asked_again++;
 }
 
+static void
+request_next_block(struct call *call)
+{
+    answer_blocks_fill(call->blocks, &call->request);
+    call->ex = exchange_start(call->flow->client, &call->request,
+                              call->deadline_us, on_next_block, call);
+    if (call->ex == NULL) {
+        finish_blocks(call);
+    }
+}
+
+static void
+on_next_block(void *ctx, struct exchange *ex, const struct packet *answer)
+{
+    struct call *call = ctx;
+
+    stop_exchange(call);
+    if (answer == NULL) {
+        finish_blocks(call);
+        return;
+    }
+    switch (answer_blocks_add(call->blocks, answer)) {
+    case ANSWER_BLOCKS_MORE:
+        request_next_block(call);
+        return;
+    case ANSWER_BLOCKS_WHOLE:
+    case ANSWER_BLOCKS_BROKEN:
+        finish_blocks(call);
+        return;
+    }
+}
+
+/* An answer in blocks is collected when its home keeps it. */
+static void
+on_answered(struct call *call, const struct packet *answer)
+{
+    if (call->needs_token && answer_has_more(answer)) {
+        call->blocks = answer_blocks_new(answer);
+    }
+    if (call->blocks == NULL) {
+        call_finish(call, CALL_ANSWERED, answer);
+        return;
+    }
+    request_next_block(call);
+}
+
 static void
 on_final(struct call *call, const struct packet *answer)
 {
@@ -309,7 +370,7 @@
 
     switch (call_judge(&facts, answer)) {
     case VERDICT_ANSWERED:
-        call_finish(call, CALL_ANSWERED, answer);
+        on_answered(call, answer);
         return;
     case VERDICT_NOT_RUN:
         call_finish(call, CALL_NOT_RUN, answer);
@@ -344,6 +405,12 @@
     return true;
 }
 
+static bool
+is_success(const struct packet *answer)
+{
+    return answer->code >> 5 == 2;
+}
+
 static void
 on_answer(void *ctx, struct exchange *ex, const struct packet *answer)
 {
@@ -362,5 +429,10 @@
     if (answer->code == CODE_INCOMPLETE && restart_upload(call)) {
         return;
     }
+    if (!upload_at_end(&call->upload) && is_success(answer)) {
+        /* The server did not heed Block1, and acted on a part of the body. */
+        on_unknown(call, answer);
+        return;
+    }
     on_final(call, answer);
 }
--- a/src/client/call.h
+++ b/src/client/call.h
@@ -34,8 +34,10 @@
 struct call_result {
     enum call_outcome outcome;
     const struct packet *answer; /* that decided it, or NULL */
-    bool whole;                  /* "answer" holds the whole body */
-    unsigned tries;              /* exchanges that it took */
+    /* "answer" holds the whole body. The answer to a GET is never collected
+     * from several blocks here; that is what a download is for. */
+    bool whole;
+    unsigned tries; /* exchanges that it took */
 };
 
 /* Called once; the call is freed afterwards. "result" is valid during the
