--- a/tests/standins/target-content.c
+++ b/tests/standins/target-content.c
@@ -164,6 +164,17 @@
     return clock_wall_us() / stream->interval_us;
 }
 
+/* Waits for the moment at which the next reading is due. */
+static void
+stream_wait(struct stream *stream)
+{
+    uint64_t us = stream->interval_us - clock_wall_us() % stream->interval_us;
+    struct timeval delay = {(time_t)(us / USEC_PER_SEC),
+                            (suseconds_t)(us % USEC_PER_SEC)};
+
+    evtimer_add(stream->timer, &delay);
+}
+
 static void
 stream_send(evutil_socket_t fd, short what, void *ctx)
 {
@@ -182,6 +193,7 @@
         evhttp_send_reply_chunk(stream->req, out);
     }
     evbuffer_free(out);
+    stream_wait(stream);
 }
 
 /* The first reading to send: the one after Last-Event-ID, within the backlog,
@@ -229,7 +241,6 @@
     const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
     const char *name = path != NULL ? strstr(path, "/stream/") : NULL;
     struct stream *stream;
-    struct timeval interval;
 
     if (name == NULL || evhttp_request_get_command(req) != EVHTTP_REQ_GET) {
         return false;
@@ -250,12 +261,7 @@
     evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
                       "text/event-stream");
     evhttp_send_reply_start(req, HTTP_OK, NULL);
-    interval =
-        (struct timeval){(time_t)(stream->interval_us / USEC_PER_SEC),
-                         (suseconds_t)(stream->interval_us % USEC_PER_SEC)};
-    stream->timer =
-        event_new(target->base, -1, EV_PERSIST, stream_send, stream);
-    event_add(stream->timer, &interval);
+    stream->timer = evtimer_new(target->base, stream_send, stream);
     stream_send(-1, 0, stream);
     return true;
 }
--- a/tools/load/runner.c
+++ b/tools/load/runner.c
@@ -1,6 +1,5 @@
 #include "runner.h"
 
-#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,56 +8,12 @@
 #include <glib.h>
 
 #include "base/clock.h"
-#include "base/list.h"
-#include "base/random.h"
-#include "client/client-flow.h"
-#include "client/client.h"
+#include "runner-private.h"
 
 #define LATE_ARRIVAL_US 5000              /* before the tool counts as slow */
 #define DRAIN_SPARE_US (2 * USEC_PER_SEC) /* on top of the deadline */
-#define PATH_SIZE 96
 #define COMMAND_BODY "quantity=1"
 
-/* A caller's endpoint and flow towards one service. */
-struct line_to_service {
-    struct client *client;
-    struct client_flow *flow;
-};
-
-struct session {
-    struct line_to_service *lines; /* one for each entry */
-    bool used;
-    bool broken;
-};
-
-struct runner {
-    struct event_base *base;
-    const struct runner_options *options;
-    struct tally *tallies;
-    struct verify *verify;
-    struct session *sessions;
-    struct plan plan;
-    struct arrival next;
-    bool more; /* "next" is valid */
-    struct random random;
-    struct event *timer;
-    uint64_t started_us;
-    uint64_t delayed;
-    size_t open; /* requests without an end */
-    struct list requests;
-};
-
-/* One request on its way. */
-struct request {
-    struct list link;
-    struct runner *runner;
-    struct session *session;
-    const struct traffic *traffic;
-    struct tally *tally;
-    char path[PATH_SIZE];
-    uint64_t sent_us;
-};
-
 static size_t
 entry_of(const struct runner *runner, const char *service)
 {
@@ -67,13 +22,16 @@
             return i;
         }
     }
-    assert(!"checked by main");
-    return 0;
+    fprintf(stderr, "no entry address of %s\n", service);
+    exit(EXIT_FAILURE);
 }
 
-static struct line_to_service *
-session_line(struct runner *runner, struct session *session, size_t entry)
+/* The endpoint and flow of a session towards a service, made on first use. */
+struct line_to_service *
+session_line(struct runner *runner, struct session *session,
+             const char *service)
 {
+    size_t entry = entry_of(runner, service);
     struct line_to_service *line = &session->lines[entry];
     const struct client_options options = {
         .via = &runner->options->entries[entry].via,
@@ -130,8 +88,15 @@
     }
 }
 
-/* Notes the end of a request and frees it. */
 static void
+break_when_done(struct runner *runner)
+{
+    if (runner->over && runner->open == 0) {
+        event_base_loopbreak(runner->base);
+    }
+}
+
+void
 request_end(struct request *rq, enum result result)
 {
     struct runner *runner = rq->runner;
@@ -147,10 +112,8 @@
     }
     list_remove(&rq->link);
     runner->open--;
-    if (runner->open == 0 && !runner->more) {
-        event_base_loopbreak(runner->base);
-    }
     g_free(rq);
+    break_when_done(runner);
 }
 
 static void
@@ -161,20 +124,34 @@
     request_end(rq, judge(rq, result));
 }
 
+static void
+set_path(struct request *rq, uint64_t number)
+{
+    static const char *const folders[] = {
+        [TRAFFIC_GET] = "echo",
+        [TRAFFIC_POST] = "run",
+    };
+
+    if (rq->traffic->kind == TRAFFIC_DOWNLOAD) {
+        snprintf(rq->path, sizeof(rq->path), "/bundle/%" PRIu32,
+                 rq->traffic->size);
+        return;
+    }
+    snprintf(rq->path, sizeof(rq->path), "/%s/%" PRIu64 "-%" PRIu64,
+             folders[rq->traffic->kind], rq->runner->options->seed, number);
+}
+
 static struct request *
 request_new(struct runner *runner, const struct arrival *arrival)
 {
     struct request *rq = g_new0(struct request, 1);
-    const char *folder;
 
     rq->runner = runner;
     rq->session = &runner->sessions[arrival->session];
     rq->traffic = &runner->options->traffic[arrival->traffic];
     rq->tally = &runner->tallies[arrival->traffic];
     rq->sent_us = clock_monotonic_us();
-    folder = rq->traffic->kind == TRAFFIC_POST ? "run" : "echo";
-    snprintf(rq->path, sizeof(rq->path), "/%s/%" PRIu64 "-%" PRIu64, folder,
-             runner->options->seed, arrival->number);
+    set_path(rq, arrival->number);
     list_push_back(&runner->requests, &rq->link);
     runner->open++;
     rq->tally->started++;
@@ -192,9 +169,13 @@
         .content_format = -1,
         .deadline_ms = rq->traffic->deadline_ms,
     };
-    struct line_to_service *line = session_line(
-        runner, rq->session, entry_of(runner, rq->traffic->service));
+    struct line_to_service *line =
+        session_line(runner, rq->session, rq->traffic->service);
 
+    if (rq->traffic->kind == TRAFFIC_DOWNLOAD) {
+        run_download(rq, line->flow);
+        return;
+    }
     if (is_command) {
         request.body = (const uint8_t *)COMMAND_BODY;
         request.body_len = strlen(COMMAND_BODY);
@@ -236,9 +217,17 @@
         request_send(request_new(runner, &runner->next));
         runner->more = plan_next(&runner->plan, &runner->next);
     }
-    if (runner->open == 0) {
-        event_base_loopbreak(runner->base);
-    }
+}
+
+/* The duration has passed: streams end, requests in progress go on. */
+static void
+on_end(evutil_socket_t fd, short what, void *ctx)
+{
+    struct runner *runner = ctx;
+
+    runner->over = true;
+    run_watches_stop(runner);
+    break_when_done(runner);
 }
 
 struct runner *
@@ -252,6 +241,7 @@
     runner->tallies = tallies;
     runner->verify = verify;
     list_init(&runner->requests);
+    list_init(&runner->watches);
     random_seed(&runner->random, options->seed);
     runner->sessions = g_new0(struct session, options->sessions);
     for (unsigned i = 0; i < options->sessions; i++) {
@@ -261,6 +251,7 @@
     plan_init(&runner->plan, options->traffic, options->traffic_count,
               options->sessions, options->duration_us, options->seed);
     runner->timer = evtimer_new(base, on_arrival, runner);
+    runner->end_timer = evtimer_new(base, on_end, runner);
     return runner;
 }
 
@@ -280,10 +271,14 @@
     if (runner == NULL) {
         return;
     }
+    list_for_each_safe (it, &runner->requests) {
+        run_download_cancel(container_of(it, struct request, link));
+    }
     for (unsigned i = 0; i < runner->options->sessions; i++) {
         session_clear(runner, &runner->sessions[i]);
     }
     event_free(runner->timer);
+    event_free(runner->end_timer);
     g_free(runner->sessions);
     g_free(runner);
 }
@@ -301,17 +296,26 @@
     return longest * USEC_PER_MSEC;
 }
 
+static struct timeval
+timeval_of(uint64_t us)
+{
+    return (struct timeval){(time_t)(us / USEC_PER_SEC),
+                            (suseconds_t)(us % USEC_PER_SEC)};
+}
+
 void
 runner_run(struct runner *runner)
 {
-    uint64_t limit_us = runner->options->duration_us +
-                        longest_deadline_us(runner) + DRAIN_SPARE_US;
-    struct timeval limit = {(time_t)(limit_us / USEC_PER_SEC),
-                            (suseconds_t)(limit_us % USEC_PER_SEC)};
+    uint64_t duration_us = runner->options->duration_us;
+    struct timeval duration = timeval_of(duration_us);
+    struct timeval limit =
+        timeval_of(duration_us + longest_deadline_us(runner) + DRAIN_SPARE_US);
 
     runner->started_us = clock_monotonic_us();
     runner->more = plan_next(&runner->plan, &runner->next);
     event_base_loopexit(runner->base, &limit);
+    event_add(runner->end_timer, &duration);
+    run_watches_start(runner);
     on_arrival(-1, 0, runner);
     event_base_dispatch(runner->base);
 }
