--- /dev/null
+++ b/src/daemon/cmd-call-verbs.c
@@ -0,0 +1,245 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "client/call-verdict.h"
+#include "client/call.h"
+#include "client/download.h"
+#include "client/watch.h"
+#include "daemon/cmd-call-body.h"
+#include "daemon/cmd-call.h"
+
+#define TEXT_FORMAT 0 /* text/plain; charset=utf-8, RFC 7252 section 12.3 */
+#define CODE_CLASS(code) ((code) >> 5)
+#define CODE_DETAIL(code) ((code)&0x1f)
+
+static void
+end_run(struct call_run *run, int exit_status)
+{
+    run->exit_status = exit_status;
+    event_base_loopbreak(run->base);
+}
+
+/* Says on standard error how a request ended that got no good answer. */
+static void
+explain(enum call_outcome outcome, uint8_t code, const uint8_t *text,
+        size_t size)
+{
+    fprintf(stderr, "pimentohaven call: %s", call_outcome_name(outcome));
+    if (code != CODE_EMPTY) {
+        fprintf(stderr, ": %u.%02u", CODE_CLASS(code), CODE_DETAIL(code));
+    }
+    if (size > 0) {
+        fprintf(stderr, ": %.*s", (int)size, (const char *)text);
+    }
+    fputc('\n', stderr);
+}
+
+/* The exit status for an outcome. "good" means a whole answer of class 2; a
+ * read that was refused was not run either. */
+static int
+exit_status_of(enum call_outcome outcome, uint8_t code, bool good,
+               bool repeatable)
+{
+    switch (outcome) {
+    case CALL_ANSWERED:
+        if (good) {
+            return CALL_EXIT_WHOLE;
+        }
+        return repeatable && call_code_is_busy(code) ? CALL_EXIT_NOT_RUN
+                                                     : CALL_EXIT_NOT_WHOLE;
+    case CALL_NOT_RUN:
+        return CALL_EXIT_NOT_RUN;
+    case CALL_TIMEOUT:
+        return CALL_EXIT_TIMEOUT;
+    case CALL_UNKNOWN:
+    case CALL_CANCELLED:
+        break;
+    }
+    return CALL_EXIT_UNKNOWN;
+}
+
+/* A read in progress, of "get" or "download". */
+struct read_run {
+    struct call_run *run;
+    struct call_body *body;
+};
+
+static void
+on_read(void *ctx, const struct download_result *result)
+{
+    struct read_run *read = ctx;
+    bool good = result->whole && result->code == CODE_CONTENT;
+    int status = exit_status_of(result->outcome, result->code, good, true);
+
+    if (!good && result->outcome != CALL_CANCELLED) {
+        explain(result->outcome, result->code, result->payload,
+                result->payload_len);
+    }
+    if (result->outcome == CALL_CANCELLED ||
+        (good && !call_body_commit(read->body))) {
+        /* The output failed, which was reported. */
+        status = CALL_EXIT_NOT_WHOLE;
+    }
+    call_body_destroy(read->body);
+    end_run(read->run, status);
+    g_free(read);
+}
+
+static bool
+start_read(struct call_run *run, bool show_progress)
+{
+    const struct download_request request = {
+        .path = run->options.path,
+        .query = run->options.query,
+        .deadline_ms = run->options.deadline_ms,
+    };
+    struct call_body *body = call_body_new(run->options.output, show_progress);
+    struct download_sink sink;
+    struct read_run *read;
+
+    if (body == NULL) {
+        return false;
+    }
+    sink = call_body_sink(body);
+    read = g_new0(struct read_run, 1);
+    read->run = run;
+    read->body = body;
+    if (download_start(run->flow, &request, &sink, on_read, read) == NULL) {
+        call_body_destroy(body);
+        g_free(read);
+        return false;
+    }
+    return true;
+}
+
+bool
+call_get(struct call_run *run)
+{
+    return start_read(run, false);
+}
+
+bool
+call_download(struct call_run *run)
+{
+    return start_read(run, isatty(STDERR_FILENO) != 0);
+}
+
+static void
+on_posted(void *ctx, const struct call_result *result)
+{
+    struct call_run *run = ctx;
+    const struct packet *answer = result->answer;
+    uint8_t code = answer == NULL ? CODE_EMPTY : answer->code;
+    bool good = result->whole && CODE_CLASS(code) == 2;
+
+    if (good) {
+        good = fwrite(answer->payload, 1, answer->payload_len, stdout) ==
+                   answer->payload_len &&
+               fflush(stdout) == 0;
+    }
+    else {
+        explain(result->outcome, code, answer == NULL ? NULL : answer->payload,
+                answer == NULL ? 0 : answer->payload_len);
+    }
+    end_run(run, exit_status_of(result->outcome, code, good, false));
+}
+
+bool
+call_post(struct call_run *run)
+{
+    const char *body = run->options.body == NULL ? "" : run->options.body;
+    const struct call_request request = {
+        .method = CODE_POST,
+        .path = run->options.path,
+        .query = run->options.query,
+        .body = (const uint8_t *)body,
+        .body_len = strlen(body),
+        .content_format = body[0] == '\0' ? -1 : TEXT_FORMAT,
+        .deadline_ms = run->options.deadline_ms,
+    };
+
+    return client_flow_call(run->flow, &request, on_posted, run) != NULL;
+}
+
+static int
+stream_status(const struct call_run *run, bool enough)
+{
+    if (run->gap) {
+        return CALL_EXIT_NOT_WHOLE;
+    }
+    return enough ? CALL_EXIT_WHOLE : CALL_EXIT_TIMEOUT;
+}
+
+static bool
+print_frame(struct call_run *run, const struct watch_event *event)
+{
+    unsigned count = run->options.count;
+
+    fwrite(event->data, 1, event->size, stdout);
+    fputc('\n', stdout);
+    run->frames++;
+    if (fflush(stdout) != 0) {
+        end_run(run, CALL_EXIT_NOT_WHOLE);
+        return false;
+    }
+    if (count > 0 && run->frames == count) {
+        end_run(run, stream_status(run, true));
+        return false;
+    }
+    return true;
+}
+
+static void
+end_stream(struct call_run *run, const struct watch_event *event)
+{
+    if (event->outcome == CALL_TIMEOUT) {
+        /* The time that was asked for, if no number of frames was. */
+        bool enough = run->options.count == 0 && run->frames > 0;
+
+        end_run(run, stream_status(run, enough));
+        return;
+    }
+    explain(event->outcome, event->code, event->data, event->size);
+    end_run(run, exit_status_of(event->outcome, event->code, false, true));
+}
+
+static bool
+on_stream(void *ctx, const struct watch_event *event)
+{
+    struct call_run *run = ctx;
+
+    switch (event->kind) {
+    case WATCH_FRAME:
+        return print_frame(run, event);
+    case WATCH_LOST:
+        run->gap = true;
+        fprintf(stderr,
+                "pimentohaven call: frames %" PRIu64 " to %" PRIu64
+                " are lost\n",
+                event->id, event->last_id);
+        return true;
+    case WATCH_RESET:
+        fprintf(stderr, "pimentohaven call: the stream began anew\n");
+        return true;
+    case WATCH_ENDED:
+        end_stream(run, event);
+        return false;
+    }
+    return true;
+}
+
+bool
+call_watch(struct call_run *run)
+{
+    const struct watch_request request = {
+        .path = run->options.path,
+        .query = run->options.query,
+        .timeout_ms = run->options.timeout_ms,
+    };
+
+    return watch_start(run->flow, &request, on_stream, run) != NULL;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,7 @@
 
 static const struct command commands[] = {
     {"serve", cmd_serve, "run a balancer"},
+    {"call", cmd_call, "send requests as a caller does"},
     {"check-config", cmd_check_config, "check a settings file"},
 };
 
