--- /dev/null
+++ b/src/ctl/ctl-status.c
@@ -0,0 +1,185 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "ctl/ctl.h"
+
+#define POLL_MS 200
+
+static uint64_t
+get_number(const json_t *json, const char *member)
+{
+    return (uint64_t)json_integer_value(json_object_get(json, member));
+}
+
+static const char *
+get_text(const json_t *json, const char *member)
+{
+    const char *text = json_string_value(json_object_get(json, member));
+
+    return text == NULL ? "?" : text;
+}
+
+/* Reads the status. On success the answer is the caller's to clear. */
+static enum ctl_exit
+read_status(struct ctl *ctl, struct ctl_answer *answer)
+{
+    const struct ctl_request request = {.method = CTL_GET,
+                                        .path = "/v1/status"};
+    struct status st;
+    enum ctl_exit result;
+
+    if (!ctl_api_call(&ctl->api, &request, answer, &st)) {
+        fprintf(stderr, "pimentohaven ctl: %s\n", st.message);
+        return CTL_UNREACHABLE;
+    }
+    if (answer->http_status == 200 && answer->json != NULL) {
+        return CTL_OK;
+    }
+    result = ctl_report_error("status", answer);
+    ctl_answer_clear(answer);
+    return result;
+}
+
+/* Prints the hosts that a failure domain waits for. */
+static void
+print_waiting(const json_t *domain, uint64_t revision)
+{
+    const json_t *waiting = json_object_get(domain, "waiting");
+    uint64_t now = clock_wall_us();
+
+    for (size_t i = 0; i < json_array_size(waiting); i++) {
+        const json_t *host = json_array_get(waiting, i);
+        uint64_t applied = get_number(host, "applied");
+        uint64_t since = get_number(host, "since_us");
+        uint64_t waited = now > since ? (now - since) / USEC_PER_SEC : 0;
+
+        if (applied < revision) {
+            printf("  waits for %s (%s, has revision %" PRIu64 ") for %" PRIu64
+                   " s\n",
+                   get_text(host, "host"), get_text(host, "state"), applied,
+                   waited);
+        }
+    }
+    if (get_number(domain, "waiting_more") > 0) {
+        printf("  and for %" PRIu64 " more\n",
+               get_number(domain, "waiting_more"));
+    }
+}
+
+static void
+print_status(const json_t *status, uint64_t revision)
+{
+    const json_t *domains = json_object_get(status, "domains");
+
+    printf("revision %" PRIu64 ", store %s, as host %s sees it\n", revision,
+           get_text(status, "store"), get_text(status, "host"));
+    printf("%-20s%-12s%-10s%s\n", "DOMAIN", "REVISION", "HOSTS", "IN FORCE");
+    for (size_t i = 0; i < json_array_size(domains); i++) {
+        const json_t *domain = json_array_get(domains, i);
+        uint64_t floor = get_number(domain, "floor");
+        char hosts[24] = "?";
+
+        if (json_object_get(domain, "members") != NULL) {
+            snprintf(hosts, sizeof(hosts), "%" PRIu64,
+                     get_number(domain, "members"));
+        }
+        printf("%-20s%-12" PRIu64 "%-10s%s\n", get_text(domain, "domain"),
+               floor, hosts, floor >= revision ? "yes" : "no");
+        if (floor < revision) {
+            print_waiting(domain, revision);
+        }
+    }
+}
+
+static bool
+is_in_force(const json_t *status, uint64_t revision)
+{
+    const json_t *domains = json_object_get(status, "domains");
+
+    for (size_t i = 0; i < json_array_size(domains); i++) {
+        if (get_number(json_array_get(domains, i), "floor") < revision) {
+            return false;
+        }
+    }
+    return json_array_size(domains) > 0;
+}
+
+static void
+show(const struct ctl *ctl, const struct ctl_answer *answer, uint64_t revision)
+{
+    if (ctl->output == CTL_JSON) {
+        json_dumpf(answer->json, stdout, JSON_INDENT(2));
+        printf("\n");
+        return;
+    }
+    print_status(answer->json, revision);
+}
+
+/* Polls until a revision is in force everywhere; shows the last status when
+ * "quiet" is not set, and when the time is up. Revision 0 is the newest that
+ * the balancer knows at the first answer. */
+static enum ctl_exit
+wait_for(struct ctl *ctl, uint64_t revision, bool quiet)
+{
+    const struct timespec pause = {.tv_nsec = POLL_MS * 1000000L};
+    struct ctl_answer answer;
+    enum ctl_exit result;
+
+    for (;;) {
+        result = read_status(ctl, &answer);
+        if (result != CTL_OK) {
+            return result;
+        }
+        if (revision == 0) {
+            revision = get_number(answer.json, "revision");
+        }
+        if (is_in_force(answer.json, revision)) {
+            break;
+        }
+        if (clock_monotonic_us() >= ctl->api.deadline) {
+            result = CTL_NOT_YET;
+            break;
+        }
+        ctl_answer_clear(&answer);
+        nanosleep(&pause, NULL);
+    }
+    if (!quiet || result != CTL_OK) {
+        show(ctl, &answer, revision);
+    }
+    ctl_answer_clear(&answer);
+    return result;
+}
+
+enum ctl_exit
+ctl_wait_in_force(struct ctl *ctl, uint64_t revision)
+{
+    enum ctl_exit result = wait_for(ctl, revision, true);
+
+    if (result == CTL_OK) {
+        printf("in force in every failure domain\n");
+    }
+    else if (result == CTL_NOT_YET) {
+        fprintf(stderr, "accepted, but not yet in force everywhere\n");
+    }
+    return result;
+}
+
+enum ctl_exit
+ctl_status(struct ctl *ctl)
+{
+    struct ctl_answer answer;
+    enum ctl_exit result;
+
+    if (ctl->wait) {
+        return wait_for(ctl, 0, false);
+    }
+    result = read_status(ctl, &answer);
+    if (result == CTL_OK) {
+        show(ctl, &answer, get_number(answer.json, "revision"));
+        ctl_answer_clear(&answer);
+    }
+    return result;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -14,6 +14,7 @@
 static const struct command commands[] = {
     {"serve", cmd_serve, "run a balancer"},
     {"check-config", cmd_check_config, "check a settings file"},
+    {"ctl", cmd_ctl, "operate a deployment"},
 };
 
 static void
