--- a/src/ctl/ctl-api.c
+++ b/src/ctl/ctl-api.c
@@ -236,6 +236,14 @@
     return true;
 }
 
+void
+ctl_api_pin(struct ctl_api *api)
+{
+    api->endpoints[0] = api->endpoints[api->current];
+    api->endpoint_count = 1;
+    api->current = 0;
+}
+
 void
 ctl_answer_clear(struct ctl_answer *answer)
 {
--- a/src/ctl/ctl-api.h
+++ b/src/ctl/ctl-api.h
@@ -58,6 +58,8 @@
  * in time; an answer with an error is an answer. A 503 is waited out. */
 bool ctl_api_call(struct ctl_api *api, const struct ctl_request *request,
                   struct ctl_answer *answer, struct status *st);
+/* Stays with the balancer that answered last. */
+void ctl_api_pin(struct ctl_api *api);
 void ctl_answer_clear(struct ctl_answer *answer);
 
 /* Message of an answer with an error. */
--- a/src/ctl/ctl-show.c
+++ b/src/ctl/ctl-show.c
@@ -305,8 +305,8 @@
     return count;
 }
 
-/* Events are numbered by each balancer for itself, so only the first API
- * address is asked. */
+/* Events are numbered by each balancer for itself, so all pages are asked of
+ * the one that answered first. */
 enum ctl_exit
 ctl_events(struct ctl *ctl, uint64_t after, bool follow)
 {
@@ -314,9 +314,9 @@
     enum ctl_exit result = CTL_OK;
     int count;
 
-    ctl->api.endpoint_count = 1;
     do {
         count = show_events(ctl, &after, &result);
+        ctl_api_pin(&ctl->api);
         if (count == 0 && follow) {
             fflush(stdout);
             ctl->api.deadline = clock_monotonic_us() + USEC_PER_SEC * 10;
@@ -334,7 +334,6 @@
     struct status st;
     enum ctl_exit result = CTL_OK;
 
-    ctl->api.endpoint_count = 1;
     if (!ctl_api_call(&ctl->api, &request, &answer, &st)) {
         fprintf(stderr, "pimentohaven ctl: %s\n", st.message);
         return CTL_UNREACHABLE;
