daemon: what is in force, and metrics of all tasks, over the API

/v1/status gives the own failure domain as of now and the others from the floors and from what their reporters wrote to the store; /metrics adds the control task's gauges to the data task's text.

--- a/src/ctl/ctl-status.c
+++ b/src/ctl/ctl-status.c
@@ -43,12 +43,13 @@
     return result;
 }
 
-/* Prints the hosts that a failure domain waits for. */
-static void
+/* Prints the hosts that a failure domain waits for; returns their number. */
+static size_t
 print_waiting(const json_t *domain, uint64_t revision)
 {
     const json_t *waiting = json_object_get(domain, "waiting");
     uint64_t now = clock_wall_us();
+    size_t count = 0;
 
     for (size_t i = 0; i < json_array_size(waiting); i++) {
         const json_t *host = json_array_get(waiting, i);
@@ -57,6 +58,7 @@
         uint64_t waited = now > since ? (now - since) / USEC_PER_SEC : 0;
 
         if (applied < revision) {
+            count++;
             printf("  waits for %s (%s, has revision %" PRIu64 ") for %" PRIu64
                    " s\n",
                    get_text(host, "host"), get_text(host, "state"), applied,
@@ -67,6 +69,24 @@
         printf("  and for %" PRIu64 " more\n",
                get_number(domain, "waiting_more"));
     }
+    return count;
+}
+
+/* Says how old the report is when it names no host that is waited for. */
+static void
+print_report_age(const json_t *domain)
+{
+    uint64_t written = get_number(domain, "time_us");
+    uint64_t now = clock_wall_us();
+
+    if (written > 0 && written < now) {
+        printf("  last report by %s, %" PRIu64 " s ago\n",
+               get_text(domain, "writer"),
+               (uint64_t)((now - written) / USEC_PER_SEC));
+    }
+    else {
+        printf("  no report yet\n");
+    }
 }
 
 static void
@@ -88,8 +108,8 @@
         }
         printf("%-20s%-12" PRIu64 "%-10s%s\n", get_text(domain, "domain"),
                floor, hosts, floor >= revision ? "yes" : "no");
-        if (floor < revision) {
-            print_waiting(domain, revision);
+        if (floor < revision && print_waiting(domain, revision) == 0) {
+            print_report_age(domain);
         }
     }
 }
--- a/src/daemon/api-task.c
+++ b/src/daemon/api-task.c
@@ -35,6 +35,7 @@
         event_free(call->timer);
     }
     api_write_destroy(call->write);
+    json_decref(call->status);
     free(call);
 }
 
@@ -289,7 +290,7 @@
 static void
 handle_get(struct api_call *call)
 {
-    struct msg_api_request request = {.query = API_QUERY_STATUS};
+    struct msg_api_request request = {.query = API_QUERY_METRICS};
 
     switch (call->route.kind) {
     case ROUTE_RESOURCE:
@@ -302,13 +303,12 @@
         api_write_look_up(call);
         break;
     case ROUTE_STATUS:
-        api_call_ask(call, &request, on_text);
+        api_status_start(call);
         break;
     case ROUTE_EVENTS:
         ask_events(call);
         break;
     case ROUTE_METRICS:
-        request.query = API_QUERY_METRICS;
         api_call_ask(call, &request, on_metrics);
         break;
     }
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include <event2/event.h>
+#include <jansson.h>
 
 #include "base/list.h"
 #include "base/settings.h"
@@ -52,6 +53,7 @@
     struct event *timer; /* time limit of that question */
     api_answer_cb on_answer;
     struct api_write *write; /* of a PUT or DELETE */
+    json_t *status;          /* the control task's status, being completed */
 };
 
 /* api-task.c */
@@ -80,6 +82,10 @@
 void api_etag_format(uint64_t version, char out[API_ETAG_SIZE]);
 bool api_etag_parse(const char *text, uint64_t *version);
 
+/* api-status.c: what is in force, from the control task and, for the other
+ * failure domains, from what their reporters wrote to the store. */
+void api_status_start(struct api_call *call);
+
 /* api-write.c: PUT and DELETE of a resource, and the fate of a write. */
 void api_write_start(struct api_call *call);
 void api_write_destroy(struct api_write *write);
--- a/src/daemon/control-answers.c
+++ b/src/daemon/control-answers.c
@@ -181,9 +181,12 @@
         take_written(task, &req);
         break;
     case API_QUERY_STATUS:
-    case API_QUERY_METRICS:
-        answer.kind = ERR_NOT_FOUND;
+        answer.text = control_status_text(task);
         break;
+    case API_QUERY_METRICS:
+        /* Answered when the data task has told its own. */
+        control_metrics_ask(task, req.id);
+        return;
     }
     free(req.resource);
     answer.text_len = answer.text == NULL ? 0 : strlen(answer.text);
--- a/src/daemon/control-status.c
+++ b/src/daemon/control-status.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #define LOG_MODULE "status"
 #include "base/clock.h"
 #include "base/log.h"
@@ -120,3 +122,65 @@
         report_seen(task->report, &status, clock_monotonic_us());
     }
 }
+
+/* The own failure domain in full, as of now. */
+static json_t *
+own_domain(struct control_task *task)
+{
+    struct domain_status status;
+    char *text;
+    json_t *json;
+
+    report_status(task->report, &status, clock_monotonic_us(),
+                  clock_wall_us());
+    text = status_json_build(&status);
+    json = text == NULL ? NULL : json_loads(text, 0, NULL);
+    free(text);
+    return json;
+}
+
+/* Of the other failure domains only their floors are known here; who they
+ * wait for stands in the platform's store. */
+static json_t *
+build_domains(struct control_task *task)
+{
+    json_t *domains = json_array();
+    const char *own = task->settings->host.domain;
+
+    json_array_append_new(domains, own_domain(task));
+    for (size_t i = 0; i < task->floors.count; i++) {
+        const struct domain_floor *floor = &task->floors.floors[i];
+
+        if (strcmp(floor->domain, own) != 0) {
+            json_array_append_new(
+                domains, json_pack("{s:s, s:I}", "domain", floor->domain,
+                                   "floor", (json_int_t)floor->revision));
+        }
+    }
+    return domains;
+}
+
+/* Only the watchers of a failure domain try the store. */
+static const char *
+store_state(const struct control_task *task)
+{
+    if (!spread_is_watcher(task->spread, clock_monotonic_us())) {
+        return "not watched here";
+    }
+    return store_reader_is_reachable(task->reader) ? "up" : "down";
+}
+
+char *
+control_status_text(struct control_task *task)
+{
+    json_t *json = json_pack(
+        "{s:s, s:s, s:I, s:s, s:I, s:o}", "host", task->settings->host.id,
+        "host_domain", task->settings->host.domain, "revision",
+        (json_int_t)config_store_revision(task->config), "store",
+        store_state(task), "quarantined", (json_int_t)task->quarantined,
+        "domains", build_domains(task));
+    char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
+
+    json_decref(json);
+    return text;
+}
--- a/src/daemon/control-task.c
+++ b/src/daemon/control-task.c
@@ -82,6 +82,9 @@
     case MSG_STOPPED:
         on_data_stopped(task);
         break;
+    case MSG_METRICS_TEXT:
+        control_metrics_text(task, data, size);
+        break;
     default:
         break;
     }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -22,6 +22,8 @@
 /* What the parts of the control task share. Only the control task's thread
  * touches it. */
 
+#define CONTROL_METRICS_MAX 16
+
 struct control_task {
     const struct settings *settings;
     void *zmq_ctx;
@@ -55,6 +57,10 @@
     size_t quarantined;     /* targets left out of the last view */
     uint64_t applied;       /* revision that the data task has in force */
 
+    /* Questions for metrics that wait for the data task's. */
+    uint64_t metrics_asked[CONTROL_METRICS_MAX];
+    size_t metrics_asked_count;
+
     bool refresh_wanted; /* the data task was paused */
     bool isolated;       /* neither peers nor store can be reached */
 };
@@ -89,6 +95,15 @@
 void control_status_seen(struct control_task *task, const char *domain,
                          const struct store_entry *entry);
 
+/* What is in force as this balancer knows it: a JSON object for the api task,
+ * which the caller frees. */
+char *control_status_text(struct control_task *task);
+
+/* control-metrics.c: the api task's questions for metrics, by their id. */
+void control_metrics_ask(struct control_task *task, uint64_t id);
+void control_metrics_text(struct control_task *task, const char *data,
+                          size_t size);
+
 /* control-answers.c: questions of the api task. */
 void control_answers_handle(struct control_task *task, const void *data,
                             size_t size);
