--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
     {"serve", cmd_serve, "run a balancer"},
     {"call", cmd_call, "send requests as a caller does"},
     {"check-config", cmd_check_config, "check a settings file"},
+    {"ctl", cmd_ctl, "operate a deployment"},
 };
 
 static void
