--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -44,9 +44,9 @@
  * the report, the more the mean over all targets stands in for it: a stale
  * report neither attracts nor repels. */
 static double
-others_now(const struct balance *b, const struct target_state *t, uint64_t now)
+others_now(const struct target_state *t, double mean_others, uint64_t now)
 {
-    double mean = b->mean_others * t->slots;
+    double mean = mean_others * t->slots;
     double weight;
 
     if (!t->load.known) {
@@ -57,14 +57,14 @@
 }
 
 static double
-mean_latency(struct target_state *const *targets, size_t count)
+mean_latency(const struct balance_candidates *c)
 {
     double sum = 0;
     size_t known = 0;
 
-    for (size_t i = 0; i < count; i++) {
-        if (targets[i]->latency_us > 0) {
-            sum += targets[i]->latency_us;
+    for (size_t i = 0; i < c->count; i++) {
+        if (c->targets[i]->latency_us > 0) {
+            sum += c->targets[i]->latency_us;
             known++;
         }
     }
@@ -75,10 +75,10 @@
  * request at a target of usual speed. A target that answers faster than the
  * others is not preferred for it: a broken one may answer fast. */
 static double
-load_score(const struct balance *b, const struct target_state *t, double mean,
+load_score(const struct target_state *t, double mean, double mean_others,
            uint64_t now)
 {
-    double load = t->in_flight + 1 + others_now(b, t, now);
+    double load = t->in_flight + 1 + others_now(t, mean_others, now);
     double capacity = (t->slots > 0 ? t->slots : 1) * ramp_share(t, now);
     double ratio = 1;
 
@@ -91,18 +91,18 @@
 /* Draws two different candidates (the same one twice if there is just
  * one). */
 static void
-draw_two(struct random *random, struct target_state *const *candidates,
-         size_t count, struct target_state **one, struct target_state **two)
+draw_two(struct random *random, const struct balance_candidates *c,
+         struct target_state **one, struct target_state **two)
 {
-    uint32_t i = random_below(random, (uint32_t)count);
+    uint32_t i = random_below(random, (uint32_t)c->count);
     uint32_t j = i;
 
-    if (count > 1) {
-        j = random_below(random, (uint32_t)count - 1);
+    if (c->count > 1) {
+        j = random_below(random, (uint32_t)c->count - 1);
         j += j >= i ? 1 : 0;
     }
-    *one = candidates[i];
-    *two = candidates[j];
+    *one = c->targets[i];
+    *two = c->targets[j];
 }
 
 /* The one with the lower score. Scores that nearly agree are a tie: what is
@@ -121,65 +121,65 @@
 }
 
 static struct target_state *
-pick_by_load(void *ctx, struct target_state *const *candidates, size_t count,
+pick_by_load(void *ctx, const struct balance_candidates *c,
              const struct balance_request *request, uint64_t now)
 {
     struct balance *b = ctx;
-    double mean = mean_latency(candidates, count);
+    double mean = mean_latency(c);
+    double score_one;
+    double score_two;
     struct target_state *one;
     struct target_state *two;
 
-    draw_two(b->random, candidates, count, &one, &two);
-    return better_of(one, two, load_score(b, one, mean, now),
-                     load_score(b, two, mean, now), request->flow_hash);
+    draw_two(b->random, c, &one, &two);
+    score_one = load_score(one, mean, c->mean_others, now);
+    score_two = load_score(two, mean, c->mean_others, now);
+    return better_of(one, two, score_one, score_two, request->flow_hash);
 }
 
 static struct target_state *
-pick_two_choices(void *ctx, struct target_state *const *candidates,
-                 size_t count, const struct balance_request *request,
-                 uint64_t now)
+pick_two_choices(void *ctx, const struct balance_candidates *c,
+                 const struct balance_request *request, uint64_t now)
 {
     struct balance *b = ctx;
     struct target_state *one;
     struct target_state *two;
 
-    draw_two(b->random, candidates, count, &one, &two);
+    draw_two(b->random, c, &one, &two);
     return better_of(one, two, one->in_flight, two->in_flight,
                      request->flow_hash);
 }
 
 static struct target_state *
-pick_least_local(void *ctx, struct target_state *const *candidates,
-                 size_t count, const struct balance_request *request,
-                 uint64_t now)
+pick_least_local(void *ctx, const struct balance_candidates *c,
+                 const struct balance_request *request, uint64_t now)
 {
-    struct target_state *best = candidates[0];
+    struct target_state *best = c->targets[0];
 
-    for (size_t i = 1; i < count; i++) {
-        best = better_of(best, candidates[i], best->in_flight,
-                         candidates[i]->in_flight, request->flow_hash);
+    for (size_t i = 1; i < c->count; i++) {
+        best = better_of(best, c->targets[i], best->in_flight,
+                         c->targets[i]->in_flight, request->flow_hash);
     }
     return best;
 }
 
 static struct target_state *
-pick_round_robin(void *ctx, struct target_state *const *candidates,
-                 size_t count, const struct balance_request *request,
-                 uint64_t now)
+pick_round_robin(void *ctx, const struct balance_candidates *c,
+                 const struct balance_request *request, uint64_t now)
 {
     struct balance *b = ctx;
 
     b->turn++;
-    return candidates[b->turn % count];
+    return c->targets[b->turn % c->count];
 }
 
 static struct target_state *
-pick_random(void *ctx, struct target_state *const *candidates, size_t count,
+pick_random(void *ctx, const struct balance_candidates *c,
             const struct balance_request *request, uint64_t now)
 {
     struct balance *b = ctx;
 
-    return candidates[random_below(b->random, (uint32_t)count)];
+    return c->targets[random_below(b->random, (uint32_t)c->count)];
 }
 
 static const struct {
@@ -296,7 +296,7 @@
 /* The mean load by other balancers, kept as an average over the choices
  * made. */
 static void
-update_mean(struct balance *b, const struct sample *sample)
+update_mean(struct service_targets *svc, const struct sample *sample)
 {
     double sum = 0;
     double slots = 0;
@@ -308,7 +308,8 @@
         }
     }
     if (slots > 0) {
-        b->mean_others += MEAN_EWMA_WEIGHT * (sum / slots - b->mean_others);
+        svc->mean_others +=
+            MEAN_EWMA_WEIGHT * (sum / slots - svc->mean_others);
     }
 }
 
@@ -324,15 +325,16 @@
 }
 
 struct target_state *
-balance_pick(struct balance *b, const struct service_targets *svc,
+balance_pick(struct balance *b, struct service_targets *svc,
              const struct balance_request *request, uint64_t now,
              enum balance_result *result)
 {
+    struct balance_candidates candidates;
     struct sample sample;
     struct target_state *bound;
 
     draw_sample(b, svc, &sample);
-    update_mean(b, &sample);
+    update_mean(svc, &sample);
     keep_usable(request, &sample, now);
     if (sample.count == 0) {
         *result = BALANCE_NO_TARGET;
@@ -348,8 +350,12 @@
     if (b->follow_bound && bound != NULL) {
         return bound;
     }
-    return b->policy(b->policy_ctx, sample.targets, sample.count, request,
-                     now);
+    candidates = (struct balance_candidates){
+        .targets = sample.targets,
+        .count = sample.count,
+        .mean_others = svc->mean_others,
+    };
+    return b->policy(b->policy_ctx, &candidates, request, now);
 }
 
 uint64_t
--- a/src/coordination/balance.h
+++ b/src/coordination/balance.h
@@ -26,20 +26,25 @@
     BALANCE_NO_TARGET, /* none usable that was not yet tried */
 };
 
-/* Chooses among "count" candidates (at least one): usable, not tried, with an
- * open window. */
+/* The targets that a policy chooses among (at least one): usable, not tried,
+ * with an open window. */
+struct balance_candidates {
+    struct target_state *const *targets;
+    size_t count;
+    double mean_others; /* requests of other balancers a slot */
+};
+
 typedef struct target_state *(*balance_policy_cb)(
-    void *ctx, struct target_state *const *candidates, size_t count,
+    void *ctx, const struct balance_candidates *candidates,
     const struct balance_request *request, uint64_t now);
 
 struct balance {
     balance_policy_cb policy;
     void *policy_ctx;
     struct random *random;
-    uint64_t turn;      /* of round robin */
-    bool use_windows;   /* false: the windows are ignored */
-    bool follow_bound;  /* a bound flow keeps its target while it is usable */
-    double mean_others; /* requests of other balancers a slot, EWMA */
+    uint64_t turn;     /* of round robin */
+    bool use_windows;  /* false: the windows are ignored */
+    bool follow_bound; /* a bound flow keeps its target while it is usable */
 };
 
 /* Policies that a setting names: "load" (the default), "two_choices" (by
@@ -51,7 +56,7 @@
 /* Picks a target, or NULL; "result" tells why. The caller then calls
  * target_start() and slot_window_on_start(). */
 struct target_state *balance_pick(struct balance *b,
-                                  const struct service_targets *svc,
+                                  struct service_targets *svc,
                                   const struct balance_request *request,
                                   uint64_t now, enum balance_result *result);
 
--- a/src/state/target-table.h
+++ b/src/state/target-table.h
@@ -71,6 +71,7 @@
     char id[ID_SIZE];
     size_t count;
     struct target_state **targets;
+    double mean_others; /* requests of other balancers a slot, EWMA */
 };
 
 struct target_table {
--- a/tools/experiment-balance.c
+++ b/tools/experiment-balance.c
@@ -259,18 +259,20 @@
     }
 }
 
-/* Faults of targets and of their reports at 0.9 of the capacity. */
+/* Faults of targets and of their reports. */
 static void
 run_faults(const struct options *o, json_t *rows)
 {
+    static const double loads[] = {0.9, 2.0};
+
     print_header("Faults", o);
     for (size_t d = 0; d < 4; d += 2) {
-        for (size_t f = 0; f < FAULTS; f++) {
+        for (size_t f = 0; f < FAULTS * 2; f++) {
             struct model_config c = deployments[d];
 
-            c.load = 0.9;
+            c.load = loads[f % 2];
             c.target_queue = c.slots;
-            c.fault = (enum model_fault)f;
+            c.fault = (enum model_fault)(f / 2);
             for (size_t v = 0; v < VARIANTS; v++) {
                 run_row(o, rows, d, &variants[v], c);
             }
