--- a/tests/unit/fake-net.c
+++ b/tests/unit/fake-net.c
@@ -258,8 +258,8 @@
 fake_net_start(struct fake_net *net, size_t index)
 {
     struct fake_node *node = &net->nodes[index];
-    const struct membership_callbacks mcb = {on_send, on_changed, on_paused,
-                                             on_reconnect, on_summary, node};
+    const struct membership_callbacks mcb = {
+        on_send, on_changed, on_paused, on_reconnect, on_summary, node};
     const struct spread_callbacks scb = {on_send, on_applied, on_completed,
                                          on_floors, node};
     const struct report_callbacks rcb = {on_send, on_write, node};
--- a/tests/unit/fake-net.h
+++ b/tests/unit/fake-net.h
@@ -38,7 +38,7 @@
     struct spread *sp;
     struct report *rp;
     bool watching;
-    size_t store_pos; /* changes of the store that it has read */
+    size_t store_pos;        /* changes of the store that it has read */
     uint64_t apply_delay_us; /* of its data task; UINT64_MAX: never */
     uint64_t apply_at;       /* 0: nothing to apply */
     uint64_t applied;        /* revision */
--- a/tests/unit/test-gossip-codec.c
+++ b/tests/unit/test-gossip-codec.c
@@ -117,8 +117,7 @@
         assert_string_equal(b->members[i].domain, a->members[i].domain);
         assert_int_equal(b->members[i].addr, a->members[i].addr);
         assert_int_equal(b->members[i].port, a->members[i].port);
-        assert_int_equal(b->members[i].incarnation,
-                         a->members[i].incarnation);
+        assert_int_equal(b->members[i].incarnation, a->members[i].incarnation);
         assert_int_equal(b->members[i].state, a->members[i].state);
     }
     assert_int_equal(b->floor_count, a->floor_count);
--- a/tests/unit/test-membership.c
+++ b/tests/unit/test-membership.c
@@ -77,8 +77,8 @@
 static void
 test_join(void **state)
 {
-    const struct size_case cases[] = {{2, 1}, {8, 4}, {7, 3}, {60, 4},
-                                      {120, 2}};
+    const struct size_case cases[] = {
+        {2, 1}, {8, 4}, {7, 3}, {60, 4}, {120, 2}};
 
     for (size_t c = 0; c < sizeof(cases) / sizeof(*cases); c++) {
         struct fake_net *net =
@@ -195,10 +195,9 @@
     }
     fake_net_run(net, 120 * USEC_PER_SEC);
     for (size_t i = 0; i < net->node_count; i++) {
-        assert_int_equal(
-            member_table_count(membership_table(net->nodes[i].ms),
-                               MEMBER_ALIVE, false),
-            0);
+        assert_int_equal(member_table_count(membership_table(net->nodes[i].ms),
+                                            MEMBER_ALIVE, false),
+                         0);
         assert_false(membership_isolated(net->nodes[i].ms, net->now));
         net->nodes[i].side = 0;
     }
--- a/tests/unit/test-report.c
+++ b/tests/unit/test-report.c
@@ -30,9 +30,8 @@
 write_host(struct fake_net *net, const char *id, uint64_t version,
            enum admin_state state, bool deleted)
 {
-    struct resource r = {.kind = RESOURCE_HOST,
-                         .version = version,
-                         .deleted = deleted};
+    struct resource r = {
+        .kind = RESOURCE_HOST, .version = version, .deleted = deleted};
 
     snprintf(r.id, sizeof(r.id), "%s", id);
     snprintf(r.host.domain, sizeof(r.host.domain), "d0");
@@ -202,10 +201,10 @@
             assert_string_equal(s->waiting[0].host, id);
             assert_int_equal(s->waiting[0].state, MEMBER_DEAD);
             fake_net_run(net, 120 * USEC_PER_SEC);
-            assert_int_equal(domain_floors_get(
-                                 &net->nodes[reporter_of_d0(net)].floors,
-                                 "d0"),
-                             before);
+            assert_int_equal(
+                domain_floors_get(&net->nodes[reporter_of_d0(net)].floors,
+                                  "d0"),
+                before);
         }
         net->nodes[gone].frozen = false;
         if (cases[c].ending == ENDING_RESTARTS) {
@@ -247,6 +246,25 @@
     fake_net_destroy(net);
 }
 
+/* What a process had in force does not count for the next one of its host. */
+static void
+test_restart_voids_report(void **state)
+{
+    struct fake_net *net = start(12, SEED);
+    size_t again = other_of_d0(net);
+    const struct domain_status *s;
+
+    fake_net_kill(net, again);
+    net->nodes[again].apply_delay_us = UINT64_MAX;
+    fake_net_start(net, again);
+    fake_net_run(net, SHOWN_US);
+    s = status_of(net, "d0");
+    assert_int_equal(s->waiting_count, 1);
+    assert_string_equal(s->waiting[0].host, net->nodes[again].self.id);
+    assert_false(s->waiting[0].reported);
+    fake_net_destroy(net);
+}
+
 /* All others of a domain restart while one is cut off: they never saw it,
  * but it is a declared host, and so is waited for. */
 static void
@@ -254,8 +272,8 @@
 {
     struct fake_net *net = start(12, SEED);
     size_t cut = other_of_d0(net);
-    uint64_t before = write_host(net, net->nodes[cut].self.id, 1,
-                                 ADMIN_ACTIVE, false);
+    uint64_t before =
+        write_host(net, net->nodes[cut].self.id, 1, ADMIN_ACTIVE, false);
 
     fake_net_run(net, SHOWN_US);
     net->nodes[cut].side = 1;
@@ -332,6 +350,7 @@
         cmocka_unit_test(test_lagging),
         cmocka_unit_test(test_vanished),
         cmocka_unit_test(test_reporter_vanishes),
+        cmocka_unit_test(test_restart_voids_report),
         cmocka_unit_test(test_declared_host_never_seen),
         cmocka_unit_test(test_floors_without_store),
         cmocka_unit_test(test_status_json),
--- a/tests/unit/test-spread.c
+++ b/tests/unit/test-spread.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include <cmocka.h>
 
@@ -105,6 +106,82 @@
     }
 }
 
+/* Most balancers get a change by push, well before any comparison. */
+static void
+test_push_comes_first(void **state)
+{
+    struct fake_net *net = start(40, 4, SEED);
+    size_t have = 0;
+
+    write_target(net, "t1", 2, false);
+    fake_net_run(net, 50 * USEC_PER_MSEC);
+    for (size_t i = 0; i < net->node_count; i++) {
+        have += fake_node_version(&net->nodes[i], "target/live/t1") == 2;
+    }
+    assert_true(have > net->node_count * 3 / 4);
+    fake_net_destroy(net);
+}
+
+struct capture {
+    size_t count[GOSSIP_KIND_END];
+    uint64_t pulled;
+};
+
+static void
+on_capture(void *ctx, uint32_t addr, uint16_t port,
+           const struct gossip_message *m)
+{
+    struct capture *c = ctx;
+
+    c->count[m->kind]++;
+    if (m->kind == GOSSIP_PULL) {
+        assert_int_equal(m->version_count, 1);
+        c->pulled = m->versions[0].name_hash;
+    }
+}
+
+static void
+on_applied(void *ctx, const struct resource *r, uint64_t revision)
+{
+}
+
+static void
+on_number(void *ctx, uint64_t revision)
+{
+}
+
+static void
+on_nothing(void *ctx)
+{
+}
+
+/* A list of versions is answered by what the peer lacks, and by a pull of
+ * what we lack; equal versions are left alone. */
+static void
+test_versions_are_pulled(void **state)
+{
+    struct fake_net *net = start(1, 1, SEED);
+    struct fake_node *node = &net->nodes[0];
+    struct capture c = {{0}};
+    const struct spread_callbacks cb = {on_capture, on_applied, on_number,
+                                        on_nothing, &c};
+    struct spread *sp = spread_new(node->cs, node->ms, &node->floors, &cb,
+                                   &node->random, net->now);
+    struct gossip_message *m = calloc(1, sizeof(*m));
+
+    m->kind = GOSSIP_VERSIONS;
+    m->version_count = 2;
+    m->versions[0] = (struct gossip_version){id_hash("service/live"), 1};
+    m->versions[1] = (struct gossip_version){id_hash("target/live/t9"), 1};
+    spread_receive(sp, m, net->now);
+    assert_int_equal(c.count[GOSSIP_DELTA], 1);
+    assert_int_equal(c.count[GOSSIP_PULL], 1);
+    assert_int_equal(c.pulled, id_hash("target/live/t9"));
+    free(m);
+    spread_destroy(sp);
+    fake_net_destroy(net);
+}
+
 /* While the store is down, all balancers of a domain restart: they take the
  * newest versions, tombstones included, from the other domain. */
 static void
@@ -293,6 +370,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_change_in_force),
+        cmocka_unit_test(test_push_comes_first),
+        cmocka_unit_test(test_versions_are_pulled),
         cmocka_unit_test(test_domain_restarts_in_outage),
         cmocka_unit_test(test_domain_cut_from_store),
         cmocka_unit_test(test_cut_with_changes),
