coordination: a try of a repeatable request leaves time for another target

Cause: a running job was only ended at the request's own deadline, so a GET at a hanging target used all its time there. A unit test fails without the change.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -204,6 +204,17 @@
     job->target = NULL;
 }
 
+/* A request that may be repeated leaves time for another target. */
+static uint64_t
+give_up_time(const struct job *job, uint64_t now)
+{
+    if (!job->repeatable) {
+        return job->deadline_us;
+    }
+    return now + admission_attempt_timeout_us(job->svc->admission, job->class,
+                                              job->deadline_us, now);
+}
+
 /* Sends a job to a target. Returns false when nothing was sent. */
 static bool
 start(struct dispatch *d, struct job *job, struct target_state *t,
@@ -211,6 +222,7 @@
 {
     job->target = t;
     job->started_us = now;
+    job->give_up_us = give_up_time(job, now);
     target_start(t);
     slot_window_on_start(t, now);
     health_on_start(t, now);
@@ -478,8 +490,8 @@
     pump(d, svc, now);
 }
 
-/* Ends running jobs past their deadline: the target may still be at work, so
- * one that may not be repeated has an unknown outcome. */
+/* Ends tries that have taken too long: the target may still be at work, so a
+ * request that may not be repeated has an unknown outcome. */
 static void
 expire_running(struct dispatch *d, struct dispatch_service *svc, uint64_t now)
 {
@@ -487,7 +499,7 @@
         struct job *job = container_of(it, struct job, link);
         struct job_result result = {.kind = ERR_TARGET_TIMEOUT, .sent = true};
 
-        if (now < job->deadline_us) {
+        if (now < job->give_up_us) {
             continue;
         }
         d->ops->cancel(d->ctx, job);
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -56,6 +56,7 @@
     bool touched; /* some try may have run it */
     uint64_t arrived_us;
     uint64_t started_us; /* of the last try */
+    uint64_t give_up_us; /* the last try is given up then */
 };
 
 /* What the target client reported of a try. */
--- a/tests/unit/test-dispatch.c
+++ b/tests/unit/test-dispatch.c
@@ -252,6 +252,29 @@
     dispatch_destroy(&f.dispatch);
 }
 
+/* A target that hangs does not take the whole deadline of a request that may
+ * be repeated; one that may not be repeated stays where it is. */
+static void
+test_hanging_target(void **state)
+{
+    for (int repeatable = 0; repeatable <= 1; repeatable++) {
+        struct fixture f;
+        struct job job;
+
+        setup(&f, 2);
+        submit(&f, &job, repeatable != 0);
+        dispatch_tick(&f.dispatch, START_US + DEADLINE_US / 2 + 1);
+        assert_int_equal(f.sent, 1 + repeatable);
+        assert_int_equal(f.cancelled, repeatable);
+        assert_int_equal(f.failed, 0);
+        if (repeatable) {
+            assert_ptr_not_equal(f.target, f.first);
+        }
+        dispatch_cancel(&f.dispatch, &job, START_US + DEADLINE_US);
+        dispatch_destroy(&f.dispatch);
+    }
+}
+
 static void
 test_removed_service(void **state)
 {
@@ -277,6 +300,7 @@
         cmocka_unit_test(test_after_first_try),
         cmocka_unit_test(test_refusal_after_a_lost_try),
         cmocka_unit_test(test_deadlines),
+        cmocka_unit_test(test_hanging_target),
         cmocka_unit_test(test_removed_service),
     };
 
