--- /dev/null
+++ b/tests/fuzz/fuzz-token.c
@@ -0,0 +1,13 @@
+#include <stddef.h>
+#include <stdint.h>
+
+#include "codec-checks.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    check_token(data, size);
+    return 0;
+}
