--- a/src/protocol/resource-json.c
+++ b/src/protocol/resource-json.c
@@ -38,7 +38,7 @@
     va_start(args, fmt);
     vsnprintf(reason, sizeof(reason), fmt, args);
     va_end(args);
-    status_set(rd->st, ERR_INVALID, "%s%s%s: %s", rd->path,
+    status_set(rd->st, ERR_INVALID, "%s%s%.40s: %s", rd->path,
                rd->path[0] == '\0' || field[0] == '\0' ? "" : ".", field,
                reason);
     return false;
@@ -62,7 +62,7 @@
             name++;
         }
         if (*name == NULL) {
-            return refuse(rd, "", "unknown field \"%.40s\"", key);
+            return refuse(rd, key, "unknown field");
         }
     }
     return true;
--- a/tests/unit/test-resource-json.c
+++ b/tests/unit/test-resource-json.c
@@ -60,8 +60,8 @@
      "{\"tenant\":\"t\",\"port\":80,\"tenant_in_path\":1" SERVICE_REST,
      "tenant_in_path: not true or false"},
     {RESOURCE_SERVICE, "{\"tenant\":\"t\",\"port\":80,\"x\":1" SERVICE_REST,
-     ": unknown field \"x\""},
-    {RESOURCE_SERVICE, "{\"deleted\":false}", ": unknown field \"deleted\""},
+     "x: unknown field"},
+    {RESOURCE_SERVICE, "{\"deleted\":false}", "deleted: unknown field"},
     {RESOURCE_SERVICE, "{\"id\":\"b\"}", "id: expected \"r1\""},
     {RESOURCE_SERVICE, "{\"kind\":\"host\"}", "kind: expected \"service\""},
     {RESOURCE_SERVICE, "{\"id\":\"r1\",\"id\":\"r1\"}",
@@ -84,7 +84,7 @@
     {RESOURCE_HOST, "{\"domain\":\"a\",\"address\":true}",
      "address: not a dotted IPv4 address"},
     {RESOURCE_HOST, "{\"domain\":\"a\",\"address\":\"1.2.3.4\",\"port\":1}",
-     ": unknown field \"port\""},
+     "port: unknown field"},
     {RESOURCE_KEY_RING, "{}", "keys: required, a list"},
     {RESOURCE_KEY_RING, "{\"keys\":[]}", "keys: 0 entries, expected 1 to 4"},
     {RESOURCE_KEY_RING, "{\"keys\":[1]}", "keys[0]: not an object"},
@@ -93,7 +93,7 @@
     {RESOURCE_KEY_RING, "{\"keys\":[{\"id\":1},{\"id\":1}]}",
      "keys[1].id: same as keys[0].id"},
     {RESOURCE_KEY_RING, "{\"keys\":[{\"id\":1,\"secret\":\"x\"}]}",
-     "keys[0]: unknown field \"secret\""},
+     "keys[0].secret: unknown field"},
 };
 
 static void
