coordination: only refusals close a slot window; reports merely guide it

Now every answer opens the window and may be followed at once by another request; a reported queue draws it to min(1, slots / queued).

--- a/src/coordination/slot-window.c
+++ b/src/coordination/slot-window.c
@@ -1,11 +1,14 @@
 #include "coordination/slot-window.h"
 
+#include <math.h>
+
 #include "base/clock.h"
 
 #define WINDOW_MIN 0.0625     /* requests; keeps a target in use */
 #define WINDOW_INCREASE 0.125 /* requests per answer with free slots */
 #define WINDOW_SHED_FACTOR 0.5
-#define WINDOW_QUEUED_FACTOR 0.9
+#define QUEUED_FACTOR 0.9
+#define QUEUED_INCREASE 0.0625
 #define DEFAULT_LATENCY_US (50.0 * USEC_PER_MSEC)
 #define PROBE_INTERVAL_MAX_US (2 * USEC_PER_SEC)
 
@@ -76,24 +79,38 @@
     }
 }
 
-/* A report of free slots lends one at once, whatever the pause; a queue at
- * the target means that all balancers together send too much. */
+/* Others wait at the target: the window goes towards one request, or less when
+ * the queue is longer than one round of the slots. A report alone never closes
+ * it further. */
+static void
+on_reported_queue(struct target_state *t)
+{
+    double size = t->window.size;
+    double least = fmin(1, (double)t->slots / t->load.queued);
+
+    if (size > least) {
+        set_size(t, fmax(size * QUEUED_FACTOR, least));
+        return;
+    }
+    set_size(t, fmin(size + QUEUED_INCREASE, least));
+}
+
+/* An answer frees a slot that this balancer used, so it may be used again at
+ * once, unless the target reports that others wait for it. Whatever the report
+ * says, answers open the window and only refusals close it: a report may lag,
+ * lie or be missing, a refusal may not. */
 void
 slot_window_on_answer(struct target_state *t, uint64_t now)
 {
     const struct target_load *load = &t->load;
+    bool reported = load->known && load->at_us == now;
 
-    if (!load->known || load->at_us != now) {
+    if (reported && load->queued > 0) {
+        on_reported_queue(t);
         return;
     }
-    if (load->queued > 0) {
-        set_size(t, t->window.size * WINDOW_QUEUED_FACTOR);
-        return;
-    }
-    if (load->running < load->slots) {
-        set_size(t, t->window.size + WINDOW_INCREASE);
-        t->window.probe_us = now;
-    }
+    set_size(t, t->window.size + WINDOW_INCREASE);
+    t->window.probe_us = now;
 }
 
 /* Halves the window and keeps away for a while, with jitter so that the
--- a/src/coordination/slot-window.h
+++ b/src/coordination/slot-window.h
@@ -7,13 +7,13 @@
 #include "state/target-table.h"
 
 /* The share of a target's slots that this balancer uses. Every balancer
- * adapts its own window to the answers it gets: additive increase when an
- * answer reports free slots, multiplicative decrease when the target sheds a
- * request or has a queue, so the windows of all balancers together settle
- * round the target's slots without a message between them. With more
- * balancers than slots a window is below one request; it is then a share of
- * the time: the balancer uses the target one request at a time and leaves a
- * pause in proportion between two requests. */
+ * adapts its own window to the answers it gets: additive increase with each
+ * answer, multiplicative decrease when the target sheds a request, and a drift
+ * to a moderate size while the target reports a queue. The windows of all
+ * balancers together settle round the target's slots without a message between
+ * them. With more balancers than slots a window is below one request; it is
+ * then a share of the time: the balancer uses the target one request at a time
+ * and leaves a pause in proportion after a refusal or a reported queue. */
 
 /* True when a request may be sent now. */
 bool slot_window_open(const struct target_state *t, uint64_t now);
