--- a/src/client/call.c
+++ b/src/client/call.c
@@ -5,9 +5,11 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/timeval.h"
 #include "client/backoff.h"
 #include "client/call-private.h"
 #include "client/call-verdict.h"
+#include "client/client-flow.h"
 
 #define CHALLENGES_MAX 3
 #define ASK_AGAIN_MAX 2
@@ -17,6 +19,8 @@
 
 static void on_answer(void *ctx, struct exchange *ex,
                       const struct packet *answer);
+static void on_next_block(void *ctx, struct exchange *ex,
+                          const struct packet *answer);
 static void on_timer(evutil_socket_t fd, short what, void *arg);
 
 const char *
@@ -31,21 +35,6 @@
     return names[outcome];
 }
 
-static bool
-copy_text(char *out, size_t size, const char *text)
-{
-    size_t len = text == NULL ? 0 : strlen(text);
-
-    if (len >= size) {
-        return false;
-    }
-    if (len > 0) {
-        memcpy(out, text, len);
-    }
-    out[len] = '\0';
-    return true;
-}
-
 static bool
 copy_body(struct call *call, const struct call_request *request)
 {
@@ -70,8 +59,7 @@
         p->content_format = (uint16_t)request->content_format;
         p->fields |= FIELD_CONTENT_FORMAT;
     }
-    return copy_text(p->path, sizeof(p->path), request->path) &&
-           copy_text(p->query, sizeof(p->query), request->query) &&
+    return packet_set_uri(p, request->path, request->query) &&
            copy_body(call, request);
 }
 
@@ -81,12 +69,13 @@
     if (call->timer != NULL) {
         event_free(call->timer);
     }
+    answer_blocks_destroy(call->blocks);
     free(call->body);
     free(call);
 }
 
-/* Blocks of one body must meet at one balancer, so a block-wise body needs a
- * home even when its request may be repeated. */
+/* Whatever changes something goes to the flow's home, also when it may be
+ * repeated: the blocks of its body must meet at one balancer. */
 struct call *
 call_new(struct client_flow *flow, const struct call_request *request,
          call_cb cb, void *ctx)
@@ -107,7 +96,7 @@
     }
     call->repeatable = packet_method_is_repeatable(request->method);
     call->needs_token =
-        !call->repeatable || upload_is_blockwise(&call->upload);
+        request->method != CODE_GET && request->method != CODE_FETCH;
     call->deadline_us =
         clock_monotonic_us() + request->deadline_ms * USEC_PER_MSEC;
     return call;
@@ -172,20 +161,34 @@
         event_active(call->timer, EV_TIMEOUT, 0);
         return;
     }
-    if (call->request.echo_len > 0 && upload_at_end(&call->upload)) {
+    if (call->needs_token && call->request.echo_len > 0 &&
+        upload_at_end(&call->upload)) {
         call->may_have_run = true;
     }
 }
 
+/* Reports an answer in blocks as far as it came; the last block has told
+ * whether that is all of it. */
+static void
+finish_blocks(struct call *call)
+{
+    call_finish(call, CALL_ANSWERED, answer_blocks_packet(call->blocks));
+}
+
 /* The deadline passed, or nothing could be sent. */
 static void
 expire(struct call *call)
 {
+    if (call->blocks != NULL) {
+        finish_blocks(call);
+        return;
+    }
     if (call->may_have_run && !call->repeatable) {
         client_flow_drop_token(call->flow, call);
         call_finish(call, CALL_UNKNOWN, NULL);
         return;
     }
+    client_flow_forget_proof(call->flow);
     call_finish(call, CALL_TIMEOUT, NULL);
 }
 
@@ -193,8 +196,7 @@
 static bool
 wait_for(struct call *call, uint64_t wait_us)
 {
-    struct timeval tv = {.tv_sec = (time_t)(wait_us / USEC_PER_SEC),
-                         .tv_usec = (suseconds_t)(wait_us % USEC_PER_SEC)};
+    struct timeval tv = timeval_from_us(wait_us);
 
     if (clock_monotonic_us() + wait_us >= call->deadline_us) {
         return false;
@@ -253,10 +255,12 @@
         call_finish(call, CALL_ANSWERED, answer);
         return;
     }
-    client_flow_adopt(flow, answer);
-    /* A server may ask a repeatable request too for a fresh Echo, RFC 9175
-     * section 2.3. */
-    call->needs_token = true;
+    if (call->needs_token) {
+        client_flow_adopt(flow, answer);
+    }
+    else {
+        client_flow_take_proof(flow, answer);
+    }
     start_over(call);
 }
 
@@ -308,6 +312,52 @@
     call->asked_again++;
 }
 
+static void
+request_next_block(struct call *call)
+{
+    answer_blocks_fill(call->blocks, &call->request);
+    call->ex = exchange_start(call->flow->client, &call->request,
+                              call->deadline_us, on_next_block, call);
+    if (call->ex == NULL) {
+        finish_blocks(call);
+    }
+}
+
+static void
+on_next_block(void *ctx, struct exchange *ex, const struct packet *answer)
+{
+    struct call *call = ctx;
+
+    stop_exchange(call);
+    if (answer == NULL) {
+        finish_blocks(call);
+        return;
+    }
+    switch (answer_blocks_add(call->blocks, answer)) {
+    case ANSWER_BLOCKS_MORE:
+        request_next_block(call);
+        return;
+    case ANSWER_BLOCKS_WHOLE:
+    case ANSWER_BLOCKS_BROKEN:
+        finish_blocks(call);
+        return;
+    }
+}
+
+/* An answer in blocks is collected when its home keeps it. */
+static void
+on_answered(struct call *call, const struct packet *answer)
+{
+    if (call->needs_token && answer_has_more(answer)) {
+        call->blocks = answer_blocks_new(answer);
+    }
+    if (call->blocks == NULL) {
+        call_finish(call, CALL_ANSWERED, answer);
+        return;
+    }
+    request_next_block(call);
+}
+
 static void
 on_final(struct call *call, const struct packet *answer)
 {
@@ -320,7 +370,7 @@
 
     switch (call_judge(&facts, answer)) {
     case VERDICT_ANSWERED:
-        call_finish(call, CALL_ANSWERED, answer);
+        on_answered(call, answer);
         return;
     case VERDICT_NOT_RUN:
         call_finish(call, CALL_NOT_RUN, answer);
@@ -355,6 +405,12 @@
     return true;
 }
 
+static bool
+is_success(const struct packet *answer)
+{
+    return answer->code >> 5 == 2;
+}
+
 static void
 on_answer(void *ctx, struct exchange *ex, const struct packet *answer)
 {
@@ -373,5 +429,10 @@
     if (answer->code == CODE_INCOMPLETE && restart_upload(call)) {
         return;
     }
+    if (!upload_at_end(&call->upload) && is_success(answer)) {
+        /* The server did not heed Block1, and acted on a part of the body. */
+        on_unknown(call, answer);
+        return;
+    }
     on_final(call, answer);
 }
--- /dev/null
+++ b/src/daemon/control-status.c
@@ -0,0 +1,186 @@
+#include "daemon/control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define LOG_MODULE "status"
+#include "base/clock.h"
+#include "base/log.h"
+#include "protocol/status-json.h"
+
+static void
+format_key(const struct control_task *task, char key[STORE_KEY_SIZE])
+{
+    snprintf(key, STORE_KEY_SIZE, STORE_PREFIX "status/%s",
+             task->settings->host.domain);
+}
+
+static void
+finish(struct control_task *task, const struct status *st,
+       uint64_t mod_revision)
+{
+    if (st->kind == ERR_NONE) {
+        task->status_revision = mod_revision;
+    }
+    else {
+        LOG_DBG("status not written: %s", st->message);
+    }
+    report_written(task->report, st->kind == ERR_NONE, clock_monotonic_us());
+}
+
+/* Another reporter may have written meanwhile, or an answer was lost: the
+ * revision is read again before the next try. */
+static void
+on_read_again(void *ctx, const struct status *st, uint64_t revision,
+              const struct store_entry *entries, size_t count)
+{
+    struct control_task *task = ctx;
+
+    if (st->kind == ERR_NONE) {
+        task->status_revision = count > 0 ? entries[0].mod_revision : 0;
+    }
+    report_written(task->report, false, clock_monotonic_us());
+}
+
+static void
+on_written(void *ctx, const struct status *st, uint64_t mod_revision)
+{
+    struct control_task *task = ctx;
+    char key[STORE_KEY_SIZE];
+
+    if (st->kind == ERR_CONFLICT || st->kind == ERR_STORE_UNKNOWN) {
+        format_key(task, key);
+        store_client_range(task->store, key, false, on_read_again, task);
+        return;
+    }
+    finish(task, st, mod_revision);
+}
+
+static void
+write_status(void *ctx, const struct domain_status *status)
+{
+    struct control_task *task = ctx;
+    char key[STORE_KEY_SIZE];
+    char *text = status_json_build(status);
+
+    if (text == NULL) {
+        report_written(task->report, false, clock_monotonic_us());
+        return;
+    }
+    format_key(task, key);
+    store_client_cas(task->store, key, text, strlen(text),
+                     task->status_revision, on_written, task);
+    free(text);
+}
+
+bool
+control_status_open(struct control_task *task, struct status *st)
+{
+    const struct report_callbacks cb = {
+        .send = control_peers_send,
+        .write = write_status,
+        .ctx = task,
+    };
+
+    task->report = report_new(task->members, task->spread, task->config,
+                              &task->floors, &cb, &task->random);
+    if (task->report == NULL) {
+        status_set(st, ERR_NO_MEMORY, "control: out of memory");
+        return false;
+    }
+    return true;
+}
+
+void
+control_status_tick(struct control_task *task, uint64_t now)
+{
+    report_tick(task->report, now, clock_wall_us());
+}
+
+void
+control_status_close(struct control_task *task)
+{
+    report_destroy(task->report);
+}
+
+void
+control_status_seen(struct control_task *task, const char *domain,
+                    const struct store_entry *entry)
+{
+    struct domain_status status;
+
+    if (!status_json_parse(&status, entry->value, entry->value_len)) {
+        LOG_WARN("the status of %s cannot be read", domain);
+        return;
+    }
+    spread_offer_floor(task->spread, domain, status.floor);
+    if (strcmp(domain, task->settings->host.domain) == 0) {
+        task->status_revision = entry->mod_revision;
+        report_seen(task->report, &status, clock_monotonic_us());
+    }
+}
+
+/* The own failure domain in full, as of now. */
+static json_t *
+own_domain(struct control_task *task)
+{
+    struct domain_status status;
+    char *text;
+    json_t *json;
+
+    report_status(task->report, &status, clock_monotonic_us(),
+                  clock_wall_us());
+    text = status_json_build(&status);
+    json = text == NULL ? NULL : json_loads(text, 0, NULL);
+    free(text);
+    return json;
+}
+
+/* Of the other failure domains only their floors are known here; who they
+ * wait for stands in the platform's store. */
+static json_t *
+build_domains(struct control_task *task)
+{
+    json_t *domains = json_array();
+    const char *own = task->settings->host.domain;
+
+    json_array_append_new(domains, own_domain(task));
+    for (size_t i = 0; i < task->floors.count; i++) {
+        const struct domain_floor *floor = &task->floors.floors[i];
+
+        if (strcmp(floor->domain, own) != 0) {
+            json_array_append_new(
+                domains, json_pack("{s:s, s:I}", "domain", floor->domain,
+                                   "floor", (json_int_t)floor->revision));
+        }
+    }
+    return domains;
+}
+
+/* Only the watchers of a failure domain try the store. */
+static const char *
+store_state(const struct control_task *task)
+{
+    if (!spread_is_watcher(task->spread, clock_monotonic_us())) {
+        return "not watched here";
+    }
+    return store_reader_is_reachable(task->reader) ? "up" : "down";
+}
+
+char *
+control_status_text(struct control_task *task)
+{
+    json_t *json = json_pack(
+        "{s:s, s:s, s:I, s:s, s:I, s:o}", "host", task->settings->host.id,
+        "host_domain", task->settings->host.domain, "revision",
+        (json_int_t)config_store_revision(task->config), "store",
+        store_state(task), "quarantined", (json_int_t)task->quarantined,
+        "domains", build_domains(task));
+    char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
+
+    json_decref(json);
+    return text;
+}
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/settings.h"
 #include "coordination/membership.h"
+#include "coordination/report.h"
 #include "coordination/spread.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -21,6 +22,8 @@
 /* What the parts of the control task share. Only the control task's thread
  * touches it. */
 
+#define CONTROL_METRICS_MAX 16
+
 struct control_task {
     const struct settings *settings;
     void *zmq_ctx;
@@ -44,6 +47,8 @@
     struct gossip_message *in; /* message being decoded */
     struct store_client *store;
     struct store_reader *reader;
+    struct report *report;
+    uint64_t status_revision; /* mod_revision of the own domain's status */
 
     uint64_t view_sequence; /* of the last view sent */
     uint64_t view_revision; /* the configuration is complete up to it */
@@ -52,6 +57,10 @@
     size_t quarantined;     /* targets left out of the last view */
     uint64_t applied;       /* revision that the data task has in force */
 
+    /* Questions for metrics that wait for the data task's. */
+    uint64_t metrics_asked[CONTROL_METRICS_MAX];
+    size_t metrics_asked_count;
+
     bool refresh_wanted; /* the data task was paused */
     bool isolated;       /* neither peers nor store can be reached */
 };
@@ -78,6 +87,23 @@
  * configuration was compared with a peer's or the store's. */
 void control_config_refresh(struct control_task *task);
 
+/* control-status.c: what is in force. */
+bool control_status_open(struct control_task *task, struct status *st);
+void control_status_tick(struct control_task *task, uint64_t now);
+void control_status_close(struct control_task *task);
+/* A domain's status was read from the platform's store. */
+void control_status_seen(struct control_task *task, const char *domain,
+                         const struct store_entry *entry);
+
+/* What is in force as this balancer knows it: a JSON object for the api task,
+ * which the caller frees. */
+char *control_status_text(struct control_task *task);
+
+/* control-metrics.c: the api task's questions for metrics, by their id. */
+void control_metrics_ask(struct control_task *task, uint64_t id);
+void control_metrics_text(struct control_task *task, const char *data,
+                          size_t size);
+
 /* control-answers.c: questions of the api task. */
 void control_answers_handle(struct control_task *task, const void *data,
                             size_t size);
