coordination, protocol: a tombstone keeps its fields, a target its address

Quarantine needs to know which address a deleted target had, on every balancer, also on one that starts later. So the tombstone of a target keeps its fields in the store, and the address of an id cannot change, neither by a put nor by declaring it again; another id takes the new address. The status lists the failure domains that never reported, and shows its own in full only at the reporter.

--- a/src/coordination/operator-write.c
+++ b/src/coordination/operator-write.c
@@ -192,7 +192,9 @@
 build_next(struct operator_write *w, const struct resource *current)
 {
     w->base_version = current == NULL ? 0 : current->version;
-    w->next = w->request.wanted;
+    /* A tombstone keeps the fields of what it ends. */
+    w->next =
+        w->request.deletion && current != NULL ? *current : w->request.wanted;
     list_init(&w->next.link);
     w->next.deleted = w->request.deletion;
     w->next.version = w->base_version + 1;
--- a/src/coordination/resource-rules.c
+++ b/src/coordination/resource-rules.c
@@ -108,6 +108,26 @@
     return NULL;
 }
 
+/* A target keeps its address for good, also when it is declared again after
+ * its deletion: the record of an address that was given up would be lost, and
+ * with it the quarantine of that address. */
+static bool
+check_address_kept(const struct resource *wanted, const struct resource *r,
+                   struct status *st)
+{
+    const struct target *mine = &wanted->target;
+    const struct target *t = &r->target;
+
+    if (t->addr == 0 || (t->addr == mine->addr && t->port == mine->port)) {
+        return true;
+    }
+    status_set(st, ERR_INVALID,
+               "address: target %s keeps its address and port; declare a "
+               "target with another id",
+               wanted->id);
+    return false;
+}
+
 /* An address belongs to one target. That of another service could bring one
  * service's requests to the other. */
 static bool
@@ -117,12 +137,14 @@
     const struct target *mine = &wanted->target;
     const struct target *t = &r->target;
 
-    if (r->kind != RESOURCE_TARGET || r->deleted || t->addr != mine->addr ||
-        t->port != mine->port) {
+    if (r->kind != RESOURCE_TARGET) {
         return true;
     }
     if (strcmp(t->service, mine->service) == 0 &&
         strcmp(r->id, wanted->id) == 0) {
+        return check_address_kept(wanted, r, st);
+    }
+    if (r->deleted || t->addr != mine->addr || t->port != mine->port) {
         return true;
     }
     status_set(st, ERR_INVALID,
--- a/src/daemon/control-status.c
+++ b/src/daemon/control-status.c
@@ -139,24 +139,61 @@
     return json;
 }
 
-/* Of the other failure domains only their floors are known here; who they
- * wait for stands in the platform's store. */
+static void
+add_floor(json_t *domains, const char *domain, uint64_t floor)
+{
+    json_array_append_new(domains, json_pack("{s:s, s:I}", "domain", domain,
+                                             "floor", (json_int_t)floor));
+}
+
+/* Failure domains without a floor, which never reported, that some service
+ * lists. */
+struct unreported {
+    const struct domain_floors *floors;
+    struct domain_floors found;
+};
+
+static bool
+find_unreported(void *ctx, const struct resource *r, uint64_t revision)
+{
+    struct unreported *u = ctx;
+
+    for (size_t i = 0; i < r->service.domain_count && !r->deleted; i++) {
+        const char *domain = r->service.domains[i];
+
+        if (domain_floors_get(u->floors, domain) == 0) {
+            domain_floors_raise(&u->found, domain, 0);
+        }
+    }
+    return true;
+}
+
+/* The reporter knows its own failure domain in full. Of the others, and when
+ * this balancer is not the reporter, only the floors are known here; who is
+ * waited for stands in the platform's store. */
 static json_t *
 build_domains(struct control_task *task)
 {
     json_t *domains = json_array();
     const char *own = task->settings->host.domain;
+    bool reporter = report_is_reporter(task->report);
+    struct unreported unreported = {.floors = &task->floors};
 
-    json_array_append_new(domains, own_domain(task));
+    if (reporter) {
+        json_array_append_new(domains, own_domain(task));
+    }
     for (size_t i = 0; i < task->floors.count; i++) {
         const struct domain_floor *floor = &task->floors.floors[i];
 
-        if (strcmp(floor->domain, own) != 0) {
-            json_array_append_new(
-                domains, json_pack("{s:s, s:I}", "domain", floor->domain,
-                                   "floor", (json_int_t)floor->revision));
+        if (!reporter || strcmp(floor->domain, own) != 0) {
+            add_floor(domains, floor->domain, floor->revision);
         }
     }
+    config_store_each_of_kind(task->config, RESOURCE_SERVICE, find_unreported,
+                              &unreported);
+    for (size_t i = 0; i < unreported.found.count; i++) {
+        add_floor(domains, unreported.found.floors[i].domain, 0);
+    }
     return domains;
 }
 
--- a/src/protocol/resource-json.c
+++ b/src/protocol/resource-json.c
@@ -434,6 +434,15 @@
     }
 }
 
+/* A required field of each kind, which shows that a tombstone has kept its
+ * fields. */
+static const char *const own_field[RESOURCE_KIND_COUNT] = {
+    [RESOURCE_SERVICE] = "port",
+    [RESOURCE_TARGET] = "address",
+    [RESOURCE_HOST] = "address",
+    [RESOURCE_KEY_RING] = "keys",
+};
+
 static bool
 parse_object(const struct reader *rd, struct resource *r)
 {
@@ -445,7 +454,11 @@
         !get_same(rd, "id", r->id) || !parse_bookkeeping(rd, r)) {
         return false;
     }
-    return r->deleted || parse_kind(rd, r);
+    if (r->deleted &&
+        json_object_get(rd->object, own_field[r->kind]) == NULL) {
+        return true;
+    }
+    return parse_kind(rd, r);
 }
 
 bool
@@ -568,6 +581,24 @@
     json_object_set_new(json, "writes", writes);
 }
 
+/* A tombstone keeps its fields in the store: while a balancer may still use
+ * the address of a deleted target, no other service may have it. Secrets are
+ * not kept. */
+static bool
+tombstone_has_fields(const struct resource *r)
+{
+    switch (r->kind) {
+    case RESOURCE_SERVICE:
+        return r->service.port != 0;
+    case RESOURCE_TARGET:
+        return r->target.addr != 0;
+    case RESOURCE_HOST:
+        return r->host.addr != 0;
+    default:
+        return false;
+    }
+}
+
 char *
 resource_json_build(const struct resource *r, enum resource_json_form form)
 {
@@ -583,7 +614,8 @@
         build_writes(json, r);
         json_object_set_new(json, "deleted", json_boolean(r->deleted));
     }
-    if (!r->deleted) {
+    if (!r->deleted ||
+        (form == RESOURCE_JSON_STORE && tombstone_has_fields(r))) {
         build_kind(json, r, form);
     }
     text = json_dumps(json, JSON_COMPACT);
--- a/tests/unit/test-operator-write.c
+++ b/tests/unit/test-operator-write.c
@@ -399,6 +399,9 @@
     check_truthful(&r);
 }
 
+#define PORT_BEFORE 1111
+#define PORT_WANTED 2222
+
 struct precondition_case {
     const char *name;
     bool present;
@@ -451,6 +454,8 @@
 
         start_run(&r, c->present, LONG_LIMIT_US);
         r.store.value.deleted = c->deleted;
+        r.store.value.service.port = PORT_BEFORE;
+        r.w.request.wanted.service.port = PORT_WANTED;
         r.w.request.deletion = c->deletion;
         r.w.request.precondition = c->precondition;
         r.w.request.version = c->version;
@@ -462,6 +467,9 @@
         check_truthful(&r);
         if (c->kind == ERR_NONE) {
             assert_int_equal(r.store.value.deleted, c->deletion);
+            /* A tombstone keeps the fields of what it ends. */
+            assert_int_equal(r.store.value.service.port,
+                             c->deletion ? PORT_BEFORE : PORT_WANTED);
         }
     }
 }
@@ -681,6 +689,13 @@
     {TARGET("rigctl", "t2", "a", 2), false, NULL},
     {TARGET("rigctl", "t2", "a", 1), false,
      "address: with this port it is used by target t1 of service rigctl"},
+    {TARGET("rigctl", "t1", "a", 3), false,
+     "address: target t1 keeps its address and port; declare a target with "
+     "another id"},
+    {TARGET("rigctl", "gone", "a", 2), false, NULL},
+    {TARGET("rigctl", "gone", "a", 3), false,
+     "address: target gone keeps its address and port; declare a target with "
+     "another id"},
     {TARGET("old", "t2", "a", 3), false, "service: there is no service old"},
     {TARGET("rigctl", "t2", "b", 3), false,
      "domain: service rigctl has no failure domain b"},
--- a/tests/unit/test-resource-json.c
+++ b/tests/unit/test-resource-json.c
@@ -153,6 +153,11 @@
     {RESOURCE_TARGET, RESOURCE_JSON_STORE,
      "{\"kind\":\"target\",\"id\":\"r1\",\"version\":9,\"writes\":[\"ab\"],"
      "\"deleted\":true}"},
+    {RESOURCE_TARGET, RESOURCE_JSON_STORE,
+     "{\"kind\":\"target\",\"id\":\"r1\",\"version\":2,\"writes\":[],"
+     "\"deleted\":true,\"service\":\"s1\",\"domain\":\"hall-a\",\"address\":"
+     "\"10.1.2.3\",\"port\":8080,\"slots\":2,\"connections\":2000,\"state\":"
+     "\"active\"}"},
 };
 
 static void
