--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -53,6 +53,7 @@
     struct seed seeds[SEEDS_MAX];
     size_t seed_count;
     size_t next_seed;
+    size_t replaced_seed; /* once the table is full, in turn */
     unsigned self_rumors; /* times our own refutation is still to be sent */
     bool neighbors_stale;
     bool joined; /* some peer sent its members */
@@ -112,8 +113,16 @@
     if (ms->seed_count < SEEDS_MAX) {
         ms->seeds[ms->seed_count] = (struct seed){addr, port};
         ms->seed_count++;
-        ms->next_seed_try = 0;
+        return;
     }
+    ms->seeds[ms->replaced_seed % SEEDS_MAX] = (struct seed){addr, port};
+    ms->replaced_seed++;
+}
+
+bool
+membership_needs_seeds(const struct membership *ms, uint64_t now)
+{
+    return !ms->joined || membership_isolated(ms, now);
 }
 
 /* Number of times that an update is passed on, so that it reaches all with
@@ -623,7 +632,7 @@
 try_seed(struct membership *ms, uint64_t now)
 {
     const struct seed *seed;
-    bool urgent = !ms->joined || membership_isolated(ms, now);
+    bool urgent = membership_needs_seeds(ms, now);
 
     if (ms->seed_count == 0 || now < ms->next_seed_try) {
         return;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -40,6 +40,8 @@
 
 /* An address to join at, from the settings or the platform's host list. */
 void membership_add_seed(struct membership *ms, uint32_t addr, uint16_t port);
+/* True while no peer has answered, or none does any more. */
+bool membership_needs_seeds(const struct membership *ms, uint64_t now);
 
 /* Handles PING, ACK, PROBE, JOIN, MEMBERS, and the sender and members of every
  * other kind. Returns the sender's entry, or NULL when there is no room. */
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -114,6 +114,14 @@
     }
 }
 
+static void
+on_listed_host(void *ctx, uint32_t addr, uint16_t port)
+{
+    struct control_task *task = ctx;
+
+    membership_add_seed(task->members, addr, port);
+}
+
 /* Opens the gossip endpoint and makes the list of members. */
 bool
 control_peers_open(struct control_task *task, struct status *st)
@@ -137,7 +145,9 @@
     task->in = calloc(1, sizeof(*task->in));
     task->members =
         membership_new(&self, &cb, &task->random, clock_monotonic_us());
-    if (task->in == NULL || task->members == NULL) {
+    task->hosts = host_list_new(task->base, task->settings, &task->random,
+                                on_listed_host, task);
+    if (task->in == NULL || task->members == NULL || task->hosts == NULL) {
         status_set(st, ERR_NO_MEMORY, "control: out of memory");
         return false;
     }
@@ -150,11 +160,14 @@
 {
     membership_tick(task->members, now);
     gossip_endpoint_close_idle(task->gossip, now);
+    host_list_tick(task->hosts, membership_needs_seeds(task->members, now),
+                   spread_is_watcher(task->spread, now), now);
 }
 
 void
 control_peers_close(struct control_task *task)
 {
+    host_list_destroy(task->hosts);
     membership_destroy(task->members);
     gossip_endpoint_destroy(task->gossip);
     free(task->in);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -11,6 +11,7 @@
 #include "coordination/membership.h"
 #include "coordination/report.h"
 #include "coordination/spread.h"
+#include "daemon/host-list.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
 #include "state/domain-floors.h"
@@ -44,6 +45,7 @@
     struct membership *members;
     struct spread *spread;
     struct gossip_endpoint *gossip;
+    struct host_list *hosts;
     struct gossip_message *in; /* message being decoded */
     struct store_client *store;
     struct store_reader *reader;
--- a/tests/unit/fake-net.c
+++ b/tests/unit/fake-net.c
@@ -38,7 +38,7 @@
 
     if (i == net->heap_room) {
         net->heap_room = net->heap_room == 0 ? 1024 : net->heap_room * 2;
-        net->heap = realloc(net->heap, net->heap_room * sizeof(*net->heap));
+        net->heap = realloc(net->heap, net->heap_room * sizeof(void *));
     }
     net->heap_count++;
     while (i > 0 && earlier(p, net->heap[(i - 1) / 2])) {
