--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -254,8 +254,9 @@
     jq -nc --arg service "${TARGET_SERVICE[$1]}" \
         --arg domain "${TARGET_DOMAIN[$1]}" --arg address "${TARGET_ADDR[$1]}" \
         --argjson port "$TARGET_PORT" --arg state "${2:-active}" \
+        --argjson slots "${TARGET_SLOTS:-2}" \
         '{service: $service, domain: $domain, address: $address, port: $port,
-          slots: 2, connections: 2000, state: $state}'
+          slots: $slots, connections: 2000, state: $state}'
 }
 
 service_fields() {
