client: requests when a home is gone

A request that may be repeated and meets a lost target or home is sent again elsewhere, twice at most, and at once when the answer brings an Echo. A 5.04 with an Echo comes from a home that was restarted: what may not be repeated is not asked for again there. A download gives up an Echo whose home makes every block slow. "call get" sends its first request without Block2, which a balancer would queue as a download.

--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -28,8 +28,9 @@
     bool may_have_run; /* sent whole, under the token in "request" */
     unsigned tries;
     unsigned challenges;
-    unsigned asked_again;
-    unsigned refusals; /* in a row */
+    unsigned asked_again; /* under the same token and id */
+    unsigned elsewhere;   /* tries after a lost target or home */
+    unsigned refusals;    /* in a row */
     unsigned upload_restarts;
     uint64_t deadline_us;
     struct exchange *ex;
--- a/src/client/call-verdict.c
+++ b/src/client/call-verdict.c
@@ -7,10 +7,45 @@
 }
 
 static bool
-is_challenge(const struct packet *answer)
+has_echo(const struct packet *answer)
 {
-    return answer->code == CODE_UNAUTHORIZED &&
-           (answer->fields & FIELD_ECHO) != 0;
+    return (answer->fields & FIELD_ECHO) != 0;
+}
+
+static bool
+is_gateway_error(const struct packet *answer)
+{
+    return answer->code == CODE_BAD_GATEWAY ||
+           answer->code == CODE_GATEWAY_TIMEOUT;
+}
+
+/* An answer that tells of a lost target or home, for a request that may be
+ * repeated. */
+static enum call_verdict
+judge_lost_repeatable(const struct call_facts *facts,
+                      const struct packet *answer)
+{
+    if (has_echo(answer)) {
+        return VERDICT_CHALLENGE;
+    }
+    if (facts->may_ask_again) {
+        return VERDICT_ELSEWHERE;
+    }
+    return answer->outcome == OUTCOME_UNKNOWN ? VERDICT_UNKNOWN
+                                              : VERDICT_ANSWERED;
+}
+
+/* A 5.04 may come from a balancer that could not reach the home, which may
+ * still be there. With an Echo it comes from a home that does not know the
+ * token; and what a home says of a request it records and only repeats. */
+static enum call_verdict
+judge_unknown(const struct call_facts *facts, const struct packet *answer)
+{
+    if (answer->code == CODE_GATEWAY_TIMEOUT && facts->may_ask_again &&
+        !has_echo(answer)) {
+        return VERDICT_ASK_AGAIN;
+    }
+    return VERDICT_UNKNOWN;
 }
 
 enum call_verdict
@@ -19,7 +54,7 @@
     bool not_run = answer->outcome == OUTCOME_NOT_RUN;
     bool may_repeat = facts->repeatable || !facts->may_have_run || not_run;
 
-    if (is_challenge(answer)) {
+    if (answer->code == CODE_UNAUTHORIZED && has_echo(answer)) {
         return may_repeat ? VERDICT_CHALLENGE : VERDICT_UNKNOWN;
     }
     if (call_code_is_busy(answer->code) && (facts->repeatable || not_run)) {
@@ -28,12 +63,11 @@
     if (not_run) {
         return VERDICT_NOT_RUN;
     }
+    if (facts->repeatable && is_gateway_error(answer)) {
+        return judge_lost_repeatable(facts, answer);
+    }
     if (answer->outcome == OUTCOME_UNKNOWN) {
-        /* A 5.04 may come from a balancer that could not reach the home; the
-         * home records what it says itself and only repeats it. */
-        return answer->code == CODE_GATEWAY_TIMEOUT && facts->may_ask_again
-                   ? VERDICT_ASK_AGAIN
-                   : VERDICT_UNKNOWN;
+        return judge_unknown(facts, answer);
     }
     return VERDICT_ANSWERED;
 }
--- a/src/client/call-verdict.h
+++ b/src/client/call-verdict.h
@@ -12,6 +12,7 @@
     VERDICT_CHALLENGE, /* send again with the answer's Echo */
     VERDICT_LATER,     /* send again after the time that it names */
     VERDICT_ASK_AGAIN, /* same token and id: the home may yet answer */
+    VERDICT_ELSEWHERE, /* send again, under a new token if it needs one */
 };
 
 struct call_facts {
--- a/src/client/call.c
+++ b/src/client/call.c
@@ -13,6 +13,7 @@
 
 #define CHALLENGES_MAX 3
 #define ASK_AGAIN_MAX 2
+#define ELSEWHERE_MAX 2
 #define UPLOAD_RESTARTS_MAX 3
 /* Refusals in a row after which a flow looks for another home. */
 #define REFUSALS_MAX 2
@@ -312,6 +313,21 @@
     call->asked_again++;
 }
 
+/* A request that may be repeated met a target or home that is lost. */
+static void
+on_elsewhere(struct call *call, const struct packet *answer)
+{
+    struct random *random = client_random(call->flow->client);
+    uint64_t wait = backoff_retry_us(random, call->elsewhere);
+
+    client_flow_drop_token(call->flow, call);
+    reset_try(call);
+    call->elsewhere++;
+    if (!wait_for(call, wait)) {
+        call_finish(call, CALL_ANSWERED, answer);
+    }
+}
+
 static void
 request_next_block(struct call *call)
 {
@@ -364,8 +380,8 @@
     const struct call_facts facts = {
         .repeatable = call->repeatable,
         .may_have_run = call->may_have_run,
-        .may_ask_again = !call->repeatable && call->may_have_run &&
-                         call->asked_again < ASK_AGAIN_MAX,
+        .may_ask_again = call->repeatable ? call->elsewhere < ELSEWHERE_MAX
+                                          : call->asked_again < ASK_AGAIN_MAX,
     };
 
     switch (call_judge(&facts, answer)) {
@@ -387,6 +403,9 @@
     case VERDICT_ASK_AGAIN:
         on_ask_again(call, answer);
         return;
+    case VERDICT_ELSEWHERE:
+        on_elsewhere(call, answer);
+        return;
     }
 }
 
--- a/src/client/download.c
+++ b/src/client/download.c
@@ -17,6 +17,10 @@
 #define RESTART_BACKOFF_STEPS 2 /* doublings of the wait, at most */
 #define BLOCK_FAILURES_MAX 5
 #define CHALLENGES_MAX 3
+/* The home of the Echo value may be gone, and every balancer then waits for
+ * it in vain; answers that are slow for two whole windows show it. */
+#define SLOW_BLOCK_US (300 * USEC_PER_MSEC)
+#define SLOW_BLOCKS_MAX (2 * DOWNLOAD_WINDOW_MAX)
 
 enum slot_state {
     SLOT_FREE,
@@ -31,6 +35,7 @@
     enum slot_state state;
     uint32_t num;
     unsigned failures;
+    uint64_t sent_us;
     struct exchange *ex;
     struct event *timer;
     size_t len;
@@ -50,8 +55,10 @@
     uint64_t size;
     double window;
     unsigned window_max;
+    bool interactive;
     unsigned restarts;
     unsigned challenges;
+    unsigned slow_blocks; /* in a row */
     struct slot slots[DOWNLOAD_WINDOW_MAX];
     download_cb cb;
     void *ctx;
@@ -134,12 +141,16 @@
 send_slot(struct slot *slot)
 {
     struct download *dl = slot->dl;
-    uint64_t deadline = clock_monotonic_us() + BLOCK_DEADLINE_US;
+    uint64_t now = clock_monotonic_us();
+    uint64_t deadline = now + BLOCK_DEADLINE_US;
 
     dl->request.block2.num = slot->num;
     dl->request.block2.more = false;
     dl->request.block2.szx = slot->num == 0 ? DOWNLOAD_SZX : dl->body.szx;
+    dl->request.fields = dl->interactive && slot->num == 0 ? 0 : FIELD_BLOCK2;
+    dl->request.echo_len = 0;
     client_flow_add_proof(dl->flow, &dl->request);
+    slot->sent_us = now;
     if (deadline > dl->deadline_us) {
         deadline = dl->deadline_us;
     }
@@ -284,6 +295,27 @@
     clamp_window(dl);
 }
 
+/* Finds out that the home of the Echo value is gone, and takes over the Echo
+ * of another balancer. */
+static void
+note_home(struct slot *slot, const struct packet *answer)
+{
+    struct download *dl = slot->dl;
+
+    if ((answer->fields & FIELD_ECHO) != 0) {
+        client_flow_take_proof(dl->flow, answer);
+    }
+    if (clock_monotonic_us() - slot->sent_us < SLOW_BLOCK_US) {
+        dl->slow_blocks = 0;
+        return;
+    }
+    dl->slow_blocks++;
+    if (dl->slow_blocks >= SLOW_BLOCKS_MAX) {
+        dl->slow_blocks = 0;
+        client_flow_forget_proof(dl->flow);
+    }
+}
+
 static bool
 deliver(struct download *dl, const uint8_t *data, size_t len)
 {
@@ -405,6 +437,7 @@
     }
     if (answer->code == CODE_CONTENT) {
         adapt_window(slot->dl, retransmitted);
+        note_home(slot, answer);
         on_content(slot, answer);
         return;
     }
@@ -450,6 +483,7 @@
     dl->sink = *sink;
     dl->cb = cb;
     dl->ctx = ctx;
+    dl->interactive = request->interactive;
     dl->window = WINDOW_START;
     dl->window_max =
         request->window == 0 || request->window > DOWNLOAD_WINDOW_MAX
@@ -460,7 +494,6 @@
         clock_monotonic_us() + request->deadline_ms * USEC_PER_MSEC;
     p = &dl->request;
     p->code = CODE_GET;
-    p->fields = FIELD_BLOCK2;
     if (!make_events(dl) ||
         !packet_set_uri(p, request->path, request->query)) {
         download_free(dl);
--- a/src/client/download.h
+++ b/src/client/download.h
@@ -29,6 +29,10 @@
     const char *query;    /* or NULL, copied */
     uint32_t deadline_ms; /* from now, for the whole body */
     unsigned window;      /* blocks in flight at most, 0: the default */
+    /* A short answer is expected: the first request goes without Block2, which
+     * a balancer takes for the start of a download and queues behind others.
+     */
+    bool interactive;
 };
 
 struct download_result {
--- a/src/daemon/cmd-call-verbs.c
+++ b/src/daemon/cmd-call-verbs.c
@@ -90,14 +90,16 @@
 }
 
 static bool
-start_read(struct call_run *run, bool show_progress)
+start_read(struct call_run *run, bool large)
 {
     const struct download_request request = {
         .path = run->options.path,
         .query = run->options.query,
         .deadline_ms = run->options.deadline_ms,
+        .interactive = !large,
     };
-    struct call_body *body = call_body_new(run->options.output, show_progress);
+    struct call_body *body = call_body_new(
+        run->options.output, large && isatty(STDERR_FILENO) != 0);
     struct download_sink sink;
     struct read_run *read;
 
@@ -125,7 +127,7 @@
 bool
 call_download(struct call_run *run)
 {
-    return start_read(run, isatty(STDERR_FILENO) != 0);
+    return start_read(run, true);
 }
 
 static void
