--- a/tests/unit/test-report.c
+++ b/tests/unit/test-report.c
@@ -246,6 +246,25 @@
     fake_net_destroy(net);
 }
 
+/* What a process had in force does not count for the next one of its host. */
+static void
+test_restart_voids_report(void **state)
+{
+    struct fake_net *net = start(12, SEED);
+    size_t again = other_of_d0(net);
+    const struct domain_status *s;
+
+    fake_net_kill(net, again);
+    net->nodes[again].apply_delay_us = UINT64_MAX;
+    fake_net_start(net, again);
+    fake_net_run(net, SHOWN_US);
+    s = status_of(net, "d0");
+    assert_int_equal(s->waiting_count, 1);
+    assert_string_equal(s->waiting[0].host, net->nodes[again].self.id);
+    assert_false(s->waiting[0].reported);
+    fake_net_destroy(net);
+}
+
 /* All others of a domain restart while one is cut off: they never saw it,
  * but it is a declared host, and so is waited for. */
 static void
@@ -331,6 +350,7 @@
         cmocka_unit_test(test_lagging),
         cmocka_unit_test(test_vanished),
         cmocka_unit_test(test_reporter_vanishes),
+        cmocka_unit_test(test_restart_voids_report),
         cmocka_unit_test(test_declared_host_never_seen),
         cmocka_unit_test(test_floors_without_store),
         cmocka_unit_test(test_status_json),
