daemon: a stopping balancer hands new requests to a peer

Cause: a balancer in its planned stop opens no flow, so a read too long for an unverified caller got neither answer nor challenge, and a POST without a token was refused with a wait of a second. Ruled out: the drain of the target (its case alone broke nothing). Now a request without a token goes to a live peer over the relay, and a refusal because of the stop says to come back at once, upon which the caller library looks for another home.

A host alone in its failure domain draws peers of another one.

--- a/src/client/call.c
+++ b/src/client/call.c
@@ -266,7 +266,8 @@
 }
 
 /* A refusal with a time to come back. The flow looks for another home when
- * this one goes on refusing, or names no time. */
+ * this one goes on refusing, names no time, or says "now", which it does when
+ * it stops. */
 static void
 on_refusal(struct call *call, const struct packet *answer)
 {
@@ -277,7 +278,8 @@
                              : backoff_retry_us(random, call->tries);
 
     call->refusals++;
-    if (!has_time || call->refusals >= REFUSALS_MAX) {
+    if (!has_time || answer->max_age_s == 0 ||
+        call->refusals >= REFUSALS_MAX) {
         client_flow_drop_token(flow, call);
         call->refusals = 0;
     }
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -144,28 +144,27 @@
            size <= caller->request_size * AMPLIFICATION_MAX;
 }
 
-/* Builds a challenge in place of an answer that is too long for a caller
- * whose address is not verified. Only a read gets there, which may be sent
- * again without harm: a request that changed something came with a token.
- * Returns 0 when no token can be issued. */
-static size_t
-build_challenge(struct data_task *task, const struct caller *caller,
-                const struct packet *answer, uint8_t *data, size_t size)
+/* Puts a short answer in the place of one that is too long for a caller whose
+ * address is not verified: a challenge, or the word to come back where none
+ * can be issued. Only a read gets there, which may be sent again without harm:
+ * a request that changed something came with a token. */
+static void
+shorten(struct data_task *task, const struct caller *caller,
+        struct packet *answer)
 {
     const struct service_port *port = data_port(task, caller->service_port);
-    struct packet challenge = {
-        .type = answer->type,
-        .code = CODE_UNAUTHORIZED,
-        .message_id = answer->message_id,
-    };
+    struct packet shorter = {.code = CODE_UNAUTHORIZED};
 
     if (port == NULL || port->view == NULL ||
-        !answer_add_token(task, &challenge, port->view->hash,
+        !answer_add_token(task, &shorter, port->view->hash,
                           clock_monotonic_us())) {
-        return 0;
+        answer_fill_error(&shorter, ERR_STOPPING, OUTCOME_NONE,
+                          RETRY_ELSEWHERE_MS);
     }
-    set_token(&challenge, caller);
-    return packet_build(&challenge, data, size);
+    shorter.type = answer->type;
+    shorter.message_id = answer->message_id;
+    set_token(&shorter, caller);
+    *answer = shorter;
 }
 
 void
@@ -178,7 +177,8 @@
     set_header(task->answers, answer, caller);
     size = packet_build(answer, data, sizeof(data));
     if (!caller->verified && !fits_request(caller, size)) {
-        size = build_challenge(task, caller, answer, data, sizeof(data));
+        shorten(task, caller, answer);
+        size = packet_build(answer, data, sizeof(data));
     }
     if (size == 0) {
         return;
@@ -220,7 +220,7 @@
     if (answer->outcome != OUTCOME_NONE) {
         answer->fields |= FIELD_OUTCOME;
     }
-    if (retry_after_ms > 0) {
+    if (retry_after_ms != RETRY_NO_ADVICE_MS) {
         answer->fields |= FIELD_MAX_AGE;
         answer->max_age_s = (retry_after_ms + 999) / 1000;
     }
@@ -274,7 +274,8 @@
                           clock_monotonic_us())) {
         answer_error(task, &in->caller,
                      task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED,
-                     OUTCOME_NOT_RUN, 1000);
+                     OUTCOME_NOT_RUN,
+                     task->home.stopping ? RETRY_ELSEWHERE_MS : RETRY_SOON_MS);
         return;
     }
     answer_send(task, &in->caller, &answer);
--- a/src/daemon/answer.h
+++ b/src/daemon/answer.h
@@ -6,6 +6,12 @@
 /* Answers to callers: piggybacked on the ACK while that is in time, else
  * separate and retransmitted a few times (RFC 7252 section 5.2). */
 
+/* Values of "retry_after_ms", the time after which a refused request is worth
+ * sending again. */
+#define RETRY_ELSEWHERE_MS 0 /* now: another balancer can take it */
+#define RETRY_SOON_MS 1000
+#define RETRY_NO_ADVICE_MS UINT32_MAX
+
 struct answers *answers_new(struct data_task *task);
 void answers_destroy(struct answers *answers);
 
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -126,7 +126,7 @@
         answer.fields |= FIELD_OUTCOME;
         answer.outcome = recorded->outcome;
     }
-    if (recorded->max_age_s > 0) {
+    if (recorded->max_age_s != RECORDED_NO_MAX_AGE) {
         answer.fields |= FIELD_MAX_AGE;
         answer.max_age_s = recorded->max_age_s;
     }
@@ -162,7 +162,9 @@
     memset(recorded, 0, sizeof(*recorded));
     recorded->code = answer.code;
     recorded->outcome = answer.outcome;
-    recorded->max_age_s = answer.max_age_s;
+    recorded->max_age_s = (answer.fields & FIELD_MAX_AGE) != 0
+                              ? answer.max_age_s
+                              : RECORDED_NO_MAX_AGE;
     recorded->content_format = RECORDED_NO_FORMAT;
     recorded->payload = (uint8_t *)answer.payload;
     recorded->payload_len = answer.payload_len;
@@ -186,7 +188,7 @@
 {
     struct work *work = ctx;
     struct command *cmd = container_of(work, struct command, work);
-    struct recorded_answer recorded = {0};
+    struct recorded_answer recorded = {.max_age_s = RECORDED_NO_MAX_AGE};
     int format = -1;
 
     if (!work_result(cmd->commands->task, work, kind, sent, response)) {
@@ -279,16 +281,18 @@
                          : flow_table_begin(task->home.flows, verdict->flow,
                                             verdict->id);
     if (record == NULL) {
-        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     cmd = command_new(commands, in, record);
     if (cmd == NULL) {
         struct recorded_answer recorded;
 
-        fill_refusal(&recorded, ERR_OVERLOADED, true, 1000);
+        fill_refusal(&recorded, ERR_OVERLOADED, true, RETRY_SOON_MS);
         flow_table_finish(task->home.flows, record, &recorded);
-        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN, 1000);
+        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN,
+                     RETRY_SOON_MS);
         return;
     }
     cmd->work.job.class = CLASS_COMMAND;
@@ -315,10 +319,11 @@
         flow_table_begin(task->home.flows, verdict->flow, verdict->id);
 
     if (record == NULL) {
-        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
-    fill_refusal(&recorded, kind, true, 1000);
+    fill_refusal(&recorded, kind, true, RETRY_ELSEWHERE_MS);
     flow_table_finish(task->home.flows, record, &recorded);
     send_recorded(task, &in->caller, &recorded, &block);
 }
@@ -360,7 +365,8 @@
 {
     struct packet answer;
 
-    answer_fill_error(&answer, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
+    answer_fill_error(&answer, ERR_HOME_LOST, OUTCOME_UNKNOWN,
+                      RETRY_NO_ADVICE_MS);
     answer_add_token(commands->task, &answer, in->port->view->hash,
                      clock_monotonic_us());
     answer_send(commands->task, &in->caller, &answer);
@@ -404,11 +410,13 @@
     struct home_verdict verdict;
 
     if (is_orphan_block(in)) {
-        answer_error(task, &in->caller, ERR_BAD_OPTION, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_BAD_OPTION, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     if (in->packet.payload_len > in->port->view->service.body_limit) {
-        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     verdict = decide(commands, in);
@@ -443,7 +451,8 @@
         refuse(commands, in, &verdict);
         break;
     case HOME_WRONG_SERVICE:
-        answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         break;
     }
 }
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -7,6 +7,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "daemon/messages.h"
 #include "protocol/gossip-codec.h"
 
 void
@@ -164,6 +165,25 @@
                    spread_is_watcher(task->spread, now), now);
 }
 
+void
+control_peers_offer(struct control_task *task)
+{
+    const struct member *peers[MSG_PEERS_MAX];
+    struct msg_peers msg = {0};
+
+    msg.count =
+        (uint32_t)membership_draw(task->members, true, peers, MSG_PEERS_MAX);
+    if (msg.count == 0) {
+        /* A peer elsewhere that does not serve the service says so. */
+        msg.count = (uint32_t)membership_draw(task->members, false, peers,
+                                              MSG_PEERS_MAX);
+    }
+    for (uint32_t i = 0; i < msg.count; i++) {
+        msg.addrs[i] = peers[i]->info.addr;
+    }
+    mailbox_send(task->data, MSG_PEERS, &msg, sizeof(msg));
+}
+
 void
 control_peers_close(struct control_task *task)
 {
--- a/src/daemon/control-task.c
+++ b/src/daemon/control-task.c
@@ -107,6 +107,9 @@
     uint64_t now = clock_monotonic_us();
 
     control_peers_tick(task, now);
+    if (task->stopping) {
+        control_peers_offer(task);
+    }
     control_config_tick(task, now);
     control_status_tick(task, now);
 }
@@ -118,6 +121,8 @@
 
     control_event(task, "stopping", task->settings->host.id,
                   "planned stop was asked for");
+    task->stopping = true;
+    control_peers_offer(task);
     mailbox_send(task->data, MSG_STOP, NULL, 0);
 }
 
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -64,6 +64,7 @@
     size_t metrics_asked_count;
 
     bool refresh_wanted; /* the data task was paused */
+    bool stopping;       /* planned stop */
     bool isolated;       /* neither peers nor store can be reached */
 };
 
@@ -79,6 +80,8 @@
                         const struct gossip_message *m);
 void control_peers_tick(struct control_task *task, uint64_t now);
 void control_peers_close(struct control_task *task);
+/* Names live peers to the data task, which is stopping. */
+void control_peers_offer(struct control_task *task);
 
 /* control-config.c: from store and peers to the data task's view. */
 bool control_config_open(struct control_task *task, struct status *st);
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -102,6 +102,11 @@
 static void
 handle_request(struct data_task *task, struct inbound *in)
 {
+    if (task->home.stopping && !in->has_token && !in->caller.relayed &&
+        task->peers.count > 0) {
+        relays_hand_over(task->relays, in);
+        return;
+    }
     if (in->packet.code != CODE_GET && in->packet.code != CODE_FETCH) {
         commands_handle(task->commands, in);
         return;
@@ -186,7 +191,7 @@
         return;
     }
     if (kind != ERR_NONE) {
-        answer_error(task, &in.caller, kind, OUTCOME_NONE, 0);
+        answer_error(task, &in.caller, kind, OUTCOME_NONE, RETRY_NO_ADVICE_MS);
         return;
     }
     if (!open_token(task, &in)) {
@@ -364,6 +369,9 @@
     case MSG_VIEW_FRESH:
         task->home.stale = false;
         break;
+    case MSG_PEERS:
+        memcpy(&task->peers, data, sizeof(task->peers));
+        break;
     case MSG_STOP:
         begin_stop(task);
         break;
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -12,6 +12,7 @@
 #include "base/settings.h"
 #include "coordination/dispatch.h"
 #include "coordination/home.h"
+#include "daemon/messages.h"
 #include "protocol/packet.h"
 #include "state/address-set.h"
 #include "state/config-view.h"
@@ -54,6 +55,7 @@
     struct config_view *view; /* NULL before the first one */
     struct random random;
     struct home home;
+    struct msg_peers peers; /* known during the planned stop */
     struct dispatch dispatch;
 
     struct metrics *metrics;
--- a/src/daemon/fetch.c
+++ b/src/daemon/fetch.c
@@ -157,7 +157,8 @@
     size_t left;
 
     if (offset > 0 && offset >= body->total) {
-        answer_error(task, &waiter->caller, ERR_BAD_OPTION, OUTCOME_NONE, 0);
+        answer_error(task, &waiter->caller, ERR_BAD_OPTION, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     left = body->size - (size_t)(offset - body->first);
@@ -293,7 +294,7 @@
         }
         else {
             answer_error(task, &waiter->caller, ERR_TARGET_BAD_ANSWER,
-                         OUTCOME_NONE, 0);
+                         OUTCOME_NONE, RETRY_NO_ADVICE_MS);
         }
     }
 }
@@ -312,7 +313,7 @@
     }
     work_record_times(fetch->fetches->task, work);
     if (!read_body(fetch, response, &body)) {
-        fail_waiters(fetch, ERR_TARGET_BAD_ANSWER, 0);
+        fail_waiters(fetch, ERR_TARGET_BAD_ANSWER, RETRY_NO_ADVICE_MS);
         fetch_free(fetch);
         return;
     }
@@ -419,7 +420,8 @@
     struct job *job;
 
     if (fetch == NULL) {
-        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     job = &fetch->work.job;
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -17,6 +17,7 @@
     /* control -> data */
     MSG_CONFIG_VIEW = 1, /* struct msg_config_view */
     MSG_STOP,            /* begin the planned stop, no payload */
+    MSG_PEERS,           /* struct msg_peers, during the planned stop */
     MSG_VIEW_FRESH,      /* the view was refreshed after a pause */
     /* data -> control */
     MSG_VIEW_APPLIED,  /* struct msg_view_applied */
@@ -37,6 +38,15 @@
     struct config_view *view; /* owned by the receiver */
 };
 
+#define MSG_PEERS_MAX 4
+
+/* Live balancers, of the own failure domain if there are any, to which a
+ * stopping one hands what is new. They listen on the same relay port. */
+struct msg_peers {
+    uint32_t count;
+    uint32_t addrs[MSG_PEERS_MAX]; /* IPv4, host byte order */
+};
+
 struct msg_view_applied {
     uint64_t sequence;
 };
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -22,7 +22,8 @@
 struct relay {
     struct list link;
     uint32_t id;
-    struct endpoint home;
+    struct endpoint to;
+    bool has_token;
     unsigned sent_count;
     uint64_t due_us;
     struct caller caller;
@@ -90,13 +91,14 @@
     size_t size = envelope_build(&envelope, data, sizeof(data));
 
     if (size > 0) {
-        udp_socket_send(relays->task->relay_sock, &relay->home, data, size);
+        udp_socket_send(relays->task->relay_sock, &relay->to, data, size);
     }
     relay->sent_count++;
     relay->due_us = now + RELAY_RETRY_US;
 }
 
-/* Tells the caller that the home is lost. Only a home may say "not run". */
+/* Serves or refuses what could not be handed on. Only a home may say "not run"
+ * of a request with a token; one without is never delivered. */
 static void
 give_up(struct relays *relays, const struct inbound *in)
 {
@@ -105,11 +107,18 @@
         data_serve_repeatable(relays->task, in);
         return;
     }
-    answer_error(relays->task, &in->caller, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
+    if (!in->has_token) {
+        answer_error(relays->task, &in->caller, ERR_STOPPING, OUTCOME_NOT_RUN,
+                     RETRY_ELSEWHERE_MS);
+        return;
+    }
+    answer_error(relays->task, &in->caller, ERR_HOME_LOST, OUTCOME_UNKNOWN,
+                 RETRY_NO_ADVICE_MS);
 }
 
-void
-relays_forward(struct relays *relays, const struct inbound *in)
+static void
+forward(struct relays *relays, const struct inbound *in,
+        const struct endpoint *to)
 {
     struct relay *relay;
 
@@ -125,9 +134,9 @@
     data_count(relays->task, COUNTER_PACKETS_RELAYED);
     relay->id = relays->next_id;
     relays->next_id++;
-    relay->home.addr = in->token.home_addr;
-    relay->home.port = in->token.home_port;
+    relay->to = *to;
     relay->caller = in->caller;
+    relay->has_token = in->has_token;
     relay->token = in->token;
     relay->raw_len = in->raw_len;
     memcpy(relay->raw, in->raw, in->raw_len);
@@ -136,6 +145,30 @@
     send_relay(relays, relay, clock_monotonic_us());
 }
 
+void
+relays_forward(struct relays *relays, const struct inbound *in)
+{
+    struct endpoint home = {
+        .addr = in->token.home_addr,
+        .port = in->token.home_port,
+    };
+
+    forward(relays, in, &home);
+}
+
+void
+relays_hand_over(struct relays *relays, const struct inbound *in)
+{
+    struct data_task *task = relays->task;
+    uint32_t pick = random_below(&task->random, task->peers.count);
+    struct endpoint peer = {
+        .addr = task->peers.addrs[pick],
+        .port = task->settings->ports.relay,
+    };
+
+    forward(relays, in, &peer);
+}
+
 /* Parses a kept packet again and gives it up. */
 static void
 fail_relay(struct relays *relays, struct relay *relay)
@@ -143,7 +176,7 @@
     struct inbound in = {
         .caller = relay->caller,
         .port = data_port(relays->task, relay->caller.service_port),
-        .has_token = true,
+        .has_token = relay->has_token,
         .token = relay->token,
         .raw = relay->raw,
         .raw_len = relay->raw_len,
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -13,6 +13,10 @@
  * answered as of unknown outcome, or served here when it may be repeated. */
 void relays_forward(struct relays *relays, const struct inbound *in);
 
+/* Hands a request that has no home yet to a peer, which takes it as its own.
+ * For the planned stop, during which no flow can be opened here. */
+void relays_hand_over(struct relays *relays, const struct inbound *in);
+
 /* A datagram on the relay socket. */
 void relays_on_datagram(struct relays *relays, const struct endpoint *from,
                         const uint8_t *data, size_t size,
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -164,7 +164,9 @@
 {
     struct packet answer;
 
-    answer_fill_error(&answer, kind, OUTCOME_NONE, 1000);
+    answer_fill_error(&answer, kind, OUTCOME_NONE,
+                      kind == ERR_STOPPING ? RETRY_ELSEWHERE_MS
+                                           : RETRY_SOON_MS);
     answer.fields &= ~(unsigned)FIELD_OUTCOME;
     if (stream->answered) {
         /* RFC 7641 section 4.2: an error code ends the observation. */
@@ -397,18 +399,18 @@
 
     if (streams->stopping) {
         answer_error(streams->task, &in->caller, ERR_STOPPING, OUTCOME_NONE,
-                     1000);
+                     RETRY_ELSEWHERE_MS);
         return;
     }
     if (g_hash_table_size(streams->by_caller) >= STREAMS_MAX) {
         answer_error(streams->task, &in->caller, ERR_OVERLOADED, OUTCOME_NONE,
-                     1000);
+                     RETRY_SOON_MS);
         return;
     }
     stream = stream_new(streams, in);
     if (stream == NULL) {
         answer_error(streams->task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
-                     1000);
+                     RETRY_SOON_MS);
         return;
     }
     data_count(streams->task, COUNTER_STREAMS_OPENED);
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "daemon/answer.h"
 #include "daemon/data.h"
 #include "daemon/target-links.h"
 #include "protocol/http-map.h"
@@ -39,7 +40,9 @@
 {
     struct work *work = work_of(job);
 
-    work->ops->failed(work, kind, not_run, retry_after_ms);
+    work->ops->failed(work, kind, not_run,
+                      retry_after_ms == 0 ? RETRY_NO_ADVICE_MS
+                                          : retry_after_ms);
 }
 
 static void
--- a/src/state/flow-table.h
+++ b/src/state/flow-table.h
@@ -16,6 +16,7 @@
 
 #define FLOW_WINDOW_IDS 64
 #define RECORDED_NO_FORMAT UINT16_MAX
+#define RECORDED_NO_MAX_AGE UINT32_MAX
 
 enum record_state {
     RECORD_RUNNING,
