--- a/tools/load/report.c
+++ b/tools/load/report.c
@@ -20,6 +20,25 @@
            ((double)report->options->duration_us / (double)USEC_PER_SEC);
 }
 
+/* How many errors each response code decided; "0.00" is none. */
+static json_t *
+codes_json(const struct tally *tally)
+{
+    json_t *json = json_object();
+
+    for (int code = 0; code <= UINT8_MAX; code++) {
+        char name[8];
+
+        if (tally->codes[code] == 0) {
+            continue;
+        }
+        snprintf(name, sizeof(name), "%d.%02d", code >> 5, code & 0x1f);
+        json_object_set_new(json, name,
+                            json_integer((json_int_t)tally->codes[code]));
+    }
+    return json;
+}
+
 static json_t *
 traffic_json(const struct report *report, size_t i)
 {
@@ -38,6 +57,7 @@
         json_object_set_new(json, result_name((enum result)r),
                             json_integer((json_int_t)tally->results[r]));
     }
+    json_object_set_new(json, "error_codes", codes_json(tally));
     return json;
 }
 
@@ -151,6 +171,25 @@
     }
 }
 
+static void
+print_codes(const struct report *report, FILE *out)
+{
+    for (size_t i = 0; i < report->options->traffic_count; i++) {
+        const struct traffic *traffic = &report->options->traffic[i];
+        json_t *codes = codes_json(&report->tallies[i]);
+        const char *name;
+        json_t *value;
+
+        json_object_foreach(codes, name, value)
+        {
+            fprintf(out, "errors of %s %s: %s %lld\n", traffic->service,
+                    traffic_kind_name(traffic->kind), name,
+                    (long long)json_integer_value(value));
+        }
+        json_decref(codes);
+    }
+}
+
 static void
 print_imbalance(const struct report *report, FILE *out)
 {
@@ -180,6 +219,7 @@
             (double)report->options->duration_us / (double)USEC_PER_SEC,
             runner_used_sessions(report->runner), report->options->sessions);
     print_traffic(report, out);
+    print_codes(report, out);
     fprintf(out, "commands:");
     json_object_foreach(commands, name, value)
     {
--- a/tools/load/run-download.c
+++ b/tools/load/run-download.c
@@ -53,6 +53,7 @@
     switch (result->outcome) {
     case CALL_ANSWERED:
         if (result->code >> 5 != 2) {
+            rq->tally->codes[result->code]++;
             return RESULT_ERROR;
         }
         return body_is_right(rq, result) ? RESULT_ANSWERED : RESULT_WRONG;
--- a/tools/load/run-watch.c
+++ b/tools/load/run-watch.c
@@ -75,6 +75,7 @@
         return true;
     case WATCH_ENDED:
         note(sw, RESULT_ERROR, 1);
+        sw->tally->codes[event->code]++;
         sw->watch = NULL;
         return false;
     }
--- a/tools/load/runner.c
+++ b/tools/load/runner.c
@@ -75,6 +75,7 @@
     switch (result->outcome) {
     case CALL_ANSWERED:
         if (result->answer->code >> 5 != 2) {
+            rq->tally->codes[result->answer->code]++;
             return RESULT_ERROR;
         }
         return answer_is_ours(rq, result->answer) ? RESULT_ANSWERED
--- a/tools/load/tally.h
+++ b/tools/load/tally.h
@@ -20,8 +20,9 @@
 struct tally {
     uint64_t started;
     uint64_t results[RESULT_COUNT];
-    uint64_t late;  /* answered after the deadline */
-    uint64_t bytes; /* of downloads */
+    uint64_t codes[UINT8_MAX + 1]; /* of the answers that decided errors */
+    uint64_t late;                 /* answered after the deadline */
+    uint64_t bytes;                /* of downloads */
     uint64_t *times_us;
     size_t time_count;
     size_t time_capacity;
