daemon: a read that needs a token is refused when none can be issued

A balancer that is stopping, or whose flow slots are all taken, sent nothing at all to a caller whose address is not verified and whose answer is long; the caller waited for its retransmission timeout. It now gets 5.03 with a time to come back. The new check of test-planned-stop failed before.

--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -12,6 +12,7 @@
 #define LATE_ACK_TIMEOUT_US (2 * USEC_PER_SEC)
 #define LATE_RETRANSMIT_MAX 3
 #define LATE_ANSWERS_MAX 10000
+#define NO_TOKEN_RETRY_MS 1000
 
 /* An answer is at most this many times as long as the request of a caller
  * whose address is not verified (RFC 9175 section 2.4). */
@@ -144,10 +145,19 @@
            size <= caller->request_size * AMPLIFICATION_MAX;
 }
 
+/* Why answer_add_token() failed. */
+static enum error_kind
+no_token_kind(const struct data_task *task)
+{
+    return task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED;
+}
+
 /* Builds a challenge in place of an answer that is too long for a caller
  * whose address is not verified. Only a read gets there, which may be sent
  * again without harm: a request that changed something came with a token.
- * Returns 0 when no token can be issued. */
+ * When no token can be issued the read is refused, so that the caller asks
+ * elsewhere at once and not after its retransmission timeout. Returns 0 when
+ * neither fits. */
 static size_t
 build_challenge(struct data_task *task, const struct caller *caller,
                 const struct packet *answer, uint8_t *data, size_t size)
@@ -159,11 +169,16 @@
         .message_id = answer->message_id,
     };
 
-    if (port == NULL || port->view == NULL ||
-        !answer_add_token(task, &challenge, port->view->hash,
-                          clock_monotonic_us())) {
+    if (port == NULL || port->view == NULL) {
         return 0;
     }
+    if (!answer_add_token(task, &challenge, port->view->hash,
+                          clock_monotonic_us())) {
+        answer_fill_error(&challenge, no_token_kind(task), OUTCOME_NOT_RUN,
+                          NO_TOKEN_RETRY_MS);
+        challenge.type = answer->type;
+        challenge.message_id = answer->message_id;
+    }
     set_token(&challenge, caller);
     return packet_build(&challenge, data, size);
 }
@@ -272,9 +287,8 @@
 
     if (!answer_add_token(task, &answer, in->port->view->hash,
                           clock_monotonic_us())) {
-        answer_error(task, &in->caller,
-                     task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED,
-                     OUTCOME_NOT_RUN, 1000);
+        answer_error(task, &in->caller, no_token_kind(task), OUTCOME_NOT_RUN,
+                     NO_TOKEN_RETRY_MS);
         return;
     }
     answer_send(task, &in->caller, &answer);
