--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -235,7 +235,12 @@
     if (answer->outcome != OUTCOME_NONE) {
         answer->fields |= FIELD_OUTCOME;
     }
-    if (retry_after_ms > 0) {
+    if (kind == ERR_STOPPING) {
+        /* Another balancer can take it at once. */
+        answer->fields |= FIELD_MAX_AGE;
+        answer->max_age_s = 0;
+    }
+    else if (retry_after_ms > 0) {
         answer->fields |= FIELD_MAX_AGE;
         answer->max_age_s = (retry_after_ms + 999) / 1000;
     }
