--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -145,7 +145,19 @@
            size <= caller->request_size * AMPLIFICATION_MAX;
 }
 
-<<<<<<< HEAD
+/* Why answer_add_token() failed, and when to come back. */
+static enum error_kind
+no_token_kind(const struct data_task *task)
+{
+    return task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED;
+}
+
+static uint32_t
+no_token_retry_ms(const struct data_task *task)
+{
+    return task->home.stopping ? RETRY_ELSEWHERE_MS : RETRY_SOON_MS;
+}
+
 /* Puts a short answer in the place of one that is too long for a caller whose
  * address is not verified: a challenge, or the word to come back where none
  * can be issued. Only a read gets there, which may be sent again without harm:
@@ -153,53 +165,20 @@
 static void
 shorten(struct data_task *task, const struct caller *caller,
         struct packet *answer)
-=======
-/* Why answer_add_token() failed. */
-static enum error_kind
-no_token_kind(const struct data_task *task)
-{
-    return task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED;
-}
-
-/* Builds a challenge in place of an answer that is too long for a caller
- * whose address is not verified. Only a read gets there, which may be sent
- * again without harm: a request that changed something came with a token.
- * When no token can be issued the read is refused, so that the caller asks
- * elsewhere at once and not after its retransmission timeout. Returns 0 when
- * neither fits. */
-static size_t
-build_challenge(struct data_task *task, const struct caller *caller,
-                const struct packet *answer, uint8_t *data, size_t size)
->>>>>>> standins
 {
     const struct service_port *port = data_port(task, caller->service_port);
     struct packet shorter = {.code = CODE_UNAUTHORIZED};
 
-<<<<<<< HEAD
     if (port == NULL || port->view == NULL ||
         !answer_add_token(task, &shorter, port->view->hash,
                           clock_monotonic_us())) {
-        answer_fill_error(&shorter, ERR_STOPPING, OUTCOME_NONE,
-                          RETRY_ELSEWHERE_MS);
+        answer_fill_error(&shorter, no_token_kind(task), OUTCOME_NOT_RUN,
+                          no_token_retry_ms(task));
     }
     shorter.type = answer->type;
     shorter.message_id = answer->message_id;
     set_token(&shorter, caller);
     *answer = shorter;
-=======
-    if (port == NULL || port->view == NULL) {
-        return 0;
-    }
-    if (!answer_add_token(task, &challenge, port->view->hash,
-                          clock_monotonic_us())) {
-        answer_fill_error(&challenge, no_token_kind(task), OUTCOME_NOT_RUN,
-                          NO_TOKEN_RETRY_MS);
-        challenge.type = answer->type;
-        challenge.message_id = answer->message_id;
-    }
-    set_token(&challenge, caller);
-    return packet_build(&challenge, data, size);
->>>>>>> standins
 }
 
 void
@@ -255,16 +234,7 @@
     if (answer->outcome != OUTCOME_NONE) {
         answer->fields |= FIELD_OUTCOME;
     }
-<<<<<<< HEAD
     if (retry_after_ms != RETRY_NO_ADVICE_MS) {
-=======
-    if (kind == ERR_STOPPING) {
-        /* Another balancer can take it at once. */
-        answer->fields |= FIELD_MAX_AGE;
-        answer->max_age_s = 0;
-    }
-    else if (retry_after_ms > 0) {
->>>>>>> standins
         answer->fields |= FIELD_MAX_AGE;
         answer->max_age_s = (retry_after_ms + 999) / 1000;
     }
@@ -316,15 +286,8 @@
 
     if (!answer_add_token(task, &answer, in->port->view->hash,
                           clock_monotonic_us())) {
-<<<<<<< HEAD
-        answer_error(task, &in->caller,
-                     task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED,
-                     OUTCOME_NOT_RUN,
-                     task->home.stopping ? RETRY_ELSEWHERE_MS : RETRY_SOON_MS);
-=======
         answer_error(task, &in->caller, no_token_kind(task), OUTCOME_NOT_RUN,
-                     NO_TOKEN_RETRY_MS);
->>>>>>> standins
+                     no_token_retry_ms(task));
         return;
     }
     answer_send(task, &in->caller, &answer);
