client: requests under a former token hold no other back

The room for ids counted calls of every token, so one that was stuck under an old token stopped the flow once 32 ids of the new one were used; the test timed out at request 32 before the change. Tokens and proofs are given up ten minutes after they came, before their key can be gone.

--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -52,7 +52,9 @@
      * shows that this address is the caller's own. */
     uint8_t proof[PACKET_ECHO_MAX];
     uint8_t proof_len;
-    uint64_t used_us; /* the token was last used or confirmed */
+    uint64_t proof_us;  /* when it came */
+    uint64_t opened_us; /* when the token came */
+    uint64_t used_us;   /* the token was last used or confirmed */
     unsigned tokens;
     struct event *pump; /* sends what is queued, from the loop */
 };
--- a/src/client/client-flow.c
+++ b/src/client/client-flow.c
@@ -14,6 +14,9 @@
 /* A home under pressure evicts idle flows, and a request under the token of
  * an evicted flow has an unknown outcome. */
 #define FLOW_IDLE_US (60 * USEC_PER_SEC)
+/* Keys are replaced after some time, and a token under a key that is gone is
+ * dropped without an answer. */
+#define ECHO_AGE_US (600 * USEC_PER_SEC)
 
 static void on_pump(evutil_socket_t fd, short what, void *arg);
 
@@ -101,10 +104,16 @@
     client_flow_kick(flow);
 }
 
+/* True for a call that holds an id of the flow's present token. Calls under a
+ * former one go on beside it. */
 static bool
-call_holds_id(const struct call *call)
+call_holds_id(const struct client_flow *flow, const struct call *call)
 {
-    return call->needs_token && call->request.echo_len > 0;
+    const struct packet *request = &call->request;
+
+    return call->needs_token && flow->echo_len > 0 &&
+           request->echo_len == flow->echo_len &&
+           memcmp(request->echo, flow->echo, flow->echo_len) == 0;
 }
 
 /* True when one more id may be used: few enough are out, and the oldest of
@@ -113,20 +122,20 @@
 has_room(const struct client_flow *flow)
 {
     uint64_t oldest = flow->last_id + 1;
-    unsigned count = 0;
+    unsigned held = 0;
 
     list_for_each (it, &flow->active) {
         const struct call *call = container_of(it, struct call, link);
         uint64_t id;
 
-        if (!call_holds_id(call)) {
+        if (!call_holds_id(flow, call)) {
             continue;
         }
         id = packet_request_id(&call->request);
         oldest = id < oldest ? id : oldest;
-        count++;
+        held++;
     }
-    return count < FLOW_IN_FLIGHT_MAX &&
+    return held < FLOW_IN_FLIGHT_MAX &&
            flow->last_id + 1 - oldest < FLOW_ID_SPAN;
 }
 
@@ -134,7 +143,7 @@
 has_call_under_token(const struct client_flow *flow)
 {
     list_for_each (it, &flow->active) {
-        if (call_holds_id(container_of(it, struct call, link))) {
+        if (call_holds_id(flow, container_of(it, struct call, link))) {
             return true;
         }
     }
@@ -149,10 +158,13 @@
 }
 
 static void
-forget_idle_token(struct client_flow *flow)
+forget_old_token(struct client_flow *flow)
 {
-    if (flow->echo_len > 0 && !has_call_under_token(flow) &&
-        clock_monotonic_us() - flow->used_us > FLOW_IDLE_US) {
+    uint64_t now = clock_monotonic_us();
+    bool idle =
+        !has_call_under_token(flow) && now - flow->used_us > FLOW_IDLE_US;
+
+    if (flow->echo_len > 0 && (idle || now - flow->opened_us > ECHO_AGE_US)) {
         forget_token(flow);
     }
 }
@@ -215,28 +227,39 @@
 {
     struct client_flow *flow = arg;
 
-    forget_idle_token(flow);
+    forget_old_token(flow);
     list_for_each_safe (it, &flow->queue) {
         try_send(flow, container_of(it, struct call, link));
     }
 }
 
+static void
+keep_proof(struct client_flow *flow, const struct packet *answer)
+{
+    memcpy(flow->proof, answer->echo, answer->echo_len);
+    flow->proof_len = answer->echo_len;
+    flow->proof_us = clock_monotonic_us();
+}
+
 void
 client_flow_adopt(struct client_flow *flow, const struct packet *answer)
 {
+    uint64_t now = clock_monotonic_us();
+
     forget_token(flow);
     memcpy(flow->echo, answer->echo, answer->echo_len);
     flow->echo_len = answer->echo_len;
-    flow->used_us = clock_monotonic_us();
+    flow->opened_us = now;
+    flow->used_us = now;
     flow->tokens++;
-    memcpy(flow->proof, answer->echo, answer->echo_len);
-    flow->proof_len = answer->echo_len;
+    keep_proof(flow, answer);
 }
 
 void
 client_flow_add_proof(const struct client_flow *flow, struct packet *request)
 {
-    if (flow->proof_len > 0) {
+    if (flow->proof_len > 0 &&
+        clock_monotonic_us() - flow->proof_us < ECHO_AGE_US) {
         memcpy(request->echo, flow->proof, flow->proof_len);
         request->echo_len = flow->proof_len;
         request->fields |= FIELD_ECHO;
@@ -251,8 +274,7 @@
         client_flow_adopt(flow, answer);
         return;
     }
-    memcpy(flow->proof, answer->echo, answer->echo_len);
-    flow->proof_len = answer->echo_len;
+    keep_proof(flow, answer);
 }
 
 void
@@ -270,10 +292,7 @@
 void
 client_flow_drop_token(struct client_flow *flow, const struct call *call)
 {
-    const struct packet *request = &call->request;
-
-    if (flow->echo_len > 0 && flow->echo_len == request->echo_len &&
-        memcmp(flow->echo, request->echo, flow->echo_len) == 0) {
+    if (call_holds_id(flow, call)) {
         forget_token(flow);
     }
 }
--- a/tests/unit/test-call.c
+++ b/tests/unit/test-call.c
@@ -540,6 +540,49 @@
     world_fini(&w);
 }
 
+/* The home of the first token keeps one request and refuses all others, with
+ * no time to come back. */
+static void
+refuse_all_but_one(void *ctx, struct fake_server *server,
+                   const struct endpoint *from, const struct packet *p)
+{
+    const struct step challenges[] = {CHALLENGE(1), CHALLENGE(2)};
+    const struct step refusal =
+        REFUSAL(1, 0, CODE_UNAVAILABLE, NO_MAX_AGE, OUTCOME_NOT_RUN);
+    const struct step answer = ANSWER(2, 0, CODE_CHANGED);
+    struct world *w = ctx;
+
+    if (!packet_is_request(p)) {
+        return;
+    }
+    if (p->echo_len == 0) {
+        send_step(w, from, p, &challenges[w->steps_taken++ == 0 ? 0 : 1]);
+    }
+    else if (p->echo[0] == 2) {
+        send_step(w, from, p, &answer);
+    }
+    else if (packet_request_id(p) > 1) {
+        send_step(w, from, p, &refusal);
+    }
+}
+
+/* A request that is stuck under an old token holds no other one back. */
+static void
+test_stuck_under_old_token(void **state)
+{
+    struct world w;
+
+    world_init(&w, refuse_all_but_one, SEED);
+    start_call(&w, CODE_POST, 0, 8000);
+    for (int i = 0; i < 80; i++) {
+        start_call(&w, CODE_POST, 0, 2000);
+        run(&w);
+        assert_int_equal(w.results, i + 1);
+        assert_int_equal(w.outcome, CALL_ANSWERED);
+    }
+    world_fini(&w);
+}
+
 int
 main(void)
 {
@@ -547,6 +590,7 @@
         cmocka_unit_test(test_scripts),
         cmocka_unit_test(test_acknowledged_and_lost),
         cmocka_unit_test(test_cancel),
+        cmocka_unit_test(test_stuck_under_old_token),
     };
 
     printf("seed %d\n", SEED);
