--- a/src/client/client-flow.c
+++ b/src/client/client-flow.c
@@ -7,7 +7,6 @@
 #include "base/timeval.h"
 #include "client/call-private.h"
 
-#define FLOW_IN_FLIGHT_MAX 8 /* requests that may not be repeated */
 /* A home knows the outcome of the last 64 ids of a flow; half of it keeps a
  * slow request inside that window while faster ones pass it. */
 #define FLOW_ID_SPAN 32
@@ -135,7 +134,7 @@
         oldest = id < oldest ? id : oldest;
         held++;
     }
-    return held < FLOW_IN_FLIGHT_MAX &&
+    return held < CLIENT_FLOW_IN_FLIGHT_MAX &&
            flow->last_id + 1 - oldest < FLOW_ID_SPAN;
 }
 
--- a/src/client/client-flow.h
+++ b/src/client/client-flow.h
@@ -12,6 +12,10 @@
  * not run. */
 struct client_flow;
 
+/* Requests under one token at a time; others wait. So many at most have an
+ * unknown outcome when a home dies. */
+#define CLIENT_FLOW_IN_FLIGHT_MAX 8
+
 struct client_flow *client_flow_new(struct client *client);
 /* Cancels the calls that are left. */
 void client_flow_destroy(struct client_flow *flow);
