daemon: flows move off a key that seals no longer before it is retired

A new request under a token of an old key, other than the flow's first, is recorded and refused as not run, without a time to come back; the caller drops the token and gets one under the new key.

--- a/src/base/status.c
+++ b/src/base/status.c
@@ -10,6 +10,7 @@
     [ERR_BAD_OPTION] = "bad_option",
     [ERR_BAD_TOKEN] = "bad_token",
     [ERR_TOKEN_REQUIRED] = "token_required",
+    [ERR_TOKEN_EXPIRED] = "token_expired",
     [ERR_METHOD] = "method",
     [ERR_NO_SERVICE] = "no_service",
     [ERR_WRONG_SERVICE] = "wrong_service",
--- a/src/base/status.h
+++ b/src/base/status.h
@@ -8,6 +8,7 @@
     ERR_BAD_OPTION,        /* critical option unknown or malformed */
     ERR_BAD_TOKEN,         /* Echo value whose MAC does not verify */
     ERR_TOKEN_REQUIRED,    /* non-repeatable request without a valid token */
+    ERR_TOKEN_EXPIRED,     /* sealed with a key that seals no longer */
     ERR_METHOD,            /* method not served */
     ERR_NO_SERVICE,        /* no such service in force here */
     ERR_WRONG_SERVICE,     /* token, port and target disagree */
--- a/src/coordination/home.c
+++ b/src/coordination/home.c
@@ -27,6 +27,15 @@
     return record->state == RECORD_RUNNING ? HOME_IN_PROGRESS : HOME_REPEAT;
 }
 
+/* A flow that goes on under a key that seals no longer is asked to come back
+ * for a new token, so that the key can be retired. The first request of a
+ * token, which was issued just before, is served. */
+static bool
+must_renew(const struct home_request *request)
+{
+    return request->old_key && request->id > SINGLE_REQUEST_ID;
+}
+
 /* Decides on a request whose flow is held here. */
 static void
 decide_on_flow(const struct home *home, const struct home_request *request,
@@ -52,8 +61,9 @@
     case FLOW_NEW:
         break;
     }
-    verdict->action =
-        home->stopping || home->stale ? HOME_REFUSE : HOME_DELIVER;
+    verdict->action = home->stopping || home->stale || must_renew(request)
+                          ? HOME_REFUSE
+                          : HOME_DELIVER;
 }
 
 /* Decides on one request. A token of an earlier incarnation or generation
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -14,9 +14,11 @@
 #include "daemon/relay.h"
 #include "daemon/work.h"
 #include "protocol/http-map.h"
+#include "protocol/token.h"
 
 /* After this time without an answer the caller gets an empty ACK, before its
  * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
+#define REFUSAL_RETRY_MS 1000
 #define ACK_AFTER_US (1200 * USEC_PER_MSEC)
 #define FLOW_ID_SIZE 48
 #define BLOCK_SZX_MAX 6 /* 1024 bytes */
@@ -301,6 +303,15 @@
     dispatch_submit(&task->dispatch, svc, &cmd->work.job, now);
 }
 
+static enum error_kind
+refusal_kind(const struct home *home)
+{
+    if (home->stopping) {
+        return ERR_STOPPING;
+    }
+    return home->stale ? ERR_STALE_VIEW : ERR_TOKEN_EXPIRED;
+}
+
 /* A new request that is not taken now: the refusal is recorded, so that a
  * later copy cannot run. */
 static void
@@ -308,7 +319,7 @@
        const struct home_verdict *verdict)
 {
     struct data_task *task = commands->task;
-    enum error_kind kind = task->home.stopping ? ERR_STOPPING : ERR_STALE_VIEW;
+    enum error_kind kind = refusal_kind(&task->home);
     struct packet_block block = {.szx = BLOCK_SZX_MAX};
     struct recorded_answer recorded;
     struct request_record *record =
@@ -318,7 +329,10 @@
         answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
         return;
     }
-    fill_refusal(&recorded, kind, true, 1000);
+    data_count_error(task, kind);
+    /* Without a time to come back, the caller drops the token at once. */
+    fill_refusal(&recorded, kind, true,
+                 kind == ERR_TOKEN_EXPIRED ? 0 : REFUSAL_RETRY_MS);
     flow_table_finish(task->home.flows, record, &recorded);
     send_recorded(task, &in->caller, &recorded, &block);
 }
@@ -381,6 +395,8 @@
     struct home_request request = {
         .service = in->port->view->hash,
         .token = in->has_token ? &in->token : NULL,
+        .old_key = in->has_token &&
+                   token_is_old(&commands->task->view->keys, in->packet.echo),
         .id = packet_request_id(&in->packet),
         .single_key = single_key(in),
     };
--- a/src/protocol/error-table.c
+++ b/src/protocol/error-table.c
@@ -14,6 +14,9 @@
     [ERR_BAD_TOKEN] = {0, 401, OUTCOME_NONE, "token does not verify"},
     [ERR_TOKEN_REQUIRED] = {CODE_UNAUTHORIZED, 401, OUTCOME_NONE,
                             "repeat the request with this Echo value"},
+    [ERR_TOKEN_EXPIRED] = {CODE_UNAVAILABLE, 503, OUTCOME_NOT_RUN,
+                           "the token's key was replaced; ask for a new "
+                           "token"},
     [ERR_METHOD] = {CODE_METHOD_NOT_ALLOWED, 405, OUTCOME_NONE,
                     "method not served"},
     [ERR_NO_SERVICE] = {CODE_NOT_FOUND, 404, OUTCOME_NONE,
--- a/src/protocol/token.c
+++ b/src/protocol/token.c
@@ -119,3 +119,10 @@
     token->generation = (uint32_t)get_number(&pos, GENERATION_BYTES);
     return true;
 }
+
+bool
+token_is_old(const struct key_ring *keys, const uint8_t data[TOKEN_SIZE])
+{
+    assert(keys->count > 0);
+    return data[0] != keys->keys[0].id;
+}
--- a/src/protocol/token.h
+++ b/src/protocol/token.h
@@ -22,3 +22,8 @@
  * MAC that does not match; the comparison takes constant time. */
 bool token_open(struct flow_token *token, const struct key_ring *keys,
                 const uint8_t *data, size_t size);
+
+/* Whether a token that opens was sealed with another key than the first, which
+ * seals now. */
+bool token_is_old(const struct key_ring *keys,
+                  const uint8_t data[TOKEN_SIZE]);
--- a/tests/unit/test-home.c
+++ b/tests/unit/test-home.c
@@ -145,6 +145,36 @@
     flow_table_destroy(home.flows);
 }
 
+/* Under a key that seals no longer: the flow's first request is served, later
+ * new ones are refused, and copies get what they got. */
+static void
+test_old_key(void **state)
+{
+    static const struct {
+        uint64_t id;
+        enum home_action action;
+    } old_key_cases[] = {
+        {1, HOME_IN_PROGRESS},
+        {2, HOME_REPEAT},
+        {3, HOME_REFUSE},
+    };
+    struct flow_token token;
+    struct home home;
+    struct home_request request = {
+        .service = SERVICE, .token = &token, .old_key = true, .id = 1};
+
+    open_home(&home, &token);
+    for (size_t i = 0; i < 3; i++) {
+        request.id = old_key_cases[i].id;
+        assert_int_equal(home_decide(&home, &request).action,
+                         old_key_cases[i].action);
+    }
+    request.id = 1;
+    assert_true(home_open_flow(&home, SERVICE, 0, 1, &token));
+    assert_int_equal(home_decide(&home, &request).action, HOME_DELIVER);
+    flow_table_destroy(home.flows);
+}
+
 static void
 test_stopping_opens_no_flow(void **state)
 {
@@ -161,6 +191,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_decisions),
         cmocka_unit_test(test_single_request),
+        cmocka_unit_test(test_old_key),
         cmocka_unit_test(test_stopping_opens_no_flow),
     };
 
