--- a/src/coordination/home.h
+++ b/src/coordination/home.h
@@ -25,8 +25,8 @@
 struct home_request {
     uint32_t service;               /* hash of the port's service */
     const struct flow_token *token; /* NULL: none that verifies */
-    bool old_key; /* the token's key seals no longer, but still opens */
-    uint64_t id;  /* from Request-Tag, 0: none */
+    bool old_key;        /* the token's key seals no longer, but still opens */
+    uint64_t id;         /* from Request-Tag, 0: none */
     uint32_t single_key; /* hash of message id and token, without an id */
 };
 
--- a/src/protocol/token.h
+++ b/src/protocol/token.h
@@ -25,5 +25,4 @@
 
 /* Whether a token that opens was sealed with another key than the first, which
  * seals now. */
-bool token_is_old(const struct key_ring *keys,
-                  const uint8_t data[TOKEN_SIZE]);
+bool token_is_old(const struct key_ring *keys, const uint8_t data[TOKEN_SIZE]);
