--- a/src/ctl/ctl-apply.c
+++ b/src/ctl/ctl-apply.c
@@ -35,7 +35,7 @@
     else {
         snprintf(name, sizeof(name), "%s/%.63s", kind, id);
     }
-    if (!ctl_resource_init(r, name)) {
+    if (!resource_name_parse(r, name)) {
         status_set(st, ERR_INVALID, "id: \"%.63s\" is no identifier", id);
         return false;
     }
--- a/src/ctl/ctl-rotate.c
+++ b/src/ctl/ctl-rotate.c
@@ -110,7 +110,7 @@
     bool exists = false;
     enum ctl_exit result;
 
-    ctl_resource_init(r, "key_ring/" KEY_RING_ID);
+    resource_name_parse(r, "key_ring/" KEY_RING_ID);
     result = ctl_read(ctl, r, &exists);
     if (result == CTL_OK && !exists) {
         fprintf(stderr, "there is no key ring; create it with ctl apply\n");
--- a/src/ctl/ctl-write.c
+++ b/src/ctl/ctl-write.c
@@ -21,46 +21,12 @@
     {RESOURCE_KEY_RING, "key-rings"},
 };
 
-static bool
-copy_part(char out[ID_SIZE], const char *text, size_t len)
-{
-    if (len == 0 || len >= ID_SIZE) {
-        return false;
-    }
-    memcpy(out, text, len);
-    out[len] = '\0';
-    return true;
-}
-
-bool
-ctl_resource_init(struct resource *r, const char *name)
-{
-    size_t len = strcspn(name, "/");
-    char kind[ID_SIZE];
-    const char *rest = name + len + 1;
-
-    memset(r, 0, sizeof(*r));
-    list_init(&r->link);
-    if (name[len] != '/' || !copy_part(kind, name, len) ||
-        !resource_kind_from_name(kind, &r->kind)) {
-        return false;
-    }
-    if (r->kind == RESOURCE_TARGET) {
-        len = strcspn(rest, "/");
-        if (rest[len] != '/' || !copy_part(r->target.service, rest, len)) {
-            return false;
-        }
-        rest += len + 1;
-    }
-    return strchr(rest, '/') == NULL && copy_part(r->id, rest, strlen(rest));
-}
-
 bool
 ctl_resource_path(const char *name, char out[CTL_PATH_SIZE])
 {
     struct resource r;
 
-    if (!ctl_resource_init(&r, name)) {
+    if (!resource_name_parse(&r, name)) {
         return false;
     }
     for (size_t i = 0; i < sizeof(collections) / sizeof(*collections); i++) {
@@ -250,7 +216,7 @@
     bool exists = false;
     enum ctl_exit result;
 
-    if (!ctl_resource_init(&r, name)) {
+    if (!resource_name_parse(&r, name)) {
         fprintf(stderr, "pimentohaven ctl: %s: no name of a resource\n", name);
         return CTL_USAGE;
     }
@@ -300,7 +266,7 @@
     bool changed = false;
     enum ctl_exit result;
 
-    if (!ctl_resource_init(&r, name) || !change_state(&r, state, &changed)) {
+    if (!resource_name_parse(&r, name) || !change_state(&r, state, &changed)) {
         fprintf(stderr, "pimentohaven ctl: %s: no name of a target or host\n",
                 name);
         return CTL_USAGE;
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "ctl/ctl-api.h"
-#include "state/config-store.h"
+#include "state/resource-name.h"
 #include "state/resource.h"
 
 /* Parts of the ctl command. */
@@ -36,8 +36,6 @@
 /* Name of a resource, "service/rigctl", and its path in the API. */
 #define CTL_PATH_SIZE 256 /* bytes */
 bool ctl_resource_path(const char *name, char out[CTL_PATH_SIZE]);
-/* Reads kind, id and service out of a name. */
-bool ctl_resource_init(struct resource *r, const char *name);
 
 /* ctl-write.c */
 
--- a/src/daemon/api-route.c
+++ b/src/daemon/api-route.c
@@ -161,14 +161,3 @@
     status_set(st, ERR_NOT_FOUND, "there is no such path");
     return false;
 }
-
-bool
-api_route_parse_name(struct api_route *route, const char *name)
-{
-    struct segments s;
-
-    memset(route, 0, sizeof(*route));
-    return split(&s, name) && s.count >= 2 &&
-           resource_kind_from_name(s.items[0], &route->resource) &&
-           set_resource(route, s.items + 1, s.count - 1);
-}
--- a/src/daemon/api-route.h
+++ b/src/daemon/api-route.h
@@ -31,6 +31,3 @@
  * ERR_INVALID. */
 bool api_route_parse(struct api_route *route, const char *path,
                      struct status *st);
-
-/* Reads a resource's name, "<kind>/<id>" or "target/<service>/<id>". */
-bool api_route_parse_name(struct api_route *route, const char *name);
--- a/src/daemon/api-write.c
+++ b/src/daemon/api-write.c
@@ -10,31 +10,23 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "coordination/operator-write.h"
+#include "daemon/api-context.h"
 #include "daemon/api.h"
-#include "daemon/store-reader.h"
 #include "protocol/error-table.h"
 #include "protocol/resource-json.h"
-#include "transport/http-call.h"
 
 #define WRITE_TIME_LIMIT_US (8 * USEC_PER_SEC)
-#define HOSTS_TIMEOUT_US (1 * USEC_PER_SEC)
-#define HOSTS_ANSWER_MAX (16U << 20) /* bytes */
-#define DOMAINS_MAX 256              /* failure domains taken notice of */
 #define WRITE_ID_BYTES 16
 #define BODY_SIZE 512 /* bytes of an answer to a write */
 #define HTTP_ACCEPTED 202
 #define URL_SIZE 320
 
-/* A write in progress: the state machine, and what it is checked against. */
+/* A write in progress. */
 struct api_write {
     struct api_call *call;
     struct operator_write machine;
-    struct event *timer;     /* of OPERATOR_WAIT */
-    unsigned needs;          /* enum resource_need not read yet */
-    struct list others;      /* struct resource, owned */
-    struct http_call *hosts; /* reads the platform's host list */
-    char domains[DOMAINS_MAX][ID_SIZE];
-    size_t domain_count;
+    struct event *timer;         /* of OPERATOR_WAIT */
+    struct api_context *context; /* what the write is checked against */
 };
 
 static void advance(struct api_write *write, enum operator_step step);
@@ -45,54 +37,14 @@
     if (write == NULL) {
         return;
     }
-    http_call_cancel(write->hosts);
+    api_context_destroy(write->context);
     if (write->timer != NULL) {
         event_free(write->timer);
     }
-    list_for_each_safe (it, &write->others) {
-        free(container_of(it, struct resource, link));
-    }
     sodium_memzero(&write->machine, sizeof(write->machine));
     free(write);
 }
 
-static void
-store_key(const char *name, char out[STORE_KEY_SIZE])
-{
-    snprintf(out, STORE_KEY_SIZE, "%s%s", STORE_PREFIX, name);
-}
-
-/* Reads a resource out of an entry of the store. Returns NULL for what is no
- * resource or cannot be read; the caller frees the rest. */
-static struct resource *
-entry_resource(const struct store_entry *entry)
-{
-    struct resource *r = calloc(1, sizeof(*r));
-    struct api_route route;
-    struct status st;
-
-    if (r == NULL) {
-        return NULL;
-    }
-    list_init(&r->link);
-    if (!api_route_parse_name(&route, entry->key + strlen(STORE_PREFIX))) {
-        free(r);
-        return NULL;
-    }
-    r->kind = route.resource;
-    memcpy(r->id, route.id, sizeof(r->id));
-    if (r->kind == RESOURCE_TARGET) {
-        memcpy(r->target.service, route.service, sizeof(route.service));
-    }
-    if (!resource_json_parse(r, RESOURCE_JSON_STORE, entry->value,
-                             entry->value_len, &st)) {
-        LOG_WARN("store: %s: %s", entry->key, st.message);
-        free(r);
-        return NULL;
-    }
-    return r;
-}
-
 static void
 on_key_read(void *ctx, const struct status *st, uint64_t revision,
             const struct store_entry *entries, size_t count)
@@ -103,7 +55,7 @@
     uint64_t key_revision = 0;
 
     if (st->kind == ERR_NONE && count > 0) {
-        r = entry_resource(&entries[0]);
+        r = api_entry_resource(&entries[0]);
         key_revision = entries[0].mod_revision;
         if (r == NULL) {
             status_set(&bad, ERR_SYSTEM, "the stored value cannot be read");
@@ -121,149 +73,35 @@
 {
     char key[STORE_KEY_SIZE];
 
-    store_key(write->call->route.name, key);
+    api_store_key(write->call->route.name, key);
     store_client_range(write->call->task->store, key, false, on_key_read,
                        write);
 }
 
-static void read_next_need(struct api_write *write);
-
-static void
-end_others(struct api_write *write, const struct status *st)
-{
-    const struct resource_context context = {
-        .others = &write->others,
-        .domains = (const char(*)[ID_SIZE])write->domains,
-        .domain_count = write->domain_count,
-    };
-
-    advance(write, operator_write_on_others(
-                       &write->machine, clock_monotonic_us(), st, &context));
-}
-
-static void
-on_others_read(void *ctx, const struct status *st, uint64_t revision,
-               const struct store_entry *entries, size_t count)
-{
-    struct api_write *write = ctx;
-
-    if (st->kind != ERR_NONE) {
-        end_others(write, st);
-        return;
-    }
-    for (size_t i = 0; i < count; i++) {
-        struct resource *r = entry_resource(&entries[i]);
-
-        if (r != NULL) {
-            list_push_back(&write->others, &r->link);
-        }
-    }
-    read_next_need(write);
-}
-
-static void
-add_domain(struct api_write *write, const char *domain)
-{
-    if (domain == NULL || strlen(domain) >= ID_SIZE ||
-        write->domain_count == DOMAINS_MAX) {
-        return;
-    }
-    for (size_t i = 0; i < write->domain_count; i++) {
-        if (strcmp(write->domains[i], domain) == 0) {
-            return;
-        }
-    }
-    snprintf(write->domains[write->domain_count], ID_SIZE, "%s", domain);
-    write->domain_count++;
-}
-
-/* Takes the failure domains from the platform's host list. Without it they
- * are not checked. */
 static void
-on_hosts(void *ctx, const struct http_call_answer *answer)
+on_context(void *ctx, const struct status *st,
+           const struct resource_context *context)
 {
     struct api_write *write = ctx;
-    json_t *json = NULL;
-    const json_t *hosts;
-
-    write->hosts = NULL;
-    if (answer->end == HTTP_CALL_ANSWERED && answer->status == HTTP_OK) {
-        json = json_loadb(answer->body, answer->body_len, 0, NULL);
-    }
-    hosts = json_object_get(json, "hosts");
-    for (size_t i = 0; i < json_array_size(hosts); i++) {
-        add_domain(write, json_string_value(json_object_get(
-                              json_array_get(hosts, i), "domain")));
-    }
-    json_decref(json);
-    read_next_need(write);
-}
 
-static void
-read_host_list(struct api_write *write)
-{
-    const struct settings *settings = write->call->task->settings;
-    const struct http_call_request request = {
-        .address = settings->platform.endpoints[0].address,
-        .port = settings->platform.endpoints[0].port,
-        .method = EVHTTP_REQ_GET,
-        .path = "/v1/hosts",
-        .timeout_us = HOSTS_TIMEOUT_US,
-        .answer_max = HOSTS_ANSWER_MAX,
-    };
-
-    write->hosts = http_call_start(write->call->task->base, &request, NULL,
-                                   on_hosts, write);
-    if (write->hosts == NULL) {
-        read_next_need(write);
-    }
-}
-
-/* The failure domains come from two places: the platform's host list and the
- * hosts that operators have declared. */
-#define NEED_HOST_LIST (1U << 31)
-
-static void
-read_next_need(struct api_write *write)
-{
-    static const struct {
-        unsigned need;
-        const char *prefix;
-    } reads[] = {
-        {NEED_SERVICES, STORE_PREFIX "service/"},
-        {NEED_TARGETS, STORE_PREFIX "target/"},
-        {NEED_HOSTS, STORE_PREFIX "host/"},
-    };
-    struct status st;
-
-    for (size_t i = 0; i < sizeof(reads) / sizeof(*reads); i++) {
-        if ((write->needs & reads[i].need) != 0) {
-            write->needs &= ~reads[i].need;
-            store_client_range(write->call->task->store, reads[i].prefix, true,
-                               on_others_read, write);
-            return;
-        }
-    }
-    if ((write->needs & NEED_HOST_LIST) != 0) {
-        write->needs &= ~NEED_HOST_LIST;
-        read_host_list(write);
-        return;
-    }
-    status_ok(&st);
-    end_others(write, &st);
+    advance(write, operator_write_on_others(
+                       &write->machine, clock_monotonic_us(), st, context));
 }
 
 static void
 read_others(struct api_write *write)
 {
     const struct operator_request *request = &write->machine.request;
+    struct status st;
 
-    write->needs =
-        resource_rules_needs(request->wanted.kind, request->deletion);
-    if ((write->needs & NEED_HOSTS) != 0) {
-        write->needs |= NEED_HOST_LIST;
+    write->context = api_context_read(
+        write->call->task,
+        resource_rules_needs(request->wanted.kind, request->deletion),
+        on_context, write);
+    if (write->context == NULL) {
+        status_set(&st, ERR_NO_MEMORY, "out of memory");
+        on_context(write, &st, NULL);
     }
-    read_next_need(write);
 }
 
 static void
@@ -289,7 +127,7 @@
                                              clock_monotonic_us(), &st, 0));
         return;
     }
-    store_key(write->call->route.name, key);
+    api_store_key(write->call->route.name, key);
     store_client_cas(write->call->task->store, key, text, strlen(text),
                      write->machine.revision, on_cas, write);
     sodium_memzero(text, strlen(text));
@@ -564,7 +402,6 @@
     }
     call->write = write;
     write->call = call;
-    list_init(&write->others);
     write->timer = event_new(call->task->base, -1, 0, on_wait_over, write);
     if (!parse_request(call, &write->machine.request, &st)) {
         api_call_fail(call, &st);
@@ -574,75 +411,3 @@
     memcpy(ask.name, call->route.name, sizeof(ask.name));
     api_call_ask(call, &ask, on_known_version);
 }
-
-/* Answers what became of a write from the key that it was for. "base" is the
- * version that it started from. */
-static const char *
-write_fate(const struct resource *r, const char *write_id, uint64_t base,
-           uint64_t *version)
-{
-    uint64_t current = r == NULL ? 0 : r->version;
-
-    *version = current;
-    if (r != NULL && resource_version_of_write(r, write_id) > 0) {
-        *version = resource_version_of_write(r, write_id);
-        return "accepted";
-    }
-    if (current == base) {
-        return "pending";
-    }
-    if (current > base && current <= base + RECENT_WRITES_MAX) {
-        return "not_written";
-    }
-    return "unknown";
-}
-
-static void
-on_fate_read(void *ctx, const struct status *st, uint64_t revision,
-             const struct store_entry *entries, size_t count)
-{
-    struct api_call *call = ctx;
-    const char *base = http_exchange_query(call->x, "base");
-    struct resource *r = NULL;
-    uint64_t version;
-    const char *fate;
-    char body[BODY_SIZE];
-
-    if (st->kind != ERR_NONE) {
-        api_call_fail(call, st);
-        return;
-    }
-    if (count > 0) {
-        r = entry_resource(&entries[0]);
-    }
-    fate = write_fate(r, call->route.id,
-                      base == NULL ? UINT64_MAX : strtoull(base, NULL, 10),
-                      &version);
-    free(r);
-    snprintf(body, sizeof(body),
-             "{\"write_id\":\"%s\",\"outcome\":\"%s\",\"version\":%" PRIu64
-             "}",
-             call->route.id, fate, version);
-    api_call_reply(call, HTTP_OK, body, strlen(body));
-}
-
-/* GET /v1/writes/<id>?resource=<name>&base=<version>: read from the store, so
- * that any balancer can tell. */
-void
-api_write_look_up(struct api_call *call)
-{
-    const char *name = http_exchange_query(call->x, "resource");
-    struct api_route resource;
-    char key[STORE_KEY_SIZE];
-    struct status st;
-
-    if (name == NULL || !api_route_parse_name(&resource, name)) {
-        status_set(&st, ERR_INVALID,
-                   "resource: expected the name of the resource, such as "
-                   "service/rigctl");
-        api_call_fail(call, &st);
-        return;
-    }
-    store_key(resource.name, key);
-    store_client_range(call->task->store, key, false, on_fate_read, call);
-}
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -86,7 +86,15 @@
  * failure domains, from what their reporters wrote to the store. */
 void api_status_start(struct api_call *call);
 
-/* api-write.c: PUT and DELETE of a resource, and the fate of a write. */
+/* api-store.c: resources as the platform's store holds them. */
+void api_store_key(const char *name, char out[STORE_KEY_SIZE]);
+/* Returns NULL for what is no resource or cannot be read; the caller frees
+ * the rest. */
+struct resource *api_entry_resource(const struct store_entry *entry);
+
+/* api-write.c: PUT and DELETE of a resource. */
 void api_write_start(struct api_call *call);
 void api_write_destroy(struct api_write *write);
+
+/* api-fate.c: what became of a write. */
 void api_write_look_up(struct api_call *call);
--- a/src/daemon/store-reader.c
+++ b/src/daemon/store-reader.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "protocol/resource-json.h"
 #include "state/config-store.h"
+#include "state/resource-name.h"
 
 #define RETRY_DELAY_MS 1000 /* after a failed range read */
 #define STATUS_DIR "status/"
@@ -78,34 +79,6 @@
     reader->cb.reachable(reader->cb.ctx, reachable, message);
 }
 
-/* Splits a key below the prefix into kind, service and id. */
-static bool
-parse_name(const char *name, struct resource *r)
-{
-    char kind[ID_SIZE];
-    const char *id = strchr(name, '/');
-    const char *last = strrchr(name, '/');
-
-    if (id == NULL || (size_t)(id - name) >= sizeof(kind)) {
-        return false;
-    }
-    memcpy(kind, name, (size_t)(id - name));
-    kind[id - name] = '\0';
-    if (!resource_kind_from_name(kind, &r->kind) ||
-        strlen(last + 1) >= sizeof(r->id) || last[1] == '\0') {
-        return false;
-    }
-    snprintf(r->id, sizeof(r->id), "%s", last + 1);
-    if (r->kind != RESOURCE_TARGET) {
-        return last == id;
-    }
-    if (last == id || (size_t)(last - id) > sizeof(r->target.service)) {
-        return false;
-    }
-    memcpy(r->target.service, id + 1, (size_t)(last - id - 1));
-    return true;
-}
-
 static void
 pass_resource(struct store_reader *reader, const char *name,
               const struct store_entry *entry)
@@ -113,8 +86,7 @@
     struct resource r;
     struct status st;
 
-    memset(&r, 0, sizeof(r));
-    if (!parse_name(name, &r)) {
+    if (!resource_name_parse(&r, name)) {
         LOG_WARN("key %s is not a resource's", entry->key);
         return;
     }
--- a/src/state/config-store.c
+++ b/src/state/config-store.c
@@ -222,27 +222,6 @@
     }
 }
 
-void
-resource_name(const struct resource *r, char out[RESOURCE_NAME_SIZE])
-{
-    if (r->kind == RESOURCE_TARGET) {
-        snprintf(out, RESOURCE_NAME_SIZE, "target/%s/%s", r->target.service,
-                 r->id);
-        return;
-    }
-    snprintf(out, RESOURCE_NAME_SIZE, "%s/%s", resource_kind_name(r->kind),
-             r->id);
-}
-
-uint64_t
-resource_name_hash(const struct resource *r)
-{
-    char name[RESOURCE_NAME_SIZE];
-
-    resource_name(r, name);
-    return id_hash(name);
-}
-
 static struct list *
 chains_new(size_t count)
 {
--- a/src/state/config-store.h
+++ b/src/state/config-store.h
@@ -4,13 +4,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "state/resource-name.h"
 #include "state/resource.h"
 
 /* The configuration that this balancer knows: every resource by its name,
  * tombstones included. Records are packed, about a hundred bytes each; the
  * ids of recent writes are not kept. */
 
-#define RESOURCE_NAME_SIZE 160 /* bytes, "target/<service>/<id>" and NUL */
 #define CONFIG_BUCKET_BITS 6
 #define CONFIG_BUCKETS (1 << CONFIG_BUCKET_BITS)
 
@@ -90,8 +90,3 @@
 uint64_t config_store_older_count(const struct config_store *cs);
 /* Bytes of memory in use. */
 size_t config_store_bytes(const struct config_store *cs);
-
-/* Writes the name of a resource, which is also its key below the prefix in
- * the platform's store: "service/<id>", "target/<service>/<id>". */
-void resource_name(const struct resource *r, char out[RESOURCE_NAME_SIZE]);
-uint64_t resource_name_hash(const struct resource *r);
