--- a/src/daemon/host-list.c
+++ b/src/daemon/host-list.c
@@ -61,8 +61,7 @@
 static bool
 pass_host(struct host_list *hl, const json_t *host)
 {
-    const char *address =
-        json_string_value(json_object_get(host, "address"));
+    const char *address = json_string_value(json_object_get(host, "address"));
     const char *state = json_string_value(json_object_get(host, "state"));
     json_int_t port = json_integer_value(json_object_get(host, "gossip"));
     uint32_t addr;
@@ -109,17 +108,16 @@
         &settings->platform.endpoints[hl->next_endpoint %
                                       settings->platform.endpoints_count];
     hl->next_endpoint++;
-    hl->call = http_call_start(
-        hl->base,
-        &(struct http_call_request){
-            .address = endpoint->address,
-            .port = endpoint->port,
-            .method = EVHTTP_REQ_GET,
-            .path = "/v1/hosts",
-            .timeout_us = CALL_TIMEOUT_US,
-            .answer_max = ANSWER_MAX,
-        },
-        NULL, on_answer, hl);
+    hl->call = http_call_start(hl->base,
+                               &(struct http_call_request){
+                                   .address = endpoint->address,
+                                   .port = endpoint->port,
+                                   .method = EVHTTP_REQ_GET,
+                                   .path = "/v1/hosts",
+                                   .timeout_us = CALL_TIMEOUT_US,
+                                   .answer_max = ANSWER_MAX,
+                               },
+                               NULL, on_answer, hl);
 }
 
 void
@@ -137,6 +135,7 @@
     if (hl->call != NULL || now < hl->next || !(needed || follow)) {
         return;
     }
-    hl->next = now + interval / 2 + random_below(hl->random, (uint32_t)interval);
+    hl->next =
+        now + interval / 2 + random_below(hl->random, (uint32_t)interval);
     start_call(hl);
 }
--- a/tests/unit/fake-net.c
+++ b/tests/unit/fake-net.c
@@ -278,6 +278,7 @@
     }
     node->running = true;
     node->frozen = false;
+    node->watcher = false;
     node->watching = false;
     node->store_pos = 0;
     node->applied = 0;
@@ -330,9 +331,8 @@
 read_store(struct fake_node *node)
 {
     struct fake_net *net = node->net;
-    bool watcher = spread_is_watcher(node->sp, net->now);
 
-    if (!watcher || net->store_down || node->store_cut) {
+    if (!node->watcher || net->store_down || node->store_cut) {
         node->watching = false;
         return;
     }
@@ -360,6 +360,9 @@
 {
     struct fake_net *net = node->net;
 
+    if (tick) {
+        node->watcher = spread_is_watcher(node->sp, net->now);
+    }
     read_store(node);
     if (node->apply_at != 0 && net->now >= node->apply_at) {
         node->apply_at = 0;
--- a/tests/unit/fake-net.h
+++ b/tests/unit/fake-net.h
@@ -37,7 +37,8 @@
     struct membership *ms;
     struct spread *sp;
     struct report *rp;
-    bool watching;
+    bool watcher;            /* by rank, as of its last tick */
+    bool watching;           /* its watch is open */
     size_t store_pos;        /* changes of the store that it has read */
     uint64_t apply_delay_us; /* of its data task; UINT64_MAX: never */
     uint64_t apply_at;       /* 0: nothing to apply */
--- /dev/null
+++ b/tools/bench-control.c
@@ -0,0 +1,309 @@
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "config-fixture.h"
+#include "fake-net.h"
+#include "protocol/gossip-codec.h"
+
+/* Measures the control plane in one process, on a fake clock and network:
+ * time from acceptance to in force, bytes and store calls a balancer, memory
+ * and processor time. Only processor times depend on the machine.
+ *
+ * Usage: bench-control [spread|memory|messages|restart|all] */
+
+#define SEED 1
+#define SETTLE_US (20 * USEC_PER_SEC)
+#define IDLE_US (60 * USEC_PER_SEC)
+#define LARGE 500 /* balancers; above, a shorter idle time is measured */
+#define CHANGES 20
+#define LIMIT_US (60 * USEC_PER_SEC)
+#define RESOURCES 30000
+#define REPEATS 20000
+
+struct sums {
+    uint64_t bytes_out;
+    uint64_t bytes_in;
+    uint64_t messages_out;
+    uint64_t store_calls;
+    uint64_t max_bytes; /* in and out, of the busiest balancer */
+};
+
+static void
+add_node(struct sums *sums, const struct fake_node *node)
+{
+    uint64_t both = node->bytes_in + node->bytes_out;
+
+    sums->bytes_out += node->bytes_out;
+    sums->bytes_in += node->bytes_in;
+    sums->messages_out += node->messages_out;
+    sums->store_calls += node->store_calls;
+    sums->max_bytes = both > sums->max_bytes ? both : sums->max_bytes;
+}
+
+/* Returns the sums since the last call. */
+static struct sums
+take_sums(struct fake_net *net)
+{
+    struct sums sums = {0};
+
+    for (size_t i = 0; i < net->node_count; i++) {
+        struct fake_node *node = &net->nodes[i];
+
+        add_node(&sums, node);
+        node->bytes_out = 0;
+        node->bytes_in = 0;
+        node->messages_out = 0;
+        node->store_calls = 0;
+    }
+    return sums;
+}
+
+static double
+cpu_seconds(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static uint64_t
+change(struct fake_net *net, uint64_t version)
+{
+    struct resource r = make_target("live", "t1", version, 7, false);
+
+    return fake_net_write(net, &r);
+}
+
+static void
+print_rates(const char *what, const struct fake_net *net,
+            const struct sums *sums, uint64_t us)
+{
+    double node_seconds =
+        (double)net->node_count * (double)us / (double)USEC_PER_SEC;
+    double seconds = (double)us / (double)USEC_PER_SEC;
+
+    printf("  %-12s %7.0f B/s in + out a balancer, %7.0f the busiest, "
+           "%5.1f messages/s, %.3f store calls/s in all\n",
+           what, (double)(sums->bytes_in + sums->bytes_out) / node_seconds,
+           (double)sums->max_bytes / seconds,
+           (double)sums->messages_out / node_seconds,
+           (double)sums->store_calls / seconds);
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+/* One change a second, each timed until every balancer's data task runs
+ * it. */
+static void
+time_changes(struct fake_net *net, uint64_t version)
+{
+    uint64_t times[CHANGES];
+    unsigned missed = 0;
+
+    for (unsigned i = 0; i < CHANGES; i++) {
+        uint64_t took = fake_net_run_until_in_force(
+            net, change(net, version + i), LIMIT_US);
+
+        missed += took == UINT64_MAX;
+        times[i] = took == UINT64_MAX ? LIMIT_US : took;
+        if (times[i] < USEC_PER_SEC) {
+            fake_net_run(net, USEC_PER_SEC - times[i]);
+        }
+    }
+    qsort(times, CHANGES, sizeof(times[0]), compare_times);
+    printf("  in force after %" PRIu64 " ms (median), %" PRIu64
+           " ms (worst of %d), %u missed\n",
+           (uint64_t)(times[CHANGES / 2] / USEC_PER_MSEC),
+           (uint64_t)(times[CHANGES - 1] / USEC_PER_MSEC), CHANGES, missed);
+}
+
+static void
+bench_spread_at(size_t nodes, size_t domains, double loss)
+{
+    struct fake_net *net = fake_net_new(nodes, domains, SEED);
+    struct resource service = make_service("live", 1, "d0,d1");
+    uint64_t idle_us = nodes > LARGE ? IDLE_US / 3 : IDLE_US;
+    struct sums sums;
+    uint64_t start;
+    double cpu;
+
+    fake_net_write(net, &service);
+    fake_net_start_all(net);
+    fake_net_run(net, SETTLE_US);
+    net->loss = loss;
+    printf("%zu balancers in %zu domains, loss %.0f %%\n", nodes, domains,
+           loss * 100);
+    take_sums(net);
+    fake_net_run(net, idle_us);
+    sums = take_sums(net);
+    print_rates("idle", net, &sums, idle_us);
+    start = net->now;
+    cpu = cpu_seconds();
+    time_changes(net, 1);
+    cpu = cpu_seconds() - cpu;
+    sums = take_sums(net);
+    print_rates("one change/s", net, &sums, net->now - start);
+    printf("  processor %.3f %% of a core a balancer\n",
+           cpu * 100 /
+               ((double)nodes * (double)(net->now - start) /
+                (double)USEC_PER_SEC));
+    fake_net_destroy(net);
+}
+
+static void
+bench_spread(void)
+{
+    const size_t sizes[][2] = {{2, 1},  {4, 2},   {8, 4},   {16, 4},   {32, 4},
+                               {64, 4}, {256, 4}, {875, 1}, {1000, 16}};
+
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
+        bench_spread_at(sizes[i][0], sizes[i][1], 0);
+        if (sizes[i][0] <= 64) {
+            bench_spread_at(sizes[i][0], sizes[i][1], 0.05);
+        }
+    }
+}
+
+static void
+bench_memory(void)
+{
+    struct config_store *cs = config_store_new();
+    struct mallinfo2 before = mallinfo2();
+
+    for (int i = 0; i < RESOURCES; i++) {
+        char id[ID_SIZE];
+        struct resource r;
+
+        snprintf(id, sizeof(id), "target-%05d", i);
+        r = make_target("jibu-live", id, 1, (uint32_t)i, false);
+        config_store_apply(cs, &r, (uint64_t)i);
+    }
+    printf("resource: %zu bytes counted, %zu bytes of heap\n",
+           config_store_bytes(cs) / RESOURCES,
+           (mallinfo2().uordblks - before.uordblks) / RESOURCES);
+    config_store_destroy(cs);
+    printf("member: %zu bytes; membership %zu, spread and report %zu bytes\n",
+           sizeof(struct member),
+           sizeof(struct gossip_message) + sizeof(struct member_table),
+           3 * sizeof(struct gossip_message));
+}
+
+static void
+time_codec(const char *name, struct gossip_message *m)
+{
+    static uint8_t data[GOSSIP_SIZE_MAX];
+    static struct gossip_message out;
+    size_t size = gossip_encode(m, data, sizeof(data));
+    double begin = cpu_seconds();
+    double encode;
+
+    for (int i = 0; i < REPEATS; i++) {
+        size = gossip_encode(m, data, sizeof(data));
+    }
+    encode = cpu_seconds() - begin;
+    begin = cpu_seconds();
+    for (int i = 0; i < REPEATS; i++) {
+        gossip_decode(&out, data, size);
+    }
+    printf("%s: %zu bytes, encode %.2f us, decode %.2f us\n", name, size,
+           encode * 1e6 / REPEATS, (cpu_seconds() - begin) * 1e6 / REPEATS);
+}
+
+static void
+bench_messages(void)
+{
+    static struct gossip_message m;
+
+    snprintf(m.sender.id, ID_SIZE, "entry-0123");
+    snprintf(m.sender.domain, ID_SIZE, "industrial-area");
+    m.sender.addr = 0x0a010203;
+    m.sender.port = 7402;
+    m.sender.incarnation = 1700000000000000ULL;
+    m.nonce = UINT64_MAX;
+    m.revision = 1000000;
+    m.checksum = UINT64_MAX;
+    m.kind = GOSSIP_PING;
+    time_codec("ping", &m);
+    m.kind = GOSSIP_REPORT;
+    time_codec("report", &m);
+    m.kind = GOSSIP_DIGEST;
+    time_codec("digest", &m);
+    m.kind = GOSSIP_DELTA;
+    m.resource_count = 1;
+    m.resources[0].resource =
+        make_target("jibu-live", "jibu-live-14", 3, 0x0a010203, false);
+    time_codec("delta of one target", &m);
+}
+
+/* A balancer that takes RESOURCES from its peers, the store being down. */
+static void
+bench_restart(void)
+{
+    struct fake_net *net = fake_net_new(8, 2, SEED);
+    uint64_t revision = 0;
+    uint64_t took;
+    struct sums sums;
+    double cpu;
+
+    for (int i = 0; i < RESOURCES; i++) {
+        char id[ID_SIZE];
+        struct resource r;
+
+        snprintf(id, sizeof(id), "target-%05d", i);
+        r = make_target("jibu-live", id, 1, (uint32_t)i, false);
+        revision = fake_net_write(net, &r);
+    }
+    for (size_t i = 0; i < 7; i++) {
+        fake_net_start(net, i);
+    }
+    fake_net_run(net, LIMIT_US);
+    net->store_down = true;
+    take_sums(net);
+    cpu = cpu_seconds();
+    fake_net_start(net, 7);
+    took = fake_net_run_until_in_force(net, revision, LIMIT_US);
+    cpu = cpu_seconds() - cpu;
+    printf("restart with %d resources: in force after %" PRIu64 " ms, %" PRIu64
+           " bytes in, %.0f ms of processor in all\n",
+           RESOURCES, (uint64_t)(took / USEC_PER_MSEC), net->nodes[7].bytes_in,
+           cpu * 1000);
+    sums = take_sums(net);
+    printf("  %" PRIu64 " bytes by all\n", sums.bytes_out);
+    fake_net_destroy(net);
+}
+
+int
+main(int argc, char **argv)
+{
+    const char *what = argc > 1 ? argv[1] : "all";
+    bool all = strcmp(what, "all") == 0;
+
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    printf("seed %d\n", SEED);
+    if (all || strcmp(what, "spread") == 0) {
+        bench_spread();
+    }
+    if (all || strcmp(what, "memory") == 0) {
+        bench_memory();
+    }
+    if (all || strcmp(what, "messages") == 0) {
+        bench_messages();
+    }
+    if (all || strcmp(what, "restart") == 0) {
+        bench_restart();
+    }
+    return EXIT_SUCCESS;
+}
