coordination: bundled reports, rarer exchanges with seeds, floors compared

Reports now go by way of 16 collectors in a domain of more than 64, seeds get a heartbeat every ten minutes once one has joined, and full exchanges of members grow rarer with the domain. After the start they follow each other more closely: one of 60 members had been missed by rumors alone. Messages carry the sum of the floors, so that a lost one is repaired with the next heartbeat.

--- a/src/coordination/gossip-message.h
+++ b/src/coordination/gossip-message.h
@@ -44,7 +44,7 @@
     GOSSIP_LEAF_DIGEST, /* 64 parts of the one bucket "prefix" */
     GOSSIP_VERSIONS,    /* all versions under "prefix" */
     GOSSIP_PULL,        /* please send the resources of versions[] */
-    GOSSIP_REPORT,      /* revision that the sender has in force */
+    GOSSIP_REPORT, /* revision that the sender, and others, have in force */
     GOSSIP_KIND_END,
 };
 
@@ -68,6 +68,7 @@
      * holds. */
     uint64_t revision;
     uint64_t checksum;
+    uint64_t floor_sum; /* of the domains' floors that it knows */
 
     size_t member_count;
     struct member_info members[GOSSIP_MEMBERS_MAX];
@@ -84,6 +85,7 @@
     uint32_t prefix;
     uint8_t prefix_bits;
 
+    /* GOSSIP_REPORT: reports passed on, by report_key() and revision. */
     size_t version_count;
     struct gossip_version versions[GOSSIP_VERSIONS_MAX];
 
--- a/src/coordination/member-table.h
+++ b/src/coordination/member-table.h
@@ -10,6 +10,9 @@
 /* The members that this balancer knows, itself left out. */
 
 #define MEMBER_TABLE_CHAINS 256
+/* Refutations raise an incarnation by one; a new process starts with the wall
+ * clock in microseconds, which is further off. */
+#define MEMBER_REFUTATIONS_MAX 10000
 
 struct member {
     struct list link;  /* all members */
@@ -20,7 +23,8 @@
     uint64_t heard;    /* last message from it, us; 0: never */
     uint64_t revision; /* configuration that it claims to hold */
     uint64_t checksum; /* of that configuration */
-    bool reported;     /* "applied" is known to us as the reporter */
+    bool reported;     /* "applied" was reported to us */
+    bool unforwarded;  /* and we have not yet passed it on */
     uint64_t applied;  /* revision that it has in force */
     uint64_t behind;   /* since when it lacks something, us; 0: it does not */
     bool local;        /* of the own failure domain */
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -18,14 +18,17 @@
 #define ISOLATED_AFTER_US (5 * USEC_PER_SEC)     /* without any message */
 #define LEFT_RETENTION_US (600 * USEC_PER_SEC)   /* outlives old rumors */
 #define PAUSE_GAP_US (1 * USEC_PER_SEC)          /* between two ticks */
-#define SYNC_INTERVAL_US (60 * USEC_PER_SEC)     /* full exchange, jittered */
+/* Full exchange of members, jittered; longer in a larger domain, so that it
+ * takes the same bytes a second. */
+#define SYNC_INTERVAL_US (60 * USEC_PER_SEC)
+#define SYNC_PER_MEMBER_US (500 * USEC_PER_MSEC)
+/* After the start the exchanges follow each other more closely. */
+#define SYNC_FIRST_US (2 * USEC_PER_SEC)
+#define SEED_CHECK_US (600 * USEC_PER_SEC) /* in case we are an island */
 #define PROBE_HELPERS 3
 #define RUMORS_PER_MESSAGE 6
 #define RUMOR_FACTOR 3 /* times log2 of the domain's size */
 #define REMOTE_PER_DOMAIN 8
-/* Refutations raise an incarnation by one; a new process starts with the
- * wall clock in microseconds, which is further off. */
-#define REFUTATIONS_MAX 10000
 #define RELAYS_MAX 32 /* probes made for others */
 #define SEEDS_MAX 64
 
@@ -63,6 +66,7 @@
     uint64_t next_reconnect;
     uint64_t next_seed_try;
     uint64_t next_sync;
+    uint64_t sync_interval;
     struct gossip_message out;
 };
 
@@ -84,7 +88,9 @@
     ms->started = now;
     ms->last_tick = now;
     ms->last_heard = now;
-    ms->next_sync = now + SYNC_INTERVAL_US;
+    ms->sync_interval = SYNC_FIRST_US;
+    ms->next_sync =
+        now + SYNC_FIRST_US / 2 + random_below(random, SYNC_FIRST_US);
     member_table_init(&ms->table);
     return ms;
 }
@@ -369,7 +375,7 @@
         return m;
     }
     old = m->info.state;
-    if (info->incarnation - m->info.incarnation > REFUTATIONS_MAX) {
+    if (info->incarnation - m->info.incarnation > MEMBER_REFUTATIONS_MAX) {
         /* Another process: what the earlier one reported is void. */
         m->reported = false;
     }
@@ -626,22 +632,34 @@
     send_to(ms, addr, port, &ms->out);
 }
 
-/* Asks the next seed for its members: often until one has answered, seldom
- * after that, in case all that we know have gone. */
+/* Asks the next seed for its members until one has answered. Later a seed
+ * gets no more than a heartbeat, and that seldom: many have the same seeds. */
 static void
 try_seed(struct membership *ms, uint64_t now)
 {
     const struct seed *seed;
+    struct member_info info = {.state = MEMBER_ALIVE};
     bool urgent = membership_needs_seeds(ms, now);
 
+    if (urgent && ms->next_seed_try > now + 2 * SEED_INTERVAL_US) {
+        ms->next_seed_try = now;
+    }
     if (ms->seed_count == 0 || now < ms->next_seed_try) {
         return;
     }
-    ms->next_seed_try = now + (urgent ? SEED_INTERVAL_US : SYNC_INTERVAL_US) +
-                        random_below(ms->random, 4 * PING_JITTER_US);
     seed = &ms->seeds[ms->next_seed % ms->seed_count];
     ms->next_seed++;
-    send_join(ms, seed->addr, seed->port);
+    if (urgent) {
+        ms->next_seed_try =
+            now + SEED_INTERVAL_US + random_below(ms->random, PING_JITTER_US);
+        send_join(ms, seed->addr, seed->port);
+        return;
+    }
+    ms->next_seed_try =
+        now + SEED_CHECK_US / 2 + random_below(ms->random, SEED_CHECK_US);
+    info.addr = seed->addr;
+    info.port = seed->port;
+    send_ping(ms, &info, nonce_new(ms));
 }
 
 /* Exchanges members in full with a random one now and then, which repairs
@@ -650,12 +668,15 @@
 sync_members(struct membership *ms, uint64_t now)
 {
     const struct member *peer;
+    uint64_t longest = SYNC_INTERVAL_US + ms->table.count * SYNC_PER_MEMBER_US;
 
     if (now < ms->next_sync) {
         return;
     }
-    ms->next_sync = now + SYNC_INTERVAL_US / 2 +
-                    random_below(ms->random, SYNC_INTERVAL_US);
+    ms->sync_interval =
+        ms->sync_interval * 2 < longest ? ms->sync_interval * 2 : longest;
+    ms->next_sync = now + ms->sync_interval / 2 +
+                    random_below(ms->random, (uint32_t)ms->sync_interval);
     if (membership_draw(ms, true, &peer, 1) == 1) {
         send_join(ms, peer->info.addr, peer->info.port);
     }
--- a/src/coordination/report.c
+++ b/src/coordination/report.c
@@ -6,11 +6,15 @@
 
 #include "base/clock.h"
 
-#define RESEND_MIN_US (1 * USEC_PER_SEC) /* until the floor shows it */
-#define RESEND_MAX_US (16 * USEC_PER_SEC)
+#define RESEND_MIN_US (3 * USEC_PER_SEC) /* until the floor shows it */
+#define RESEND_MAX_US (24 * USEC_PER_SEC)
 #define REPORT_INTERVAL_US (20 * USEC_PER_SEC) /* without any change */
 #define BEHIND_GRACE_US (1 * USEC_PER_SEC)     /* the usual time to spread */
-#define WRITE_GAP_US (300 * USEC_PER_MSEC)     /* between two writes */
+#define DIRECT_MAX 64 /* live members that report without a collector */
+#define COLLECTORS 16
+#define COLLECTOR_SALT 0x636f6c6c656374ULL
+#define FORWARD_GAP_US (500 * USEC_PER_MSEC) /* reports are bundled */
+#define WRITE_GAP_US (300 * USEC_PER_MSEC)   /* between two writes */
 #define WRITE_RETRY_US (1 * USEC_PER_SEC)
 #define WRITE_INTERVAL_US (60 * USEC_PER_SEC) /* without any change */
 #define EXPECT_AFTER_US (10 * USEC_PER_SEC)   /* hosts may join until then */
@@ -27,8 +31,9 @@
     uint64_t behind;  /* since when we lack something ourselves */
 
     /* Reporting. */
-    char reporter[ID_SIZE]; /* "" for oneself */
-    uint64_t sent;          /* revision last reported */
+    char parent[ID_SIZE]; /* whom we report to, "" for nobody */
+    uint64_t next_forward;
+    bool own_unforwarded; /* a collector's own report goes with the others */
     uint64_t next_send;
     uint64_t resend_us;
 
@@ -78,6 +83,54 @@
     }
 }
 
+/* Names one process of a host: a report must not count for the next one. */
+static uint64_t
+report_key(const struct member *m)
+{
+    return random_mix(m->hash, m->info.incarnation / MEMBER_REFUTATIONS_MAX);
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    const struct gossip_version *x = a;
+    const struct gossip_version *y = b;
+
+    if (x->name_hash == y->name_hash) {
+        return 0;
+    }
+    return x->name_hash < y->name_hash ? -1 : 1;
+}
+
+static void
+take_report(struct member *m, uint64_t applied)
+{
+    m->applied = applied;
+    m->reported = true;
+    m->unforwarded = true;
+}
+
+/* Takes the reports that a collector passes on. */
+static void
+take_forwarded(struct report *rp, const struct gossip_message *m)
+{
+    struct gossip_version sorted[GOSSIP_VERSIONS_MAX];
+
+    memcpy(sorted, m->versions, m->version_count * sizeof(sorted[0]));
+    qsort(sorted, m->version_count, sizeof(sorted[0]), compare_keys);
+    list_for_each (it, &membership_table(rp->ms)->all) {
+        struct member *member = container_of(it, struct member, link);
+        struct gossip_version key = {.name_hash = report_key(member)};
+        const struct gossip_version *found = bsearch(
+            &key, sorted, m->version_count, sizeof(sorted[0]), compare_keys);
+
+        if (found != NULL && member->local &&
+            (!member->reported || found->version > member->applied)) {
+            take_report(member, found->version);
+        }
+    }
+}
+
 void
 report_receive(struct report *rp, const struct gossip_message *m)
 {
@@ -88,8 +141,10 @@
         return;
     }
     /* A restarted host begins anew: its report counts, also a lower one. */
-    sender->applied = m->applied;
-    sender->reported = true;
+    take_report(sender, m->applied);
+    if (m->version_count > 0) {
+        take_forwarded(rp, m);
+    }
 }
 
 bool
@@ -98,8 +153,89 @@
     return membership_first(rp->ms, spread_watcher_salt(rp->sp)) == NULL;
 }
 
+/* The collectors of a large domain: the live members, oneself as NULL, that
+ * come first by rank. */
+struct collectors {
+    size_t count;
+    const struct member *members[COLLECTORS];
+    uint64_t ranks[COLLECTORS];
+    bool self; /* oneself is among them */
+};
+
 static void
-send_report(struct report *rp, const struct member *reporter)
+offer_collector(struct collectors *c, const struct member *m, uint64_t rank)
+{
+    size_t pos = c->count;
+
+    if (pos == COLLECTORS) {
+        if (rank >= c->ranks[pos - 1]) {
+            return;
+        }
+        pos--;
+        c->count--;
+    }
+    while (pos > 0 && c->ranks[pos - 1] > rank) {
+        c->members[pos] = c->members[pos - 1];
+        c->ranks[pos] = c->ranks[pos - 1];
+        pos--;
+    }
+    c->members[pos] = m;
+    c->ranks[pos] = rank;
+    c->count++;
+}
+
+/* Returns the number of live members of the domain. */
+static size_t
+choose_collectors(const struct report *rp, struct collectors *c)
+{
+    uint64_t self = id_hash(membership_self(rp->ms)->id);
+    size_t live = 1;
+
+    memset(c, 0, sizeof(*c));
+    offer_collector(c, NULL, random_mix(COLLECTOR_SALT, self));
+    list_for_each (it, &membership_table(rp->ms)->all) {
+        const struct member *m = container_of(it, struct member, link);
+
+        if (m->local && m->info.state == MEMBER_ALIVE) {
+            offer_collector(c, m, random_mix(COLLECTOR_SALT, m->hash));
+            live++;
+        }
+    }
+    for (size_t i = 0; i < c->count; i++) {
+        c->self = c->self || c->members[i] == NULL;
+    }
+    return live;
+}
+
+/* Whom to report to: the reporter, or in a large domain, unless oneself is
+ * one, a collector drawn by rendezvous hash. */
+static const struct member *
+find_parent(const struct report *rp, const struct member *reporter,
+            bool *collector)
+{
+    uint64_t self = id_hash(membership_self(rp->ms)->id);
+    struct collectors c;
+    const struct member *best = NULL;
+
+    *collector = false;
+    if (choose_collectors(rp, &c) <= DIRECT_MAX) {
+        return reporter;
+    }
+    if (c.self) {
+        *collector = true;
+        return reporter;
+    }
+    for (size_t i = 0; i < c.count; i++) {
+        if (best == NULL || random_mix(self, c.members[i]->hash) <
+                                random_mix(self, best->hash)) {
+            best = c.members[i];
+        }
+    }
+    return best == NULL ? reporter : best;
+}
+
+static struct gossip_message *
+start_report(struct report *rp)
 {
     struct gossip_message *m = &rp->out;
 
@@ -112,34 +248,77 @@
     m->resource_count = 0;
     spread_summary(rp->sp, m);
     m->applied = rp->applied;
-    rp->cb.send(rp->cb.ctx, reporter->info.addr, reporter->info.port, m);
+    return m;
+}
+
+static void
+send_report(struct report *rp, const struct member *to)
+{
+    rp->cb.send(rp->cb.ctx, to->info.addr, to->info.port, &rp->out);
+}
+
+/* Passes on what was reported to us since the last time. */
+static void
+tick_forward(struct report *rp, const struct member *reporter, uint64_t now)
+{
+    struct gossip_message *m;
+
+    if (now < rp->next_forward) {
+        return;
+    }
+    rp->next_forward = now + FORWARD_GAP_US;
+    m = start_report(rp);
+    list_for_each (it, &membership_table(rp->ms)->all) {
+        struct member *member = container_of(it, struct member, link);
+
+        if (!member->unforwarded || m->version_count == GOSSIP_VERSIONS_MAX) {
+            continue;
+        }
+        member->unforwarded = false;
+        if (member->reported && member != reporter) {
+            m->versions[m->version_count] =
+                (struct gossip_version){report_key(member), member->applied};
+            m->version_count++;
+        }
+    }
+    if (m->version_count > 0 || rp->own_unforwarded) {
+        rp->own_unforwarded = false;
+        send_report(rp, reporter);
+    }
 }
 
-/* Reports at once after a change and to a new reporter; again, ever more
+/* Reports at once after a change and to a new parent; again, ever more
  * seldom, until the domain's floor shows that the report has arrived; and at
  * a long interval in any case. */
 static void
 tick_send(struct report *rp, const struct member *reporter, uint64_t now)
 {
     const char *domain = membership_self(rp->ms)->domain;
+    bool collector;
+    const struct member *parent = find_parent(rp, reporter, &collector);
     bool seen = domain_floors_get(rp->floors, domain) >= rp->applied;
     uint64_t delay = REPORT_INTERVAL_US;
 
-    if (strcmp(rp->reporter, reporter->info.id) != 0) {
-        snprintf(rp->reporter, sizeof(rp->reporter), "%s", reporter->info.id);
+    if (strcmp(rp->parent, parent->info.id) != 0) {
+        snprintf(rp->parent, sizeof(rp->parent), "%s", parent->info.id);
         rp->next_send = 0;
         rp->resend_us = RESEND_MIN_US;
     }
     if (now < rp->next_send || rp->applied == 0) {
         return;
     }
-    send_report(rp, reporter);
+    rp->own_unforwarded = collector;
+    if (!collector) {
+        start_report(rp);
+        send_report(rp, parent);
+    }
     if (!seen) {
         delay = rp->resend_us;
         rp->resend_us = rp->resend_us * 2 < RESEND_MAX_US ? rp->resend_us * 2
                                                           : RESEND_MAX_US;
     }
-    rp->next_send = now + delay / 2 + random_below(rp->random, delay);
+    rp->next_send =
+        now + delay / 2 + random_below(rp->random, (uint32_t)delay);
 }
 
 /* Notes since when a member lacks something. "wall" is 0 for no change. */
@@ -367,11 +546,12 @@
         return;
     }
     if (reporter == NULL) {
-        rp->reporter[0] = '\0';
+        rp->parent[0] = '\0';
         tick_collect(rp, now, wall);
     }
     else {
         tick_send(rp, reporter, now);
+        tick_forward(rp, reporter, now);
     }
 }
 
--- a/src/coordination/report.h
+++ b/src/coordination/report.h
@@ -10,7 +10,8 @@
 
 /* What is in force. Each balancer reports the revision that its data task
  * runs to the reporter of its failure domain: the member that ranks first by
- * rendezvous hash. The reporter keeps the domain's status in the platform's
+ * rendezvous hash. In a large domain the reports go by way of a few members
+ * that bundle them. The reporter keeps the domain's status in the platform's
  * store up to date and its floor among the balancers. Two reporters at once
  * are harmless: a floor says what is true of all members known, and only
  * rises. */
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -9,7 +9,8 @@
 #define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)  /* between two repairs */
 #define SYNC_BULK_GAP_US (20 * USEC_PER_MSEC)  /* while they get through */
 #define DIGEST_INTERVAL_US (10 * USEC_PER_SEC) /* even without difference */
-#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC)   /* news of floors is bundled */
+#define FLOOR_REPLY_GAP_US (200 * USEC_PER_MSEC)
+#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC) /* news of floors is bundled */
 #define SYNC_BUCKETS 4   /* buckets repaired in one exchange */
 #define SYNC_LEAVES 8    /* parts of a bucket repaired in one exchange */
 #define BUCKET_DIRECT 64 /* records of a bucket listed without leaf digest */
@@ -27,6 +28,7 @@
     uint64_t next_sync;
     uint64_t next_digest;
     uint64_t next_floor_push;
+    uint64_t next_floor_reply;
     bool floors_news;
     bool refresh_wanted;
     /* Resources to push at the next flush. */
@@ -68,6 +70,7 @@
 {
     m->revision = sp->revision;
     m->checksum = config_store_checksum(sp->cs);
+    m->floor_sum = domain_floors_sum(sp->floors);
 }
 
 static struct gossip_message *
@@ -433,10 +436,25 @@
     }
 }
 
+/* Sends our floors to a peer that lacks some of them. */
+static void
+compare_floors(struct spread *sp, const struct gossip_message *m, uint64_t now)
+{
+    if (m->floor_sum >= domain_floors_sum(sp->floors) ||
+        now < sp->next_floor_reply) {
+        return;
+    }
+    sp->next_floor_reply = now + FLOOR_REPLY_GAP_US;
+    message_start(sp, GOSSIP_DELTA);
+    add_floors(sp, &sp->out);
+    send_to_member(sp, &m->sender, &sp->out);
+}
+
 void
 spread_receive(struct spread *sp, const struct gossip_message *m, uint64_t now)
 {
     take_floors(sp, m);
+    compare_floors(sp, m, now);
     switch (m->kind) {
     case GOSSIP_DELTA:
         on_delta(sp, m, now);
--- a/src/protocol/gossip-codec.c
+++ b/src/protocol/gossip-codec.c
@@ -207,6 +207,7 @@
         break;
     case GOSSIP_REPORT:
         put_number(out, m->applied);
+        put_versions(out, m);
         break;
     default:
         break;
@@ -226,6 +227,7 @@
     put_number(&out, m->nonce);
     put_number(&out, m->revision);
     put_number(&out, m->checksum);
+    put_number(&out, m->floor_sum);
     put_number(&out, m->member_count);
     for (size_t i = 0; i < m->member_count; i++) {
         put_member(&out, &m->members[i]);
@@ -492,6 +494,7 @@
         break;
     case GOSSIP_REPORT:
         m->applied = get_number(in, UINT64_MAX);
+        get_versions(in, m);
         break;
     default:
         break;
@@ -514,6 +517,7 @@
     m->nonce = get_number(&in, UINT64_MAX);
     m->revision = get_number(&in, UINT64_MAX);
     m->checksum = get_number(&in, UINT64_MAX);
+    m->floor_sum = get_number(&in, UINT64_MAX);
     m->prefix = 0;
     m->prefix_bits = 0;
     m->version_count = 0;
--- a/src/state/domain-floors.c
+++ b/src/state/domain-floors.c
@@ -45,3 +45,14 @@
 
     return floor == NULL ? 0 : floor->revision;
 }
+
+uint64_t
+domain_floors_sum(const struct domain_floors *df)
+{
+    uint64_t sum = 0;
+
+    for (size_t i = 0; i < df->count; i++) {
+        sum += df->floors[i].revision;
+    }
+    return sum;
+}
--- a/src/state/domain-floors.h
+++ b/src/state/domain-floors.h
@@ -26,5 +26,8 @@
  * beyond the table's size is left out. */
 bool domain_floors_raise(struct domain_floors *df, const char *domain,
                          uint64_t revision);
+/* Sum of all floors: of two tables that differ, one that lacks nothing of the
+ * other has the higher sum. */
+uint64_t domain_floors_sum(const struct domain_floors *df);
 /* Returns 0 for a domain that is not known. */
 uint64_t domain_floors_get(const struct domain_floors *df, const char *domain);
--- a/tests/unit/fake-net.c
+++ b/tests/unit/fake-net.c
@@ -318,6 +318,7 @@
         if (!gossip_decode(net->in, p->data, p->size)) {
             abort();
         }
+        to->reports_in += net->in->kind == GOSSIP_REPORT;
         membership_receive(to->ms, net->in, net->now);
         spread_receive(to->sp, net->in, net->now);
         report_receive(to->rp, net->in);
--- a/tests/unit/fake-net.h
+++ b/tests/unit/fake-net.h
@@ -48,6 +48,7 @@
     uint64_t bytes_in;
     uint64_t messages_out;
     uint64_t messages_in;
+    uint64_t reports_in;
     uint64_t store_calls;
     unsigned pauses;
 };
--- a/tests/unit/test-gossip-codec.c
+++ b/tests/unit/test-gossip-codec.c
@@ -59,6 +59,7 @@
     m->nonce = UINT64_MAX;
     m->revision = 12345;
     m->checksum = 0xdeadbeefcafef00dULL;
+    m->floor_sum = 4242;
     m->member_count = 3;
     for (unsigned i = 0; i < 3; i++) {
         fill_member(&m->members[i], i + 1);
@@ -107,6 +108,7 @@
     assert_int_equal(b->nonce, a->nonce);
     assert_int_equal(b->revision, a->revision);
     assert_int_equal(b->checksum, a->checksum);
+    assert_int_equal(b->floor_sum, a->floor_sum);
     assert_int_equal(b->applied, a->applied);
     assert_int_equal(b->member_count, a->member_count);
     assert_int_equal(b->prefix_bits, a->prefix_bits);
--- a/tests/unit/test-report.c
+++ b/tests/unit/test-report.c
@@ -16,6 +16,7 @@
 #define SETTLE_US (15 * USEC_PER_SEC)
 #define SHOWN_US (4 * USEC_PER_SEC)
 #define DETECT_US (15 * USEC_PER_SEC)
+#define LARGE 200 /* balancers, more than report directly */
 #define IDLE_US (50 * USEC_PER_SEC)
 
 static uint64_t
@@ -63,8 +64,9 @@
 static size_t
 reporter_of_d0(const struct fake_net *net)
 {
-    for (size_t i = 0; i < net->node_count; i += 2) {
+    for (size_t i = 0; i < net->node_count; i++) {
         if (net->nodes[i].running && !net->nodes[i].frozen &&
+            strcmp(net->nodes[i].self.domain, "d0") == 0 &&
             report_is_reporter(net->nodes[i].rp)) {
             return i;
         }
@@ -223,6 +225,50 @@
     }
 }
 
+/* In a domain too large for direct reports these go by way of collectors: all
+ * arrive, also when messages are lost and collectors are killed, and the
+ * reporter gets far fewer reports than there are members. */
+static void
+test_collectors(void **state)
+{
+    struct fake_net *net = fake_net_new(LARGE, 1, SEED);
+    uint64_t before;
+    size_t reporter;
+    uint64_t revision;
+
+    write_service(net, 1);
+    fake_net_start_all(net);
+    fake_net_run(net, 2 * SETTLE_US);
+    before = status_of(net, "d0")->floor;
+    assert_int_equal(before, 1);
+    reporter = reporter_of_d0(net);
+    revision = write_service(net, 2);
+    net->nodes[reporter].reports_in = 0;
+    fake_net_run(net, SHOWN_US);
+    assert_int_equal(status_of(net, "d0")->floor, revision);
+    assert_true(net->nodes[reporter].reports_in < LARGE / 2);
+
+    net->loss = 0.1;
+    for (size_t i = 0; i < LARGE; i += 8) {
+        if (i != reporter) {
+            fake_net_kill(net, i);
+        }
+    }
+    revision = write_service(net, 3);
+    fake_net_run(net, 2 * DETECT_US);
+    assert_int_equal(status_of(net, "d0")->floor, 2);
+    assert_int_equal(status_of(net, "d0")->others, revision);
+    for (size_t i = 0; i < LARGE; i += 8) {
+        if (i != reporter) {
+            fake_net_start(net, i);
+        }
+    }
+    net->loss = 0;
+    fake_net_run(net, 2 * DETECT_US);
+    assert_int_equal(status_of(net, "d0")->floor, revision);
+    fake_net_destroy(net);
+}
+
 /* When the reporter vanishes, the next by rank goes on, and waits for it. */
 static void
 test_reporter_vanishes(void **state)
@@ -349,6 +395,7 @@
         cmocka_unit_test(test_in_force),
         cmocka_unit_test(test_lagging),
         cmocka_unit_test(test_vanished),
+        cmocka_unit_test(test_collectors),
         cmocka_unit_test(test_reporter_vanishes),
         cmocka_unit_test(test_restart_voids_report),
         cmocka_unit_test(test_declared_host_never_seen),
--- a/tests/unit/test-spread.c
+++ b/tests/unit/test-spread.c
@@ -170,6 +170,7 @@
     struct gossip_message *m = calloc(1, sizeof(*m));
 
     m->kind = GOSSIP_VERSIONS;
+    m->floor_sum = domain_floors_sum(&node->floors);
     m->version_count = 2;
     m->versions[0] = (struct gossip_version){id_hash("service/live"), 1};
     m->versions[1] = (struct gossip_version){id_hash("target/live/t9"), 1};
