--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -2,11 +2,11 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define LOG_MODULE "config"
 #include "base/clock.h"
 #include "base/log.h"
-#include "coordination/view-builder.h"
 #include "daemon/messages.h"
 
 #define ENDPOINT_TEXT_SIZE 64
@@ -68,12 +68,50 @@
     }
 }
 
+static bool
+same_quarantine(const struct view_quarantine *a,
+                const struct view_quarantine *b)
+{
+    return strcmp(a->target, b->target) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->domain, b->domain) == 0;
+}
+
+static bool
+was_held(const struct control_task *task, const struct view_quarantine *q)
+{
+    for (size_t i = 0; i < CONTROL_HELD_MAX; i++) {
+        if (same_quarantine(&task->held_before[i], q)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_held(const struct control_task *task, const struct view_quarantine *q)
+{
+    for (size_t i = 0; i < task->quarantined && i < CONTROL_HELD_MAX; i++) {
+        if (strcmp(task->held[i].target, q->target) == 0 &&
+            strcmp(task->held[i].service, q->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_quarantine(void *ctx, const struct view_quarantine *q)
 {
     struct control_task *task = ctx;
 
+    if (task->quarantined < CONTROL_HELD_MAX) {
+        task->held[task->quarantined] = *q;
+    }
     task->quarantined++;
+    if (was_held(task, q)) {
+        return;
+    }
     if (q->domain[0] == '\0') {
         control_event(task, "quarantine", q->target,
                       "address is declared by target %s of %s too",
@@ -85,6 +123,20 @@
                   q->former_target, q->former_service);
 }
 
+/* Tells which targets have left quarantine with the last view. */
+static void
+report_admitted(struct control_task *task)
+{
+    for (size_t i = 0; i < CONTROL_HELD_MAX; i++) {
+        const struct view_quarantine *q = &task->held_before[i];
+
+        if (q->target[0] != '\0' && !is_held(task, q)) {
+            control_event(task, "quarantine_over", q->target,
+                          "its address was given up everywhere");
+        }
+    }
+}
+
 /* Builds a view and hands it to the data task. Nothing is published before
  * the configuration was complete once: a part of it could admit an address
  * that the missing part forbids. */
@@ -98,6 +150,8 @@
         (task->view_sequence > 0 && !task->view_stale)) {
         return;
     }
+    memcpy(task->held_before, task->held, sizeof(task->held));
+    memset(task->held, 0, sizeof(task->held));
     task->quarantined = 0;
     msg.view = view_builder_build(
         task->config, &task->floors, task->settings->host.domain,
@@ -110,6 +164,7 @@
         config_view_destroy(msg.view);
         return;
     }
+    report_admitted(task);
     task->view_sequence++;
     task->view_stale = false;
     task->view_applied = false;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -11,6 +11,7 @@
 #include "coordination/membership.h"
 #include "coordination/report.h"
 #include "coordination/spread.h"
+#include "coordination/view-builder.h"
 #include "daemon/host-list.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -24,6 +25,7 @@
  * touches it. */
 
 #define CONTROL_METRICS_MAX 16
+#define CONTROL_HELD_MAX 64 /* targets in quarantine that events tell of */
 
 struct control_task {
     const struct settings *settings;
@@ -57,7 +59,10 @@
     bool view_stale;        /* news came after the last view was built */
     bool view_applied;      /* the data task runs the last view */
     size_t quarantined;     /* targets left out of the last view */
-    uint64_t applied;       /* revision that the data task has in force */
+    /* The first of them, so that only news becomes an event. */
+    struct view_quarantine held[CONTROL_HELD_MAX];
+    struct view_quarantine held_before[CONTROL_HELD_MAX];
+    uint64_t applied; /* revision that the data task has in force */
 
     /* Questions for metrics that wait for the data task's. */
     uint64_t metrics_asked[CONTROL_METRICS_MAX];
