--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -7,14 +7,14 @@
 
 #define FANOUT 3                               /* peers per push */
 #define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)  /* between two repairs */
-#define SYNC_BULK_GAP_US (20 * USEC_PER_MSEC)  /* while they get through */
+#define SYNC_BULK_GAP_US (30 * USEC_PER_MSEC)  /* while they get through */
 #define DIGEST_INTERVAL_US (10 * USEC_PER_SEC) /* even without difference */
 #define FLOOR_REPLY_GAP_US (200 * USEC_PER_MSEC)
 #define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC) /* news of floors is bundled */
-#define SYNC_BUCKETS 4   /* buckets repaired in one exchange */
-#define SYNC_LEAVES 8    /* parts of a bucket repaired in one exchange */
+#define SYNC_BUCKETS 8   /* buckets repaired in one exchange */
+#define SYNC_LEAVES 16   /* parts of a bucket repaired in one exchange */
 #define BUCKET_DIRECT 64 /* records of a bucket listed without leaf digest */
-#define PUSH_MESSAGES_MAX 8 /* messages of resources per answer */
+#define PUSH_MESSAGES_MAX 32 /* messages of resources per answer */
 #define WATCHER_SALT 0x77617463686572ULL
 
 struct spread {
@@ -286,6 +286,16 @@
     send_to_member(sp, to, m);
 }
 
+static size_t
+count_bucket(const struct spread *sp, uint32_t bucket)
+{
+    size_t count = 0;
+
+    config_store_each_version(sp->cs, CONFIG_BUCKET_BITS, bucket,
+                              count_version, &count);
+    return count;
+}
+
 /* Answers the peer's digest for some of the buckets that differ, starting at
  * a random one so that several peers do not all repair the same. */
 static void
@@ -297,15 +307,12 @@
 
     for (uint32_t i = 0; i < CONFIG_BUCKETS && answered < SYNC_BUCKETS; i++) {
         uint32_t bucket = (first + i) % CONFIG_BUCKETS;
-        size_t count = 0;
 
         if (own->buckets[bucket] == m->digest.buckets[bucket]) {
             continue;
         }
         answered++;
-        config_store_each_version(sp->cs, CONFIG_BUCKET_BITS, bucket,
-                                  count_version, &count);
-        if (count <= BUCKET_DIRECT) {
+        if (count_bucket(sp, bucket) <= BUCKET_DIRECT) {
             send_versions(sp, &m->sender, CONFIG_BUCKET_BITS, bucket);
         }
         else {
@@ -314,14 +321,25 @@
     }
 }
 
+/* Lists the versions of the parts that differ, or at once those of the whole
+ * bucket when we have so little of it that most has to come anyway. */
 static void
 on_leaf_digest(struct spread *sp, const struct gossip_message *m)
 {
     struct config_digest own;
     uint32_t first = random_below(sp->random, CONFIG_BUCKETS);
+    unsigned differing = 0;
     unsigned answered = 0;
 
     config_store_leaf_digest(sp->cs, m->prefix, &own);
+    for (uint32_t i = 0; i < CONFIG_BUCKETS; i++) {
+        differing += own.buckets[i] != m->digest.buckets[i];
+    }
+    if (differing > SYNC_LEAVES &&
+        count_bucket(sp, m->prefix) <= GOSSIP_VERSIONS_MAX) {
+        send_versions(sp, &m->sender, CONFIG_BUCKET_BITS, m->prefix);
+        return;
+    }
     for (uint32_t i = 0; i < CONFIG_BUCKETS && answered < SYNC_LEAVES; i++) {
         uint32_t part = (first + i) % CONFIG_BUCKETS;
 
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -13,7 +13,7 @@
 
 #define ENDPOINT_TEXT_SIZE 64
 #define MESSAGE_SIZE_MAX 65536 /* bytes; a larger one ends its connection */
-#define SEND_QUEUE_MESSAGES 256
+#define SEND_QUEUE_MESSAGES 1000
 #define RECEIVE_QUEUE_MESSAGES 1000
 #define HEARTBEAT_INTERVAL_MS 3000 /* ZMTP heartbeats, for silent links */
 #define HEARTBEAT_TIMEOUT_MS 6000
--- a/tests/unit/test-spread.c
+++ b/tests/unit/test-spread.c
@@ -361,7 +361,7 @@
     net->store_down = true;
     fake_net_start(net, 3);
     assert_true(fake_net_run_until_in_force(net, revision, BULK_US) <=
-                BULK_US);
+                IN_FORCE_US);
     assert_int_equal(config_store_count(net->nodes[3].cs), BULK);
     fake_net_destroy(net);
 }
--- a/tools/bench-control.c
+++ b/tools/bench-control.c
@@ -14,12 +14,14 @@
  * time from acceptance to in force, bytes and store calls a balancer, memory
  * and processor time. Only processor times depend on the machine.
  *
- * Usage: bench-control [spread|memory|messages|restart|all] */
+ * Usage: bench-control [spread|large|memory|messages|restart|all] */
 
 #define SEED 1
 #define SETTLE_US (20 * USEC_PER_SEC)
+/* Members are exchanged in full ever more seldom after the start. */
+#define SETTLE_LARGE_US (300 * USEC_PER_SEC)
 #define IDLE_US (60 * USEC_PER_SEC)
-#define LARGE 500 /* balancers; above, a shorter idle time is measured */
+#define LARGE 500 /* balancers; above, more settling and less idle time */
 #define CHANGES 20
 #define LIMIT_US (60 * USEC_PER_SEC)
 #define RESOURCES 30000
@@ -142,7 +144,7 @@
 
     fake_net_write(net, &service);
     fake_net_start_all(net);
-    fake_net_run(net, SETTLE_US);
+    fake_net_run(net, nodes > LARGE ? SETTLE_LARGE_US : SETTLE_US);
     net->loss = loss;
     printf("%zu balancers in %zu domains, loss %.0f %%\n", nodes, domains,
            loss * 100);
@@ -166,17 +168,23 @@
 static void
 bench_spread(void)
 {
-    const size_t sizes[][2] = {{2, 1},  {4, 2},   {8, 4},   {16, 4},   {32, 4},
-                               {64, 4}, {256, 4}, {875, 1}, {1000, 16}};
+    const size_t sizes[][2] = {{2, 1},  {4, 2},  {8, 4},  {16, 4},
+                               {32, 4}, {64, 4}, {256, 4}};
 
     for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
         bench_spread_at(sizes[i][0], sizes[i][1], 0);
-        if (sizes[i][0] <= 64) {
-            bench_spread_at(sizes[i][0], sizes[i][1], 0.05);
-        }
+        bench_spread_at(sizes[i][0], sizes[i][1], 0.05);
     }
 }
 
+/* One domain of the size of two years from now, and many small ones. */
+static void
+bench_large(void)
+{
+    bench_spread_at(875, 1, 0);
+    bench_spread_at(1000, 16, 0);
+}
+
 static void
 bench_memory(void)
 {
@@ -296,6 +304,9 @@
     if (all || strcmp(what, "spread") == 0) {
         bench_spread();
     }
+    if (all || strcmp(what, "large") == 0) {
+        bench_large();
+    }
     if (all || strcmp(what, "memory") == 0) {
         bench_memory();
     }
