--- a/tests/unit/fake-net.c
+++ b/tests/unit/fake-net.c
@@ -278,6 +278,7 @@
     }
     node->running = true;
     node->frozen = false;
+    node->watcher = false;
     node->watching = false;
     node->store_pos = 0;
     node->applied = 0;
@@ -317,6 +318,7 @@
         if (!gossip_decode(net->in, p->data, p->size)) {
             abort();
         }
+        to->reports_in += net->in->kind == GOSSIP_REPORT;
         membership_receive(to->ms, net->in, net->now);
         spread_receive(to->sp, net->in, net->now);
         report_receive(to->rp, net->in);
@@ -330,9 +332,8 @@
 read_store(struct fake_node *node)
 {
     struct fake_net *net = node->net;
-    bool watcher = spread_is_watcher(node->sp, net->now);
 
-    if (!watcher || net->store_down || node->store_cut) {
+    if (!node->watcher || net->store_down || node->store_cut) {
         node->watching = false;
         return;
     }
@@ -360,6 +361,9 @@
 {
     struct fake_net *net = node->net;
 
+    if (tick) {
+        node->watcher = spread_is_watcher(node->sp, net->now);
+    }
     read_store(node);
     if (node->apply_at != 0 && net->now >= node->apply_at) {
         node->apply_at = 0;
