daemon: request bodies of several blocks

The home puts a body together by flow and request id and delivers it with the last block; an incomplete one is answered 4.08, one over the limit is refused and recorded as not run. The body limit of single datagrams is now judged by the home alone: another balancer must not say not_run.

--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -15,17 +15,19 @@
 #include "daemon/work.h"
 #include "protocol/http-map.h"
 #include "protocol/token.h"
+#include "state/body-assembly.h"
 
 /* After this time without an answer the caller gets an empty ACK, before its
  * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
-#define REFUSAL_RETRY_MS 1000
 #define ACK_AFTER_US (1200 * USEC_PER_MSEC)
 #define FLOW_ID_SIZE 48
-#define BLOCK_SZX_MAX 6 /* 1024 bytes */
+#define BLOCK_SZX_MAX 6              /* 1024 bytes */
+#define BODY_BYTES_MAX (4 * 1048576) /* in assembly, in all */
 
 struct commands {
     struct data_task *task;
     struct list running; /* struct command, oldest first */
+    struct body_assemblies *bodies;
 };
 
 /* A request on its way, from delivery to its recorded answer. */
@@ -55,6 +57,11 @@
     }
     commands->task = task;
     list_init(&commands->running);
+    commands->bodies = body_assemblies_new(BODY_BYTES_MAX);
+    if (commands->bodies == NULL) {
+        free(commands);
+        return NULL;
+    }
     return commands;
 }
 
@@ -79,6 +86,7 @@
                         clock_monotonic_us());
         command_free(cmd);
     }
+    body_assemblies_destroy(commands->bodies);
     free(commands);
 }
 
@@ -307,6 +315,7 @@
     dispatch_submit(&task->dispatch, svc, &cmd->work.job, now);
 }
 
+/* Why a home that refuses takes nothing. */
 static enum error_kind
 refusal_kind(const struct home *home)
 {
@@ -316,14 +325,14 @@
     return home->stale ? ERR_STALE_VIEW : ERR_TOKEN_EXPIRED;
 }
 
-/* A new request that is not taken now: the refusal is recorded, so that a
- * later copy cannot run. */
+/* A new request that is not taken: the refusal is recorded, so that a later
+ * copy cannot run. */
 static void
 refuse(struct commands *commands, const struct inbound *in,
-       const struct home_verdict *verdict)
+       const struct home_verdict *verdict, enum error_kind kind,
+       uint32_t retry_after_ms)
 {
     struct data_task *task = commands->task;
-    enum error_kind kind = refusal_kind(&task->home);
     struct packet_block block = {.szx = BLOCK_SZX_MAX};
     struct recorded_answer recorded;
     struct request_record *record =
@@ -335,12 +344,116 @@
         return;
     }
     data_count_error(task, kind);
-    /* "Now" makes the caller drop the token and look for another home. */
-    fill_refusal(&recorded, kind, true, RETRY_ELSEWHERE_MS);
+    fill_refusal(&recorded, kind, true, retry_after_ms);
     flow_table_finish(task->home.flows, record, &recorded);
     send_recorded(task, &in->caller, &recorded, &block);
 }
 
+/* Tells the caller that a block was taken, or that an earlier one is missing
+ * and the body is to be sent again (RFC 7959 sections 2.9.1 and 2.9.2). The
+ * token is named again for the next block, which a client may otherwise send
+ * without one (RFC 9175 section 2.3). */
+static void
+answer_block(struct commands *commands, const struct inbound *in, uint8_t code)
+{
+    struct packet answer = {
+        .code = code,
+        .fields = FIELD_BLOCK1 | FIELD_ECHO,
+        .block1 = in->packet.block1,
+        .echo_len = in->packet.echo_len,
+    };
+
+    memcpy(answer.echo, in->packet.echo, in->packet.echo_len);
+    answer_send(commands->task, &in->caller, &answer);
+}
+
+static void
+fill_block(const struct inbound *in, const struct home_verdict *verdict,
+           struct body_block *block)
+{
+    const struct packet *p = &in->packet;
+
+    block->slot = in->token.slot;
+    block->generation = in->token.generation;
+    block->id = verdict->id;
+    block->offset = (uint64_t)p->block1.num << (p->block1.szx + 4);
+    block->more = p->block1.more;
+    block->data = p->payload;
+    block->size = p->payload_len;
+    block->limit = in->port->view->service.body_limit;
+}
+
+/* Delivers a request whose last block has come. */
+static void
+deliver_body(struct commands *commands, const struct inbound *in,
+             const struct home_verdict *verdict,
+             const struct body_block *block)
+{
+    struct inbound whole = *in;
+
+    whole.packet.payload = body_assemblies_get(commands->bodies, block,
+                                               &whole.packet.payload_len);
+    deliver(commands, &whole, verdict);
+    body_assemblies_drop(commands->bodies, block);
+}
+
+/* Takes one block of a body. Nothing is on record before the last one, so a
+ * caller may begin again. */
+static void
+take_block(struct commands *commands, const struct inbound *in,
+           const struct home_verdict *verdict)
+{
+    struct body_block block;
+
+    if (packet_request_id(&in->packet) == 0) {
+        /* Nothing tells which blocks belong together. */
+        refuse(commands, in, verdict, ERR_TOO_LARGE, RETRY_NO_ADVICE_MS);
+        return;
+    }
+    fill_block(in, verdict, &block);
+    switch (
+        body_assemblies_add(commands->bodies, &block, clock_monotonic_us())) {
+    case BODY_MORE:
+        answer_block(commands, in, CODE_CONTINUE);
+        break;
+    case BODY_INCOMPLETE:
+        answer_block(commands, in, CODE_INCOMPLETE);
+        break;
+    case BODY_TOO_LARGE:
+        refuse(commands, in, verdict, ERR_TOO_LARGE, RETRY_NO_ADVICE_MS);
+        break;
+    case BODY_NO_ROOM:
+        refuse(commands, in, verdict, ERR_OVERLOADED, RETRY_SOON_MS);
+        break;
+    case BODY_COMPLETE:
+        deliver_body(commands, in, verdict, &block);
+        break;
+    }
+}
+
+static bool
+is_part_of_body(const struct packet *p)
+{
+    return (p->fields & FIELD_BLOCK1) != 0 &&
+           (p->block1.more || p->block1.num > 0);
+}
+
+/* Takes a new request. */
+static void
+accept_new(struct commands *commands, const struct inbound *in,
+           const struct home_verdict *verdict)
+{
+    if (is_part_of_body(&in->packet)) {
+        take_block(commands, in, verdict);
+        return;
+    }
+    if (in->packet.payload_len > in->port->view->service.body_limit) {
+        refuse(commands, in, verdict, ERR_TOO_LARGE, RETRY_NO_ADVICE_MS);
+        return;
+    }
+    deliver(commands, in, verdict);
+}
+
 /* A copy of a running request: the answer goes to the latest copy. */
 static void
 join(const struct inbound *in, const struct home_verdict *verdict)
@@ -429,11 +542,6 @@
                      RETRY_NO_ADVICE_MS);
         return;
     }
-    if (in->packet.payload_len > in->port->view->service.body_limit) {
-        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE,
-                     RETRY_NO_ADVICE_MS);
-        return;
-    }
     verdict = decide(commands, in);
     if (verdict.flow != NULL) {
         flow_table_touch(task->home.flows, verdict.flow, clock_monotonic_us());
@@ -451,7 +559,7 @@
         relays_forward(task->relays, in);
         break;
     case HOME_DELIVER:
-        deliver(commands, in, &verdict);
+        accept_new(commands, in, &verdict);
         break;
     case HOME_IN_PROGRESS:
         join(in, &verdict);
@@ -463,7 +571,9 @@
         answer_unknown(commands, in);
         break;
     case HOME_REFUSE:
-        refuse(commands, in, &verdict);
+        /* "Now" makes the caller drop the token and look for another home. */
+        refuse(commands, in, &verdict, refusal_kind(&task->home),
+               RETRY_ELSEWHERE_MS);
         break;
     case HOME_WRONG_SERVICE:
         answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE,
@@ -475,6 +585,7 @@
 void
 commands_tick(struct commands *commands, uint64_t now)
 {
+    body_assemblies_expire(commands->bodies, now);
     list_for_each (it, &commands->running) {
         struct command *cmd = container_of(it, struct command, link);
 
--- /dev/null
+++ b/tests/unit/test-body-assembly.c
@@ -0,0 +1,140 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "state/body-assembly.h"
+
+#define BYTES_MAX 4096
+#define BODY_LIMIT 40
+#define START_US (10 * USEC_PER_SEC)
+
+static const char text[] = "abcdefghijklmnopqrstuvwxyz0123456789-----------";
+
+/* Blocks of 16 bytes of one body, in the order in which they come. */
+static const struct {
+    const char *name;
+    struct {
+        unsigned num;
+        bool more;
+        size_t size;
+        enum body_result result;
+    } steps[5];
+    size_t count;
+    size_t whole; /* bytes at the end, 0: none */
+} cases[] = {
+    {"in order",
+     {{0, true, 16, BODY_MORE},
+      {1, true, 16, BODY_MORE},
+      {2, false, 4, BODY_COMPLETE}},
+     3,
+     36},
+    {"a copy of a block",
+     {{0, true, 16, BODY_MORE},
+      {0, true, 16, BODY_MORE},
+      {1, true, 16, BODY_MORE},
+      {0, true, 16, BODY_MORE},
+      {2, false, 4, BODY_COMPLETE}},
+     5,
+     36},
+    {"begins in the middle", {{1, true, 16, BODY_INCOMPLETE}}, 1, 0},
+    {"a block is missing",
+     {{0, true, 16, BODY_MORE},
+      {2, false, 4, BODY_INCOMPLETE},
+      {1, true, 16, BODY_MORE},
+      {2, false, 4, BODY_COMPLETE}},
+     4,
+     36},
+    {"over the limit",
+     {{0, true, 16, BODY_MORE},
+      {1, true, 16, BODY_MORE},
+      {2, false, 9, BODY_TOO_LARGE}},
+     3,
+     0},
+    {"an empty last block",
+     {{0, true, 16, BODY_MORE}, {1, false, 0, BODY_COMPLETE}},
+     2,
+     16},
+};
+
+static struct body_block
+make_block(unsigned num, bool more, size_t size)
+{
+    struct body_block block = {
+        .slot = 3,
+        .generation = 1,
+        .id = 9,
+        .offset = (uint64_t)num * 16,
+        .more = more,
+        .data = (const uint8_t *)text + (size_t)num * 16,
+        .size = size,
+        .limit = BODY_LIMIT,
+    };
+
+    return block;
+}
+
+static void
+test_cases(void **state)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct body_assemblies *bodies = body_assemblies_new(BYTES_MAX);
+        struct body_block block = make_block(0, false, 0);
+        size_t size;
+
+        for (size_t j = 0; j < cases[i].count; j++) {
+            enum body_result result;
+
+            block = make_block(cases[i].steps[j].num, cases[i].steps[j].more,
+                               cases[i].steps[j].size);
+            result = body_assemblies_add(bodies, &block, START_US);
+            if (result != cases[i].steps[j].result) {
+                fail_msg("%s, step %zu: result %d", cases[i].name, j, result);
+            }
+        }
+        if (cases[i].whole > 0) {
+            const uint8_t *data = body_assemblies_get(bodies, &block, &size);
+
+            assert_int_equal(size, cases[i].whole);
+            assert_memory_equal(data, text, size);
+        }
+        body_assemblies_destroy(bodies);
+    }
+}
+
+/* Bodies of different requests do not mix, and what is in hand is bounded. */
+static void
+test_apart_and_bounded(void **state)
+{
+    struct body_assemblies *bodies = body_assemblies_new(32);
+    struct body_block a = make_block(0, true, 16);
+    struct body_block b = make_block(0, true, 16);
+    struct body_block c = make_block(0, true, 16);
+
+    b.id = 10;
+    c.generation = 2;
+    assert_int_equal(body_assemblies_add(bodies, &a, START_US), BODY_MORE);
+    assert_int_equal(body_assemblies_add(bodies, &b, START_US), BODY_MORE);
+    assert_int_equal(body_assemblies_add(bodies, &c, START_US), BODY_NO_ROOM);
+    body_assemblies_expire(bodies, START_US + 31 * USEC_PER_SEC);
+    assert_int_equal(body_assemblies_add(bodies, &c, START_US), BODY_MORE);
+    a = make_block(1, false, 4);
+    assert_int_equal(body_assemblies_add(bodies, &a, START_US),
+                     BODY_INCOMPLETE);
+    body_assemblies_destroy(bodies);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_cases),
+        cmocka_unit_test(test_apart_and_bounded),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
