coordination: requests with and without ids never share a flow

A request without Request-Tag is recorded under id 1, so on a flow whose first tagged request had id 1 it was taken for a copy and got that one's answer. A stock client does both when it sends a body in blocks and then a short one. The first request now settles what a flow carries; the other kind gets a token of its own. test_kinds_do_not_mix failed before.

--- a/src/coordination/home.c
+++ b/src/coordination/home.c
@@ -10,15 +10,27 @@
     return token->home_addr == home->addr && token->home_port == home->port;
 }
 
-/* A request without an id: the flow covers just one, and a second one under
- * the same token was not run and gets a token of its own. */
-static enum home_action
-check_single(const struct flow *flow, const struct home_request *request)
+/* A flow carries either requests with ids or a single one without; what does
+ * not belong to it was not run under its token and gets a token of its own. */
+static bool
+belongs(const struct flow *flow, const struct home_request *request)
 {
-    if (flow->single_used && flow->single_key != request->single_key) {
-        return HOME_CHALLENGE;
+    switch (flow->kind) {
+    case FLOW_UNUSED:
+        return true;
+    case FLOW_SINGLE:
+        return request->id == 0 && flow->single_key == request->single_key;
+    case FLOW_TAGGED:
+        return request->id != 0;
     }
-    return HOME_DELIVER;
+    return false;
+}
+
+static void
+set_kind(struct flow *flow, const struct home_request *request)
+{
+    flow->kind = request->id == 0 ? FLOW_SINGLE : FLOW_TAGGED;
+    flow->single_key = request->single_key;
 }
 
 static enum home_action
@@ -36,21 +48,19 @@
     return request->old_key && request->id > SINGLE_REQUEST_ID;
 }
 
-/* Decides on a request whose flow is held here. */
+/* Decides on a request whose flow is held here. The first one that is taken
+ * or refused settles what the flow carries. */
 static void
 decide_on_flow(const struct home *home, const struct home_request *request,
                struct home_verdict *verdict)
 {
     struct flow *flow = verdict->flow;
 
-    verdict->id = request->id;
-    if (request->id == 0) {
-        verdict->action = check_single(flow, request);
-        if (verdict->action != HOME_DELIVER) {
-            return;
-        }
-        verdict->id = SINGLE_REQUEST_ID;
+    if (!belongs(flow, request)) {
+        verdict->action = HOME_CHALLENGE;
+        return;
     }
+    verdict->id = request->id == 0 ? SINGLE_REQUEST_ID : request->id;
     switch (flow_check(flow, verdict->id, &verdict->record)) {
     case FLOW_DUPLICATE:
         verdict->action = action_of_record(verdict->record);
@@ -61,6 +71,7 @@
     case FLOW_NEW:
         break;
     }
+    set_kind(flow, request);
     verdict->action = home->stopping || home->stale || must_renew(request)
                           ? HOME_REFUSE
                           : HOME_DELIVER;
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -546,11 +546,6 @@
     if (verdict.flow != NULL) {
         flow_table_touch(task->home.flows, verdict.flow, clock_monotonic_us());
     }
-    if (verdict.flow != NULL && verdict.action == HOME_DELIVER &&
-        packet_request_id(&in->packet) == 0) {
-        verdict.flow->single_used = true;
-        verdict.flow->single_key = single_key(in);
-    }
     switch (verdict.action) {
     case HOME_CHALLENGE:
         answer_challenge(task, in);
--- a/src/state/flow-table.c
+++ b/src/state/flow-table.c
@@ -141,7 +141,7 @@
     flow->used_us = now;
     flow->in_use = true;
     flow->active = false;
-    flow->single_used = false;
+    flow->kind = FLOW_UNUSED;
     list_push_back(&table->unproven, &flow->link);
     table->used++;
     *slot = (uint32_t)(flow - table->flows);
--- a/src/state/flow-table.h
+++ b/src/state/flow-table.h
@@ -51,6 +51,13 @@
     FLOW_FORGOTTEN, /* seen or too old, its record is gone */
 };
 
+/* What a flow carries. */
+enum flow_kind {
+    FLOW_UNUSED, /* nothing yet */
+    FLOW_SINGLE, /* one request of a caller that sends no Request-Tag */
+    FLOW_TAGGED, /* requests with ids from their Request-Tag */
+};
+
 struct flow {
     struct list link; /* idle lists of the table, or free list */
     uint32_t generation;
@@ -61,11 +68,10 @@
     uint64_t window;  /* bit i: id floor + 1 + i was seen */
     uint64_t used_us; /* monotonic time of the last use */
     struct list records;
-    uint32_t single_key; /* message id and token of the one request that a
-                          * caller without Request-Tag may send */
+    uint32_t single_key; /* of FLOW_SINGLE: hash of message id and token */
+    enum flow_kind kind;
     bool in_use;
     bool active; /* got a first request under its token */
-    bool single_used;
 };
 
 struct flow_table;
--- a/tests/unit/test-home.c
+++ b/tests/unit/test-home.c
@@ -136,8 +136,6 @@
     assert_true(home_open_flow(&home, SERVICE, 0, 1, &token));
     verdict = home_decide(&home, &request);
     assert_int_equal(verdict.action, HOME_DELIVER);
-    verdict.flow->single_used = true;
-    verdict.flow->single_key = request.single_key;
     assert_non_null(flow_table_begin(home.flows, verdict.flow, verdict.id));
     assert_int_equal(home_decide(&home, &request).action, HOME_IN_PROGRESS);
     request.single_key = 78;
@@ -175,6 +173,38 @@
     flow_table_destroy(home.flows);
 }
 
+/* A flow carries either requests with ids or a single one without. Each kind
+ * on a flow of the other was never run there, so it gets a token of its own;
+ * it must not meet the other's record. */
+static void
+test_kinds_do_not_mix(void **state)
+{
+    for (uint64_t first = 0; first <= 1; first++) {
+        struct home home = {.flows = flow_table_new(8, 65536),
+                            .addr = ADDR,
+                            .port = PORT,
+                            .incarnation = INCARNATION};
+        struct recorded_answer answer = {.code = 68};
+        struct flow_token token;
+        struct home_request request = {.service = SERVICE,
+                                       .token = &token,
+                                       .id = first,
+                                       .single_key = 77};
+        struct home_verdict verdict;
+
+        assert_true(home_open_flow(&home, SERVICE, 0, 1, &token));
+        verdict = home_decide(&home, &request);
+        assert_int_equal(verdict.action, HOME_DELIVER);
+        flow_table_finish(
+            home.flows, flow_table_begin(home.flows, verdict.flow, verdict.id),
+            &answer);
+        assert_int_equal(home_decide(&home, &request).action, HOME_REPEAT);
+        request.id = 1 - first;
+        assert_int_equal(home_decide(&home, &request).action, HOME_CHALLENGE);
+        flow_table_destroy(home.flows);
+    }
+}
+
 static void
 test_stopping_opens_no_flow(void **state)
 {
@@ -192,6 +222,7 @@
         cmocka_unit_test(test_decisions),
         cmocka_unit_test(test_single_request),
         cmocka_unit_test(test_old_key),
+        cmocka_unit_test(test_kinds_do_not_mix),
         cmocka_unit_test(test_stopping_opens_no_flow),
     };
 
