--- a/tools/load/pimentohaven-load.c
+++ b/tools/load/pimentohaven-load.c
@@ -15,6 +15,7 @@
 #define DURATION_MAX_S 600
 #define SETTLE_DEFAULT_S 1
 #define SETTLE_MAX_S 60
+#define ACK_TIMEOUT_MAX_MS 60000
 #define LOOPBACK_NET 127
 
 static char **traffic_texts = NULL;
@@ -25,6 +26,7 @@
 static gint sessions = SESSIONS_DEFAULT;
 static gint duration_s = DURATION_DEFAULT_S;
 static gint settle_s = SETTLE_DEFAULT_S;
+static gint ack_timeout_ms = 0;
 static gint64 seed = 1;
 
 static const GOptionEntry options[] = {
@@ -41,6 +43,8 @@
      "Write the report as JSON", "FILE"},
     {"sessions", 0, 0, G_OPTION_ARG_INT, &sessions, "Callers", "N"},
     {"duration", 0, 0, G_OPTION_ARG_INT, &duration_s, "Of the arrivals", "S"},
+    {"ack-timeout-ms", 0, 0, G_OPTION_ARG_INT, &ack_timeout_ms,
+     "Of the callers, until they send a request again", "MS"},
     {"settle", 0, 0, G_OPTION_ARG_INT, &settle_s,
      "Time between the last answer and the reading of the journal", "S"},
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of the arrivals", "N"},
@@ -75,6 +79,9 @@
     if (duration_s < 1 || duration_s > DURATION_MAX_S) {
         die("--duration", "out of bounds");
     }
+    if (ack_timeout_ms < 0 || ack_timeout_ms > ACK_TIMEOUT_MAX_MS) {
+        die("--ack-timeout-ms", "out of bounds");
+    }
     if (settle_s < 0 || settle_s > SETTLE_MAX_S) {
         die("--settle", "out of bounds");
     }
@@ -209,6 +216,7 @@
         parse_traffic(&traffic[i], entries, ro.entry_count, traffic_texts[i]);
     }
     ro.sessions = (unsigned)sessions;
+    ro.ack_timeout_ms = (uint32_t)ack_timeout_ms;
     ro.duration_us = (uint64_t)duration_s * USEC_PER_SEC;
     ro.seed = (uint64_t)seed;
     base = event_base_new();
--- a/tools/load/run-watch.c
+++ b/tools/load/run-watch.c
@@ -88,7 +88,11 @@
     struct stream_watch *sw = g_new0(struct stream_watch, 1);
     char path[PATH_SIZE];
     char query[QUERY_SIZE];
-    const struct watch_request request = {.path = path, .query = query};
+    const struct watch_request request = {
+        .path = path,
+        .query = query,
+        .silence_ms = runner->options->traffic[traffic].deadline_ms,
+    };
     uint32_t rate = runner->options->traffic[traffic].size;
 
     rate = rate == 0 ? RATE_DEFAULT : rate;
--- a/tools/load/runner.c
+++ b/tools/load/runner.c
@@ -36,6 +36,7 @@
     const struct client_options options = {
         .via = &runner->options->entries[entry].via,
         .via_count = 1,
+        .ack_timeout_ms = runner->options->ack_timeout_ms,
         .random = &runner->random,
     };
     struct status st;
--- a/tools/load/runner.h
+++ b/tools/load/runner.h
@@ -26,6 +26,7 @@
     const struct service_entry *entries;
     size_t entry_count;
     unsigned sessions;
+    uint32_t ack_timeout_ms; /* of the callers, 0: the library's default */
     uint64_t duration_us;
     uint64_t seed;
 };
