daemon: callers leave a stopping or lost home at once

A refusal by a balancer that stops names no time, on which the caller library goes elsewhere after some 150 ms in place of waiting out two Max-Ages. A read whose home is lost is answered with another token; before, each further block waited 400 ms for the lost home.

--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -30,7 +30,8 @@
     unsigned challenges;
     unsigned asked_again; /* under the same token and id */
     unsigned elsewhere;   /* tries after a lost target or home */
-    unsigned refusals;    /* in a row */
+    unsigned refusals;    /* in a row, under the same token */
+    unsigned timeless_refusals;
     unsigned upload_restarts;
     uint64_t deadline_us;
     struct exchange *ex;
--- a/src/client/call.c
+++ b/src/client/call.c
@@ -273,10 +273,12 @@
     struct client_flow *flow = call->flow;
     bool has_time = (answer->fields & FIELD_MAX_AGE) != 0;
     struct random *random = client_random(flow->client);
-    uint64_t wait = has_time ? backoff_refusal_us(random, answer->max_age_s)
-                             : backoff_retry_us(random, call->tries);
+    uint64_t wait = has_time
+                        ? backoff_refusal_us(random, answer->max_age_s)
+                        : backoff_retry_us(random, call->timeless_refusals);
 
     call->refusals++;
+    call->timeless_refusals += has_time ? 0 : 1;
     if (!has_time || call->refusals >= REFUSALS_MAX) {
         client_flow_drop_token(flow, call);
         call->refusals = 0;
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -272,9 +272,11 @@
 
     if (!answer_add_token(task, &answer, in->port->view->hash,
                           clock_monotonic_us())) {
+        bool stopping = task->home.stopping;
+
         answer_error(task, &in->caller,
-                     task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED,
-                     OUTCOME_NOT_RUN, 1000);
+                     stopping ? ERR_STOPPING : ERR_OVERLOADED, OUTCOME_NOT_RUN,
+                     stopping ? 0 : 1000);
         return;
     }
     answer_send(task, &in->caller, &answer);
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -302,7 +302,8 @@
 }
 
 /* A new request that is not taken now: the refusal is recorded, so that a
- * later copy cannot run. */
+ * later copy cannot run. One by a balancer that stops names no time to come
+ * back: the caller is to go elsewhere. */
 static void
 refuse(struct commands *commands, const struct inbound *in,
        const struct home_verdict *verdict)
@@ -318,7 +319,7 @@
         answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
         return;
     }
-    fill_refusal(&recorded, kind, true, 1000);
+    fill_refusal(&recorded, kind, true, kind == ERR_STOPPING ? 0 : 1000);
     flow_table_finish(task->home.flows, record, &recorded);
     send_recorded(task, &in->caller, &recorded, &block);
 }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -102,7 +102,12 @@
 {
     data_count_error(relays->task, ERR_HOME_LOST);
     if (in->packet.code == CODE_GET || in->packet.code == CODE_FETCH) {
-        data_serve_repeatable(relays->task, in);
+        struct inbound homeless = *in;
+
+        /* The token leads nowhere, so the answer brings another one; else
+         * each block of a download would wait for the lost home again. */
+        homeless.has_token = false;
+        data_serve_repeatable(relays->task, &homeless);
         return;
     }
     answer_error(relays->task, &in->caller, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
