--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -14,9 +14,11 @@
 #include "daemon/relay.h"
 #include "daemon/work.h"
 #include "protocol/http-map.h"
+#include "protocol/token.h"
 
 /* After this time without an answer the caller gets an empty ACK, before its
  * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
+#define REFUSAL_RETRY_MS 1000
 #define ACK_AFTER_US (1200 * USEC_PER_MSEC)
 #define FLOW_ID_SIZE 48
 #define BLOCK_SZX_MAX 6 /* 1024 bytes */
@@ -126,7 +128,7 @@
         answer.fields |= FIELD_OUTCOME;
         answer.outcome = recorded->outcome;
     }
-    if (recorded->max_age_s > 0) {
+    if (recorded->max_age_s != RECORDED_NO_MAX_AGE) {
         answer.fields |= FIELD_MAX_AGE;
         answer.max_age_s = recorded->max_age_s;
     }
@@ -162,7 +164,9 @@
     memset(recorded, 0, sizeof(*recorded));
     recorded->code = answer.code;
     recorded->outcome = answer.outcome;
-    recorded->max_age_s = answer.max_age_s;
+    recorded->max_age_s = (answer.fields & FIELD_MAX_AGE) != 0
+                              ? answer.max_age_s
+                              : RECORDED_NO_MAX_AGE;
     recorded->content_format = RECORDED_NO_FORMAT;
     recorded->payload = (uint8_t *)answer.payload;
     recorded->payload_len = answer.payload_len;
@@ -186,7 +190,7 @@
 {
     struct work *work = ctx;
     struct command *cmd = container_of(work, struct command, work);
-    struct recorded_answer recorded = {0};
+    struct recorded_answer recorded = {.max_age_s = RECORDED_NO_MAX_AGE};
     int format = -1;
 
     if (!work_result(cmd->commands->task, work, kind, sent, response)) {
@@ -279,16 +283,18 @@
                          : flow_table_begin(task->home.flows, verdict->flow,
                                             verdict->id);
     if (record == NULL) {
-        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     cmd = command_new(commands, in, record);
     if (cmd == NULL) {
         struct recorded_answer recorded;
 
-        fill_refusal(&recorded, ERR_OVERLOADED, true, 1000);
+        fill_refusal(&recorded, ERR_OVERLOADED, true, RETRY_SOON_MS);
         flow_table_finish(task->home.flows, record, &recorded);
-        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN, 1000);
+        answer_error(task, &in->caller, ERR_OVERLOADED, OUTCOME_NOT_RUN,
+                     RETRY_SOON_MS);
         return;
     }
     cmd->work.job.class = CLASS_COMMAND;
@@ -301,25 +307,36 @@
     dispatch_submit(&task->dispatch, svc, &cmd->work.job, now);
 }
 
+static enum error_kind
+refusal_kind(const struct home *home)
+{
+    if (home->stopping) {
+        return ERR_STOPPING;
+    }
+    return home->stale ? ERR_STALE_VIEW : ERR_TOKEN_EXPIRED;
+}
+
 /* A new request that is not taken now: the refusal is recorded, so that a
- * later copy cannot run. One by a balancer that stops names no time to come
- * back: the caller is to go elsewhere. */
+ * later copy cannot run. */
 static void
 refuse(struct commands *commands, const struct inbound *in,
        const struct home_verdict *verdict)
 {
     struct data_task *task = commands->task;
-    enum error_kind kind = task->home.stopping ? ERR_STOPPING : ERR_STALE_VIEW;
+    enum error_kind kind = refusal_kind(&task->home);
     struct packet_block block = {.szx = BLOCK_SZX_MAX};
     struct recorded_answer recorded;
     struct request_record *record =
         flow_table_begin(task->home.flows, verdict->flow, verdict->id);
 
     if (record == NULL) {
-        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_NO_MEMORY, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
-    fill_refusal(&recorded, kind, true, kind == ERR_STOPPING ? 0 : 1000);
+    data_count_error(task, kind);
+    /* "Now" makes the caller drop the token and look for another home. */
+    fill_refusal(&recorded, kind, true, RETRY_ELSEWHERE_MS);
     flow_table_finish(task->home.flows, record, &recorded);
     send_recorded(task, &in->caller, &recorded, &block);
 }
@@ -361,7 +378,8 @@
 {
     struct packet answer;
 
-    answer_fill_error(&answer, ERR_HOME_LOST, OUTCOME_UNKNOWN, 0);
+    answer_fill_error(&answer, ERR_HOME_LOST, OUTCOME_UNKNOWN,
+                      RETRY_NO_ADVICE_MS);
     answer_add_token(commands->task, &answer, in->port->view->hash,
                      clock_monotonic_us());
     answer_send(commands->task, &in->caller, &answer);
@@ -382,6 +400,8 @@
     struct home_request request = {
         .service = in->port->view->hash,
         .token = in->has_token ? &in->token : NULL,
+        .old_key = in->has_token &&
+                   token_is_old(&commands->task->view->keys, in->packet.echo),
         .id = packet_request_id(&in->packet),
         .single_key = single_key(in),
     };
@@ -405,11 +425,13 @@
     struct home_verdict verdict;
 
     if (is_orphan_block(in)) {
-        answer_error(task, &in->caller, ERR_BAD_OPTION, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_BAD_OPTION, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     if (in->packet.payload_len > in->port->view->service.body_limit) {
-        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_TOO_LARGE, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         return;
     }
     verdict = decide(commands, in);
@@ -444,7 +466,8 @@
         refuse(commands, in, &verdict);
         break;
     case HOME_WRONG_SERVICE:
-        answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE, 0);
+        answer_error(task, &in->caller, ERR_WRONG_SERVICE, OUTCOME_NONE,
+                     RETRY_NO_ADVICE_MS);
         break;
     }
 }
