--- a/src/client/call.c
+++ b/src/client/call.c
@@ -272,14 +272,17 @@
 on_refusal(struct call *call, const struct packet *answer)
 {
     struct client_flow *flow = call->flow;
-    bool has_time = (answer->fields & FIELD_MAX_AGE) != 0;
+    /* Max-Age 0 says "at once", and that is elsewhere. */
+    bool has_time =
+        (answer->fields & FIELD_MAX_AGE) != 0 && answer->max_age_s > 0;
     struct random *random = client_random(flow->client);
-    uint64_t wait = has_time ? backoff_refusal_us(random, answer->max_age_s)
-                             : backoff_retry_us(random, call->tries);
+    uint64_t wait = has_time
+                        ? backoff_refusal_us(random, answer->max_age_s)
+                        : backoff_retry_us(random, call->timeless_refusals);
 
     call->refusals++;
-    if (!has_time || answer->max_age_s == 0 ||
-        call->refusals >= REFUSALS_MAX) {
+    call->timeless_refusals += has_time ? 0 : 1;
+    if (!has_time || call->refusals >= REFUSALS_MAX) {
         client_flow_drop_token(flow, call);
         call->refusals = 0;
     }
