--- a/src/ctl/ctl-api.c
+++ b/src/ctl/ctl-api.c
@@ -84,6 +84,7 @@
     struct event_base *base;
     struct ctl_answer *answer;
     bool answered;
+    bool lost; /* the request was sent, and no answer came */
     uint64_t retry_after_s;
 };
 
@@ -113,6 +114,7 @@
                                   answer->body_len);
         note_headers(a, answer->headers);
     }
+    a->lost = answer->end == HTTP_CALL_LOST;
     event_base_loopbreak(a->base);
 }
 
@@ -203,6 +205,7 @@
 {
     struct attempt a = {.answer = answer};
     struct backoff backoff;
+    bool maybe_done = false;
 
     a.base = event_base_new();
     if (a.base == NULL) {
@@ -213,8 +216,10 @@
     for (size_t tries = 1;; tries++) {
         memset(answer, 0, sizeof(*answer));
         a.answered = false;
+        a.lost = false;
         a.retry_after_s = 0;
         run_attempt(api, request, &a);
+        maybe_done = maybe_done || a.lost;
         if (a.answered && answer->http_status != HTTP_SERVUNAVAIL) {
             break;
         }
@@ -229,9 +234,11 @@
     if (!a.answered) {
         free(answer->text);
         memset(answer, 0, sizeof(*answer));
-        status_set(st, ERR_STORE_DOWN, "no balancer answers");
+        status_set(st, maybe_done ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN,
+                   "no balancer answers");
         return false;
     }
+    answer->maybe_done = maybe_done;
     answer->json = json_loads(answer->text, 0, NULL);
     return true;
 }
--- a/src/ctl/ctl-api.h
+++ b/src/ctl/ctl-api.h
@@ -52,10 +52,12 @@
     uint64_t version; /* of the ETag, 0: none */
     char *text;       /* body, ended by a NUL */
     json_t *json;     /* NULL when the body is not JSON */
+    bool maybe_done;  /* an earlier attempt was sent, and its answer lost */
 };
 
-/* Sends a request. Returns false with ERR_STORE_DOWN when no balancer answers
- * in time; an answer with an error is an answer. A 503 is waited out. */
+/* Sends a request. Returns false when no balancer answers in time, with
+ * ERR_STORE_DOWN when none got the request, else with ERR_STORE_UNKNOWN. An
+ * answer with an error is an answer. A 503 is waited out. */
 bool ctl_api_call(struct ctl_api *api, const struct ctl_request *request,
                   struct ctl_answer *answer, struct status *st);
 /* Stays with the balancer that answered last. */
--- a/src/ctl/ctl-write.c
+++ b/src/ctl/ctl-write.c
@@ -149,6 +149,22 @@
     return CTL_UNKNOWN;
 }
 
+static enum ctl_exit
+report_unknown(const char *name, const char *message, const char *write_id)
+{
+    fprintf(stderr, "%s: %s; whether write %s was accepted is not known\n",
+            name, message, write_id);
+    return CTL_UNKNOWN;
+}
+
+/* Whether a refusal also speaks for an attempt whose answer was lost: with the
+ * version moved, that one cannot succeed any more. */
+static bool
+is_final(int http_status)
+{
+    return http_status == 409 || http_status == 412;
+}
+
 /* Sends a write and sees to its outcome. */
 static enum ctl_exit
 send_write(struct ctl *ctl, const char *name, enum ctl_method method,
@@ -173,9 +189,10 @@
     snprintf(match, sizeof(match), "\"%" PRIu64 "\"", version);
     ctl_new_write_id(write_id);
     if (!ctl_api_call(&ctl->api, &request, &answer, &st)) {
-        fprintf(stderr, "%s: %s; whether write %s was accepted is not known\n",
-                name, st.message, write_id);
-        return CTL_UNKNOWN;
+        if (st.kind != ERR_STORE_UNKNOWN) {
+            return report_unreachable(&st);
+        }
+        return report_unknown(name, st.message, write_id);
     }
     if (answer.http_status == 202) {
         *new_version = take_accepted(ctl, &answer);
@@ -183,6 +200,9 @@
     else if (answer.http_status == 504) {
         result = resolve_unknown(ctl, name, &answer, new_version);
     }
+    else if (answer.maybe_done && !is_final(answer.http_status)) {
+        result = report_unknown(name, ctl_answer_message(&answer), write_id);
+    }
     else {
         result = ctl_report_error(name, &answer);
     }
--- a/src/daemon/api-task.c
+++ b/src/daemon/api-task.c
@@ -19,6 +19,8 @@
 #define HEADERS_MAX 8192
 #define CONNECTION_TIMEOUT_S 15
 #define CONTROL_TIMEOUT_S 3
+#define STOP_LIMIT_S 10 /* above the time limit of a write */
+#define STOP_FLUSH_MS 50
 #define RETRY_AFTER_S "2"
 #define LIST_LIMIT_DEFAULT 100
 #define LIST_LIMIT_MAX 1000
@@ -26,11 +28,25 @@
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
+/* Ends the loop once the answers are on their way. */
+static void
+end_soon(struct api_task *task)
+{
+    const struct timeval flush = {.tv_usec = STOP_FLUSH_MS * 1000};
+
+    event_base_loopexit(task->base, &flush);
+}
+
 static void
 call_destroy(struct api_call *call)
 {
+    struct api_task *task = call->task;
+
     list_remove(&call->link);
-    call->task->call_count--;
+    task->call_count--;
+    if (task->stopping && task->call_count == 0) {
+        end_soon(task);
+    }
     if (call->timer != NULL) {
         event_free(call->timer);
     }
@@ -360,6 +376,10 @@
         http_exchange_reply(x, HTTP_SERVUNAVAIL, JSON_TYPE, NULL, 0);
         return;
     }
+    if (task->stopping) {
+        fail_with(call, ERR_STOPPING, "this balancer is stopping");
+        return;
+    }
     if (task->call_count > CALLS_MAX) {
         fail_with(call, ERR_OVERLOADED, "too many requests in progress");
         return;
@@ -370,9 +390,15 @@
 static void
 on_stop(evutil_socket_t fd, short what, void *ctx)
 {
+    const struct timeval limit = {.tv_sec = STOP_LIMIT_S};
     struct api_task *task = ctx;
 
-    event_base_loopbreak(task->base);
+    task->stopping = true;
+    if (task->call_count == 0) {
+        end_soon(task);
+        return;
+    }
+    event_base_loopexit(task->base, &limit);
 }
 
 static bool
--- a/src/daemon/api-task.h
+++ b/src/daemon/api-task.h
@@ -14,8 +14,8 @@
 struct api_task *api_task_new(void *zmq_ctx, const struct settings *settings,
                               struct status *st);
 bool api_task_start(struct api_task *task, struct status *st);
-/* Ends the task; may be called from any thread, once. Writes in progress get
- * no answer, as when the host fails. */
+/* Begins the task's end; may be called from any thread, once. Requests in
+ * progress are answered first, within some seconds. */
 void api_task_stop(struct api_task *task);
 /* Waits for the thread to end. */
 void api_task_join(struct api_task *task);
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -26,6 +26,7 @@
     bool started;
     struct event_base *base;
     struct event *stop; /* made active by api_task_stop() */
+    bool stopping;      /* new requests are refused, others still answered */
     struct mailbox *control;
     struct http_server *server;
     struct store_client *store;
