--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -11,6 +11,7 @@
 #include "coordination/membership.h"
 #include "coordination/report.h"
 #include "coordination/spread.h"
+#include "coordination/view-builder.h"
 #include "daemon/host-list.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -24,6 +25,7 @@
  * touches it. */
 
 #define CONTROL_METRICS_MAX 16
+#define CONTROL_HELD_MAX 64 /* targets in quarantine that events tell of */
 
 struct control_task {
     const struct settings *settings;
@@ -57,13 +59,17 @@
     bool view_stale;        /* news came after the last view was built */
     bool view_applied;      /* the data task runs the last view */
     size_t quarantined;     /* targets left out of the last view */
-    uint64_t applied;       /* revision that the data task has in force */
+    /* The first of them, so that only news becomes an event. */
+    struct view_quarantine held[CONTROL_HELD_MAX];
+    struct view_quarantine held_before[CONTROL_HELD_MAX];
+    uint64_t applied; /* revision that the data task has in force */
 
     /* Questions for metrics that wait for the data task's. */
     uint64_t metrics_asked[CONTROL_METRICS_MAX];
     size_t metrics_asked_count;
 
     bool refresh_wanted; /* the data task was paused */
+    bool stopping;       /* planned stop */
     bool isolated;       /* neither peers nor store can be reached */
 };
 
@@ -79,6 +85,8 @@
                         const struct gossip_message *m);
 void control_peers_tick(struct control_task *task, uint64_t now);
 void control_peers_close(struct control_task *task);
+/* Names live peers to the data task, which is stopping. */
+void control_peers_offer(struct control_task *task);
 
 /* control-config.c: from store and peers to the data task's view. */
 bool control_config_open(struct control_task *task, struct status *st);
