--- a/tests/unit/test-resource-name.c
+++ b/tests/unit/test-resource-name.c
@@ -9,6 +9,7 @@
 #include "state/resource-name.h"
 
 #define ID_63 "a23456789012345678901234567890123456789012345678901234567890123"
+#define TOO_LONG "service/" ID_63 "4"
 
 static void
 test_round_trips(void **state)
@@ -32,20 +33,10 @@
 test_refusals(void **state)
 {
     static const char *const names[] = {
-        "",
-        "service",
-        "service/",
-        "service//",
-        "service/a/",
-        "service/a/b",
-        "target/a",
-        "target/a/",
-        "target//a",
-        "target/a/b/c",
-        "status/hall-a",
-        "service/a b",
-        "service/-a",
-        "service/" ID_63 "4",
+        "",           "service",      "service/",      "service//",
+        "service/a/", "service/a/b",  "target/a",      "target/a/",
+        "target//a",  "target/a/b/c", "status/hall-a", "service/a b",
+        "service/-a", TOO_LONG,
     };
 
     for (size_t i = 0; i < sizeof(names) / sizeof(*names); i++) {
