--- a/tests/unit/test-resource-name.c
+++ b/tests/unit/test-resource-name.c
@@ -9,7 +9,8 @@
 #include "state/resource-name.h"
 
 #define ID_63 "a23456789012345678901234567890123456789012345678901234567890123"
-#define TOO_LONG "service/" ID_63 "4"
+#define ID_64                                                                 \
+    "a234567890123456789012345678901234567890123456789012345678901234"
 
 static void
 test_round_trips(void **state)
