--- a/tests/unit/test-resource-name.c
+++ b/tests/unit/test-resource-name.c
@@ -34,10 +34,10 @@
 test_refusals(void **state)
 {
     static const char *const names[] = {
-        "",           "service",        "service/",      "service//",
-        "service/a/", "service/a/b",    "target/a",      "target/a/",
-        "target//a",  "target/a/b/c",   "status/hall-a", "service/a b",
-        "service/-a", "service/" ID_64,
+        "",           "service",      "service/",      "service//",
+        "service/a/", "service/a/b",  "target/a",      "target/a/",
+        "target//a",  "target/a/b/c", "status/hall-a", "service/a b",
+        "service/-a", NAME_TOO_LONG,
     };
 
     for (size_t i = 0; i < sizeof(names) / sizeof(*names); i++) {
