daemon: a host declared draining takes no new work until it is active again

The declared state of the own host goes with the view; the data task refuses new flows and hands over what arrives without a token, as during the planned stop, and takes work again when the declaration is taken back. Peers that drain are not offered.

--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -137,6 +137,17 @@
     }
 }
 
+bool
+control_host_is_draining(const struct control_task *task, const char *id)
+{
+    char name[RESOURCE_NAME_SIZE];
+    struct resource r;
+
+    snprintf(name, sizeof(name), "host/%s", id);
+    return config_store_get(task->config, name, &r, NULL) && !r.deleted &&
+           r.host.state == ADMIN_DRAINING;
+}
+
 /* Builds a view and hands it to the data task. Nothing is published before
  * the configuration was complete once: a part of it could admit an address
  * that the missing part forbids. */
@@ -160,6 +171,8 @@
         LOG_ERR("no memory for a view; tried again with the next change");
         return;
     }
+    msg.view->host_draining =
+        control_host_is_draining(task, task->settings->host.id);
     if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
         config_view_destroy(msg.view);
         return;
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -165,21 +165,30 @@
                    spread_is_watcher(task->spread, now), now);
 }
 
+/* Draws peers of the own failure domain, or of others, that take new work. */
+static void
+draw_peers(struct control_task *task, bool local, struct msg_peers *msg)
+{
+    const struct member *peers[MSG_PEERS_MAX];
+    size_t count = membership_draw(task->members, local, peers, MSG_PEERS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        if (!control_host_is_draining(task, peers[i]->info.id)) {
+            msg->addrs[msg->count] = peers[i]->info.addr;
+            msg->count++;
+        }
+    }
+}
+
 void
 control_peers_offer(struct control_task *task)
 {
-    const struct member *peers[MSG_PEERS_MAX];
     struct msg_peers msg = {0};
 
-    msg.count =
-        (uint32_t)membership_draw(task->members, true, peers, MSG_PEERS_MAX);
+    draw_peers(task, true, &msg);
     if (msg.count == 0) {
         /* A peer elsewhere that does not serve the service says so. */
-        msg.count = (uint32_t)membership_draw(task->members, false, peers,
-                                              MSG_PEERS_MAX);
-    }
-    for (uint32_t i = 0; i < msg.count; i++) {
-        msg.addrs[i] = peers[i]->info.addr;
+        draw_peers(task, false, &msg);
     }
     mailbox_send(task->data, MSG_PEERS, &msg, sizeof(msg));
 }
--- a/src/daemon/control-task.c
+++ b/src/daemon/control-task.c
@@ -107,7 +107,8 @@
     uint64_t now = clock_monotonic_us();
 
     control_peers_tick(task, now);
-    if (task->stopping) {
+    if (task->stopping ||
+        control_host_is_draining(task, task->settings->host.id)) {
         control_peers_offer(task);
     }
     control_config_tick(task, now);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -85,13 +85,16 @@
                         const struct gossip_message *m);
 void control_peers_tick(struct control_task *task, uint64_t now);
 void control_peers_close(struct control_task *task);
-/* Names live peers to the data task, which is stopping. */
+/* Names live peers, those that drain left out, to the data task, which is
+ * stopping or draining. */
 void control_peers_offer(struct control_task *task);
 
 /* control-config.c: from store and peers to the data task's view. */
 bool control_config_open(struct control_task *task, struct status *st);
 void control_config_tick(struct control_task *task, uint64_t now);
 void control_config_close(struct control_task *task);
+/* Whether a host is declared draining. */
+bool control_host_is_draining(const struct control_task *task, const char *id);
 void control_config_view_applied(struct control_task *task, uint64_t sequence);
 /* The data task was paused: answers with MSG_VIEW_FRESH once the
  * configuration was compared with a peer's or the store's. */
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -305,11 +305,63 @@
     }
 }
 
+/* New work is refused during the planned stop, and while the host is declared
+ * draining; the latter may be taken back. */
+static void
+update_stopping(struct data_task *task, uint64_t now)
+{
+    bool stopping = task->stop_begun || task->view->host_draining;
+
+    if (stopping == task->home.stopping) {
+        return;
+    }
+    task->home.stopping = stopping;
+    if (stopping) {
+        streams_stop(task->streams, now);
+    }
+    else {
+        streams_resume(task->streams);
+    }
+}
+
+/* Tells a change of the host's declared state. */
+static void
+note_draining(struct data_task *task, bool was_draining)
+{
+    bool draining = task->view->host_draining;
+
+    if (draining != was_draining) {
+        task->drained = false;
+        data_event(task, draining ? "host_draining" : "host_active",
+                   task->settings->host.id, "as declared");
+    }
+}
+
+static bool
+is_idle(const struct data_task *task)
+{
+    return commands_idle(task->commands) && fetches_idle(task->fetches) &&
+           streams_idle(task->streams);
+}
+
+/* Tells once when nothing runs here any more. */
+static void
+check_drained(struct data_task *task)
+{
+    if (task->view != NULL && task->view->host_draining && !task->drained &&
+        is_idle(task)) {
+        task->drained = true;
+        data_event(task, "host_drained", task->settings->host.id,
+                   "nothing runs here any more");
+    }
+}
+
 static void
 apply_view(struct data_task *task, struct config_view *view)
 {
     struct msg_view_applied applied = {.sequence = view->sequence};
     uint64_t now = clock_monotonic_us();
+    bool was_draining;
 
     if (!dispatch_apply_view(&task->dispatch, view, now)) {
         LOG_ERR("no memory for a new configuration; the old one stays");
@@ -317,8 +369,11 @@
         return;
     }
     apply_ports(task, view);
+    was_draining = task->view != NULL && task->view->host_draining;
     config_view_destroy(task->view);
     task->view = view;
+    note_draining(task, was_draining);
+    update_stopping(task, now);
     mailbox_send(task->control, MSG_VIEW_APPLIED, &applied, sizeof(applied));
 }
 
@@ -329,9 +384,10 @@
 {
     uint64_t now = clock_monotonic_us();
 
-    if (task->home.stopping) {
+    if (task->stop_begun) {
         return;
     }
+    task->stop_begun = true;
     task->home.stopping = true;
     task->stop_by_us =
         now +
@@ -388,9 +444,7 @@
 static bool
 stop_is_over(struct data_task *task, uint64_t now)
 {
-    return task->home.stopping && now >= task->stop_by_us &&
-           commands_idle(task->commands) && fetches_idle(task->fetches) &&
-           streams_idle(task->streams);
+    return task->stop_begun && now >= task->stop_by_us && is_idle(task);
 }
 
 static void
@@ -405,6 +459,7 @@
     if (task->home.stale && now >= task->stale_until_us) {
         task->home.stale = false;
     }
+    check_drained(task);
     if (stop_is_over(task, now)) {
         mailbox_send(task->control, MSG_STOPPED, NULL, 0);
         event_base_loopbreak(task->base);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -55,7 +55,7 @@
     struct config_view *view; /* NULL before the first one */
     struct random random;
     struct home home;
-    struct msg_peers peers; /* known during the planned stop */
+    struct msg_peers peers; /* known while stopping or draining */
     struct dispatch dispatch;
 
     struct metrics *metrics;
@@ -71,6 +71,8 @@
     uint64_t next_slow_us;
     uint64_t turned_us; /* last turn of the loop, for pauses */
     uint64_t stale_until_us;
+    bool stop_begun;     /* the planned stop was asked for */
+    bool drained;        /* declared draining, and nothing runs any more */
     uint64_t stop_by_us; /* planned stop, at the latest */
 };
 
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -17,7 +17,7 @@
     /* control -> data */
     MSG_CONFIG_VIEW = 1, /* struct msg_config_view */
     MSG_STOP,            /* begin the planned stop, no payload */
-    MSG_PEERS,           /* struct msg_peers, during the planned stop */
+    MSG_PEERS,           /* struct msg_peers, while stopping or draining */
     MSG_VIEW_FRESH,      /* the view was refreshed after a pause */
     /* data -> control */
     MSG_VIEW_APPLIED,  /* struct msg_view_applied */
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -505,3 +505,9 @@
     streams->stopping = true;
     streams->stop_us = now;
 }
+
+void
+streams_resume(struct streams *streams)
+{
+    streams->stopping = false;
+}
--- a/src/daemon/stream.h
+++ b/src/daemon/stream.h
@@ -20,4 +20,6 @@
 /* Begins the planned stop: the notifications ask the callers to register
  * elsewhere, and the registrations end a while after. */
 void streams_stop(struct streams *streams, uint64_t now);
+/* Takes new registrations again. */
+void streams_resume(struct streams *streams);
 bool streams_idle(const struct streams *streams);
--- a/src/state/config-view.h
+++ b/src/state/config-view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -32,7 +33,8 @@
 };
 
 struct config_view {
-    uint64_t sequence; /* rises by one with each view of this process */
+    bool host_draining; /* this host is declared draining: no new work */
+    uint64_t sequence;  /* rises by one with each view of this process */
     size_t service_count;
     struct service_view *services; /* sorted by id */
     struct key_ring keys;
