coordination: when silence counts as a failure, and doubt after a pause

A timeout under a second was no evidence against a target, so with a deadline of 500 ms a silent target was never taken out; four usual latencies now count. After a pause every endpoint can be made to name its service again before its address is used, since its address may have moved meanwhile. In the model all ways to decide now see the same requests and service times.

--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -4,6 +4,9 @@
 
 #define FAILURES_TO_EJECT 3  /* consecutive, on real requests */
 #define PROBE_FAILURES_MAX 3 /* consecutive */
+/* Silence that counts as a failure: this many usual latencies, or the time. */
+#define SILENT_LATENCIES 4.0
+#define SILENT_MAX_US USEC_PER_SEC
 #define LOAD_FRESH_US USEC_PER_SEC
 #define EJECTION_BASE_US (2 * USEC_PER_SEC)
 #define EJECTION_DOUBLINGS_MAX 5 /* 64 s at most, without jitter */
@@ -165,6 +168,30 @@
     return was_up ? HEALTH_SAME : HEALTH_UP;
 }
 
+bool
+health_timeout_counts(const struct target_state *t, uint64_t waited_us)
+{
+    double usual = t->latency_us * SILENT_LATENCIES;
+
+    if (waited_us >= SILENT_MAX_US) {
+        return true;
+    }
+    return t->latency_us > 0 && (double)waited_us >= usual;
+}
+
+void
+health_forget_verified(struct target_table *table)
+{
+    list_for_each (it, &table->services) {
+        const struct service_targets *svc =
+            container_of(it, struct service_targets, link);
+
+        for (size_t i = 0; i < svc->count; i++) {
+            svc->targets[i]->health.verified = false;
+        }
+    }
+}
+
 bool
 health_is_prober(const struct target_state *t, uint64_t self,
                  const uint64_t *members, size_t member_count, size_t copies)
--- a/src/coordination/health.h
+++ b/src/coordination/health.h
@@ -58,6 +58,15 @@
                                    const struct health_probe *probe,
                                    uint64_t now);
 
+/* True when a request that was given up after "waited_us" without an answer
+ * counts as a failure of its target: a caller's short deadline alone says
+ * nothing of it. */
+bool health_timeout_counts(const struct target_state *t, uint64_t waited_us);
+
+/* After a pause of this process nothing may be taken for granted: every
+ * endpoint has to name its service again before its address is used. */
+void health_forget_verified(struct target_table *table);
+
 /* True when the member "self" of a domain is among the "copies" that probe
  * the target: the first by rendezvous rank of "members", which holds the
  * hashes of the live balancers, with or without "self". */
--- a/src/state/metrics.c
+++ b/src/state/metrics.c
@@ -9,6 +9,7 @@
 #include "base/list.h"
 
 #define PREFIX "pimentohaven_"
+#define OTHER_TENANT "other"
 #define LABEL_SIZE (2 * ID_SIZE) /* bytes of an id with every byte escaped */
 /* Edges of the exposed buckets, as powers of two of a microsecond: 1 ms to
  * 67 s. Values are whole microseconds, so "below the edge" is exposed as "up
@@ -46,7 +47,7 @@
     }
     list_init(&m->tenants);
     list_init(&m->other.link);
-    strcpy(m->other.name, "other");
+    memcpy(m->other.name, OTHER_TENANT, sizeof(OTHER_TENANT));
     return m;
 }
 
--- a/tests/unit/test-health.c
+++ b/tests/unit/test-health.c
@@ -130,6 +130,37 @@
     }
 }
 
+/* How long a target with answers in 40 ms, or with none yet, may be silent. */
+static void
+test_timeout_counts(void **state)
+{
+    static const struct {
+        uint64_t latency_ms;
+        uint64_t waited_ms;
+        bool counts;
+    } cases[] = {{40, 10, false}, {40, 100, false}, {40, 500, true},
+                 {0, 500, false}, {0, 1000, true},  {900, 1000, true}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        t->latency_us = (double)(cases[i].latency_ms * USEC_PER_MSEC);
+        assert_int_equal(
+            health_timeout_counts(t, cases[i].waited_ms * USEC_PER_MSEC),
+            cases[i].counts);
+    }
+}
+
+static void
+test_forget_verified(void **state)
+{
+    struct health_probe probe = {.answered = true, .names_service = true};
+
+    assert_true(usable(FIXTURE_NOW));
+    health_forget_verified(table);
+    assert_false(usable(FIXTURE_NOW));
+    health_on_probe(t, &probe, FIXTURE_NOW);
+    assert_true(usable(FIXTURE_NOW));
+}
+
 /* Each failed trial at least stays out longer than the one before last, up to
  * about a minute. */
 static void
@@ -218,6 +249,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_sequences, setup, teardown),
         cmocka_unit_test_setup_teardown(test_back_off_grows, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_timeout_counts, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_forget_verified, setup, teardown),
         cmocka_unit_test_setup_teardown(test_trust, setup, teardown),
         cmocka_unit_test_setup_teardown(test_probers, setup, teardown),
     };
--- a/tests/unit/test-target-table.c
+++ b/tests/unit/test-target-table.c
@@ -39,7 +39,7 @@
 static void
 change_service(struct config_view *view)
 {
-    strcpy(view->services[0].id, "rigctl");
+    view->services[0].id[0] = 'x';
 }
 
 static void
--- a/tools/balance-model.c
+++ b/tools/balance-model.c
@@ -58,6 +58,7 @@
     uint64_t arrival_us;
     uint64_t deadline_us;
     uint64_t sent_us;
+    double service_us; /* at a warm target of usual speed */
     unsigned attempt;
     uint32_t running; /* load report on the way back */
     uint32_t queued;
@@ -420,6 +421,8 @@
     snprintf(r->tenant, sizeof(r->tenant), "t%zu", r->session % TENANTS);
     r->arrival_us = m->now;
     r->deadline_us = m->now + c->deadline_us;
+    /* Drawn here, so that all ways to decide see the same work. */
+    r->service_us = draw_service_us(m);
     r->measured = is_measured(m);
     r->choice.flow_hash = random_mix(r->session, 1);
     r->choice.class = c->class;
@@ -461,12 +464,12 @@
                 size_t index)
 {
     double factor = t->factor;
-    double duration = draw_service_us(m);
+    double duration;
 
     if (m->now < t->cold_until_us) {
         factor *= COLD_FACTOR;
     }
-    duration = duration * factor + 1;
+    duration = r->service_us * factor + 1;
     t->running++;
     push_event(m, (struct event){.at_us = m->now + (uint64_t)duration,
                                  .kind = EVENT_TARGET_DONE,
@@ -638,7 +641,9 @@
     }
     target_ref(t);
     target_finish(t);
-    health_on_failure(t, &b->random, m->now);
+    if (health_timeout_counts(t, m->now - r->sent_us)) {
+        health_on_failure(t, &b->random, m->now);
+    }
     target_unref(t);
     r->target = NULL;
     r->attempt++;
@@ -795,7 +800,7 @@
     if (sv == NULL) {
         return false;
     }
-    strcpy(sv->id, SERVICE_ID);
+    memcpy(sv->id, SERVICE_ID, sizeof(SERVICE_ID));
     sv->targets = calloc(count, sizeof(*sv->targets));
     sv->target_count = sv->targets != NULL ? count : 0;
     for (size_t i = 0; i < sv->target_count; i++) {
