--- a/src/daemon/control-metrics.c
+++ b/src/daemon/control-metrics.c
@@ -79,6 +79,18 @@
     }
 }
 
+static void
+put_gossip(struct text *text, const struct gossip_endpoint_counters *counters)
+{
+    put_value(text, "counter", "gossip_bytes_in_total", counters->bytes_in);
+    put_value(text, "counter", "gossip_bytes_out_total", counters->bytes_out);
+    put_value(text, "counter", "gossip_messages_in_total",
+              counters->messages_in);
+    put_value(text, "counter", "gossip_messages_out_total",
+              counters->messages_out);
+    put_value(text, "counter", "gossip_dropped_total", counters->dropped);
+}
+
 static void
 put_own(struct text *text, struct control_task *task)
 {
@@ -99,6 +111,7 @@
               store_reader_is_reachable(task->reader) ? 1 : 0);
     put_value(text, "gauge", "store_watcher",
               spread_is_watcher(task->spread, now) ? 1 : 0);
+    put_gossip(text, gossip_endpoint_counters(task->gossip));
     put_members(text, membership_table(task->members));
     put_floors(text, &task->floors);
 }
