coordination: a view is fresh only after an answer to a question

What peers and the watch had sent during a pause waits in the sockets and shows the configuration of before. It had counted as a comparison.

--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -9,6 +9,7 @@
 #define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)  /* between two repairs */
 #define SYNC_BULK_GAP_US (30 * USEC_PER_MSEC)  /* while they get through */
 #define DIGEST_INTERVAL_US (10 * USEC_PER_SEC) /* even without difference */
+#define REFRESH_INTERVAL_US (300 * USEC_PER_MSEC)
 #define FLOOR_REPLY_GAP_US (200 * USEC_PER_MSEC)
 #define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC) /* news of floors is bundled */
 #define SYNC_BUCKETS 8   /* buckets repaired in one exchange */
@@ -30,7 +31,11 @@
     uint64_t next_floor_push;
     uint64_t next_floor_reply;
     bool floors_news;
-    bool refresh_wanted;
+    /* After a pause: peers were asked with this nonce, 0 when all is well;
+     * whether one has answered since; and when to ask again. */
+    uint64_t refresh_nonce;
+    bool refresh_answered;
+    uint64_t next_refresh;
     /* Resources to push at the next flush. */
     size_t news_count;
     struct gossip_resource news[GOSSIP_RESOURCES_MAX];
@@ -211,7 +216,9 @@
                 uint64_t now)
 {
     if (m->checksum == config_store_checksum(sp->cs)) {
-        sp->refresh_wanted = false;
+        if (sp->refresh_answered) {
+            sp->refresh_nonce = 0;
+        }
         set_revision(sp, m->revision);
         return;
     }
@@ -473,6 +480,10 @@
 {
     take_floors(sp, m);
     compare_floors(sp, m, now);
+    if (m->kind == GOSSIP_ACK && sp->refresh_nonce != 0 &&
+        m->nonce == sp->refresh_nonce) {
+        sp->refresh_answered = true;
+    }
     switch (m->kind) {
     case GOSSIP_DELTA:
         on_delta(sp, m, now);
@@ -531,9 +542,23 @@
     send_to_member(sp, &peer->info, &sp->out);
 }
 
+/* Asks a few peers for what they hold. An answer proves that it was given
+ * after the pause; anything else may have waited in a socket. */
+static void
+ask_peers(struct spread *sp, uint64_t now)
+{
+    sp->next_refresh = now + REFRESH_INTERVAL_US;
+    message_start(sp, GOSSIP_PING);
+    sp->out.nonce = sp->refresh_nonce;
+    push(sp, &sp->out, true);
+}
+
 void
 spread_tick(struct spread *sp, uint64_t now)
 {
+    if (sp->refresh_nonce != 0 && now >= sp->next_refresh) {
+        ask_peers(sp, now);
+    }
     spread_flush(sp);
     push_floors(sp, now);
     compare_with_random_peer(sp, now);
@@ -561,12 +586,14 @@
 void
 spread_ask_refresh(struct spread *sp, uint64_t now)
 {
-    sp->refresh_wanted = true;
+    sp->refresh_nonce = random_next(sp->random) | 1;
+    sp->refresh_answered = false;
     sp->next_sync = now;
+    ask_peers(sp, now);
 }
 
 bool
 spread_is_refreshed(const struct spread *sp)
 {
-    return !sp->refresh_wanted;
+    return sp->refresh_nonce == 0;
 }
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -214,15 +214,23 @@
     control_status_seen(ctx, domain, entry);
 }
 
+static void
+end_refresh(struct control_task *task)
+{
+    task->refresh_wanted = false;
+    task->refresh_by_store = false;
+    mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+}
+
 static void
 on_store_complete(void *ctx)
 {
     struct control_task *task = ctx;
 
     spread_complete(task->spread);
-    if (task->refresh_wanted) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+    /* What a watch brings may have waited in its socket during the pause. */
+    if (task->refresh_wanted && task->refresh_by_store) {
+        end_refresh(task);
     }
 }
 
@@ -326,8 +334,7 @@
 check_refresh(struct control_task *task)
 {
     if (task->refresh_wanted && spread_is_refreshed(task->spread)) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+        end_refresh(task);
     }
 }
 
@@ -372,7 +379,8 @@
     spread_ask_refresh(task->spread, clock_monotonic_us());
     if (membership_draw(task->members, true, &peer, 1) == 0 &&
         membership_draw(task->members, false, &peer, 1) == 0) {
-        /* Nobody to compare with: the store itself is asked. */
+        /* Nobody to compare with: the store itself is read. */
+        task->refresh_by_store = true;
         store_reader_stop(task->reader);
         store_reader_start(task->reader, 0);
     }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -68,9 +68,10 @@
     uint64_t metrics_asked[CONTROL_METRICS_MAX];
     size_t metrics_asked_count;
 
-    bool refresh_wanted; /* the data task was paused */
-    bool stopping;       /* planned stop */
-    bool isolated;       /* neither peers nor store can be reached */
+    bool refresh_wanted;   /* the data task was paused */
+    bool refresh_by_store; /* the store is being read for that */
+    bool stopping;         /* planned stop */
+    bool isolated;         /* neither peers nor store can be reached */
 };
 
 /* Records an event for the log and /v1/events. */
--- a/tests/unit/test-spread.c
+++ b/tests/unit/test-spread.c
@@ -311,6 +311,36 @@
     fake_net_destroy(net);
 }
 
+/* What was sent to a paused balancer before a change waits in its socket, and
+ * shows the configuration that it still has: its view counts as fresh only
+ * after an answer to a question asked since. */
+static void
+test_refresh_needs_an_answer(void **state)
+{
+    struct fake_net *net = start(8, 2, SEED);
+    struct fake_node *node = &net->nodes[4];
+    struct gossip_message *stale = calloc(1, sizeof(*stale));
+
+    stale->kind = GOSSIP_PING;
+    stale->sender = net->nodes[2].self;
+    spread_summary(node->sp, stale);
+    net->loss = 1;
+    write_target(net, "t1", 2, false);
+    spread_ask_refresh(node->sp, net->now);
+    spread_receive(node->sp, stale, net->now);
+    assert_false(spread_is_refreshed(node->sp));
+    fake_net_run(net, USEC_PER_SEC);
+    assert_false(spread_is_refreshed(node->sp));
+    net->loss = 0;
+    for (int i = 0; i < 100 && !spread_is_refreshed(node->sp); i++) {
+        fake_net_run(net, 10 * USEC_PER_MSEC);
+    }
+    assert_true(spread_is_refreshed(node->sp));
+    assert_int_equal(fake_node_version(node, "target/live/t1"), 2);
+    free(stale);
+    fake_net_destroy(net);
+}
+
 /* A store that comes back with older versions changes nothing anywhere, and
  * nothing learnt from it counts as complete. */
 static void
@@ -378,6 +408,7 @@
         cmocka_unit_test(test_cut_with_changes),
         cmocka_unit_test(test_one_cut_from_all),
         cmocka_unit_test(test_frozen_watchers),
+        cmocka_unit_test(test_refresh_needs_an_answer),
         cmocka_unit_test(test_older_store),
         cmocka_unit_test(test_bulk_from_peers),
     };
