--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -502,7 +502,14 @@
 
     hear(ms, m, now);
     for (size_t i = 0; i < m->member_count && m->kind != GOSSIP_PROBE; i++) {
-        merge(ms, &m->members[i], now);
+        bool known = member_table_find(&ms->table, m->members[i].id) != NULL;
+        struct member *member = merge(ms, &m->members[i], now);
+
+        /* Whom a full table tells us of the others know already: passing all
+         * of it on would hold up what is new. */
+        if (member != NULL && !known && m->kind == GOSSIP_MEMBERS) {
+            member->rumors = 0;
+        }
     }
     /* The news may have pushed the sender out of the sample. */
     sender = member_table_find(&ms->table, m->sender.id);
@@ -775,6 +782,7 @@
 membership_expect(struct membership *ms, const char *id, uint64_t now)
 {
     struct member_info info = {.state = MEMBER_DEAD};
+    struct member *m;
 
     if (strcmp(id, ms->self.id) == 0 ||
         member_table_find(&ms->table, id) != NULL) {
@@ -782,7 +790,11 @@
     }
     strncpy(info.id, id, sizeof(info.id) - 1);
     memcpy(info.domain, ms->self.domain, sizeof(info.domain));
-    add_member(ms, &info, now);
+    m = add_member(ms, &info, now);
+    if (m != NULL) {
+        /* Each balancer knows this from the configuration. */
+        m->rumors = 0;
+    }
 }
 
 bool
--- a/tests/unit/test-membership.c
+++ b/tests/unit/test-membership.c
@@ -209,6 +209,29 @@
     fake_net_destroy(net);
 }
 
+/* A balancer that joins does not pass on everything that it was told: that
+ * would hold up news for minutes in a large domain. */
+static void
+test_join_is_quiet(void **state)
+{
+    struct fake_net *net = fake_net_new(60, 1, SEED);
+    size_t rumors = 0;
+
+    for (size_t i = 0; i < 59; i++) {
+        fake_net_start(net, i);
+    }
+    fake_net_run(net, 60 * USEC_PER_SEC);
+    fake_net_start(net, 59);
+    fake_net_run(net, 3 * USEC_PER_SEC);
+    list_for_each (it, &membership_table(net->nodes[59].ms)->all) {
+        rumors += container_of(it, struct member, link)->rumors > 0;
+    }
+    assert_int_equal(membership_table(net->nodes[59].ms)->count, 59);
+    assert_true(rumors < 10);
+    assert_all_hold(net, 59, MEMBER_ALIVE);
+    fake_net_destroy(net);
+}
+
 /* One cut from all says so; a process restarted under the same id replaces
  * the one before. */
 static void
@@ -239,6 +262,7 @@
         cmocka_unit_test(test_detect),
         cmocka_unit_test(test_thaw),
         cmocka_unit_test(test_cut_heals),
+        cmocka_unit_test(test_join_is_quiet),
         cmocka_unit_test(test_isolation_and_restart),
     };
 
