--- a/src/coordination/view-builder.c
+++ b/src/coordination/view-builder.c
@@ -10,9 +10,8 @@
 /* A target of one of the view's services, with what keeps it out. */
 struct candidate {
     struct target_view view;
-    size_t service; /* index in the view */
-    bool quarantined;
-    struct view_quarantine reason;
+    size_t service;                     /* index in the view */
+    struct view_quarantine *quarantine; /* NULL: admitted */
 };
 
 struct builder {
@@ -244,9 +243,13 @@
 quarantine(struct builder *b, struct candidate *c, const struct resource *user,
            const struct removal *rm, const char *waiting)
 {
-    struct view_quarantine *q = &c->reason;
+    struct view_quarantine *q = calloc(1, sizeof(*q));
 
-    c->quarantined = true;
+    if (q == NULL) {
+        b->failed = true;
+        return;
+    }
+    c->quarantine = q;
     snprintf(q->service, sizeof(q->service), "%s", b->services[c->service].id);
     snprintf(q->target, sizeof(q->target), "%s", c->view.id);
     snprintf(q->former_service, sizeof(q->former_service), "%s",
@@ -283,7 +286,7 @@
         waiting = find_waiting_domain(b, &rm);
     }
     for (; c < end && compare_addresses(c, &key) == 0; c++) {
-        if (!c->quarantined && waiting != NULL &&
+        if (c->quarantine == NULL && waiting != NULL &&
             strcmp(b->services[c->service].id, r->target.service) != 0) {
             quarantine(b, c, r, &rm, waiting);
         }
@@ -306,8 +309,8 @@
 report_quarantined(const struct builder *b, view_quarantine_cb cb, void *ctx)
 {
     for (size_t i = 0; i < b->candidate_count && cb != NULL; i++) {
-        if (b->candidates[i].quarantined) {
-            cb(ctx, &b->candidates[i].reason);
+        if (b->candidates[i].quarantine != NULL) {
+            cb(ctx, b->candidates[i].quarantine);
         }
     }
 }
@@ -322,7 +325,7 @@
         return false;
     }
     for (size_t i = 0; i < count; i++) {
-        if (!run[i].quarantined) {
+        if (run[i].quarantine == NULL) {
             sv->targets[sv->target_count] = run[i].view;
             sv->target_count++;
         }
@@ -401,6 +404,9 @@
         report_quarantined(&b, cb, ctx);
         view = make_view(&b, sequence);
     }
+    for (size_t i = 0; i < b.candidate_count; i++) {
+        free(b.candidates[i].quarantine);
+    }
     free(b.services);
     free(b.candidates);
     return view;
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -28,8 +28,12 @@
                   "version %llu of revision %llu",
                   (unsigned long long)r->version,
                   (unsigned long long)revision);
-    task->view_stale = true;
-    ask_publish(task);
+    if (task->quarantined > 0 ||
+        view_filter_concerns(&task->view_filter, task->settings->host.domain,
+                             r)) {
+        task->view_stale = true;
+        ask_publish(task);
+    }
 }
 
 static void
@@ -160,6 +164,7 @@
         LOG_ERR("no memory for a view; tried again with the next change");
         return;
     }
+    view_filter_set(&task->view_filter, msg.view);
     if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
         config_view_destroy(msg.view);
         return;
@@ -394,6 +399,7 @@
     }
     store_client_destroy(task->store);
     store_reader_destroy(task->reader);
+    view_filter_clear(&task->view_filter);
     spread_destroy(task->spread);
     config_store_destroy(task->config);
     if (task->publish != NULL) {
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,6 +12,7 @@
 #include "coordination/report.h"
 #include "coordination/spread.h"
 #include "coordination/view-builder.h"
+#include "coordination/view-filter.h"
 #include "daemon/host-list.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -57,8 +58,9 @@
     uint64_t view_sequence; /* of the last view sent */
     uint64_t view_revision; /* the configuration is complete up to it */
     bool view_stale;        /* news came after the last view was built */
-    bool view_applied;      /* the data task runs the last view */
-    size_t quarantined;     /* targets left out of the last view */
+    struct view_filter view_filter; /* what the last view holds */
+    bool view_applied;              /* the data task runs the last view */
+    size_t quarantined;             /* targets left out of the last view */
     /* The first of them, so that only news becomes an event. */
     struct view_quarantine held[CONTROL_HELD_MAX];
     struct view_quarantine held_before[CONTROL_HELD_MAX];
--- a/src/state/config-store.c
+++ b/src/state/config-store.c
@@ -190,13 +190,14 @@
     return (size_t)(c.pos - body);
 }
 
+/* Sets every field that the kind has, into a resource that was zero at first
+ * and may hold another one since; clearing it anew for each record would take
+ * most of the time of a walk. */
 static void
 unpack(const struct record *rec, struct resource *r)
 {
     struct cursor c = {.pos = (unsigned char *)rec->body};
 
-    memset(r, 0, sizeof(*r));
-    list_init(&r->link);
     r->kind = (enum resource_kind)rec->kind;
     r->version = rec->version;
     r->deleted = rec->deleted != 0;
@@ -447,6 +448,8 @@
     if (rec == NULL) {
         return false;
     }
+    memset(out, 0, sizeof(*out));
+    list_init(&out->link);
     unpack(rec, out);
     if (revision != NULL) {
         *revision = rec->revision;
@@ -474,8 +477,9 @@
 walk(const struct config_store *cs, enum resource_kind kind,
      config_store_cb cb, void *ctx)
 {
-    struct resource r;
+    struct resource r = {.version = 0};
 
+    list_init(&r.link);
     for (size_t i = 0; i < cs->chain_count; i++) {
         list_for_each (it, &cs->chains[i]) {
             const struct record *rec = container_of(it, struct record, link);
--- a/tests/unit/config-fixture.h
+++ b/tests/unit/config-fixture.h
@@ -15,7 +15,7 @@
     char *save = NULL;
 
     snprintf(r.id, sizeof(r.id), "%s", id);
-    snprintf(r.service.tenant, sizeof(r.service.tenant), "tenant-%s", id);
+    snprintf(r.service.tenant, sizeof(r.service.tenant), "t-%.60s", id);
     r.service.port = 5683;
     r.service.deadline_ms = 2000;
     r.service.body_limit = 4096;
--- a/tests/unit/test-view-builder.c
+++ b/tests/unit/test-view-builder.c
@@ -7,6 +7,7 @@
 
 #include "config-fixture.h"
 #include "coordination/view-builder.h"
+#include "coordination/view-filter.h"
 
 struct fixture {
     struct config_store *cs;
@@ -150,12 +151,60 @@
     }
 }
 
+struct filter_case {
+    const char *name;
+    struct resource resource;
+    bool concerns;
+};
+
+/* The view of karen holds service live with target t1 at address 1. Whatever
+ * could change it concerns it, and nothing else. */
+static void
+test_filter(void **state)
+{
+    struct resource ring = {.kind = RESOURCE_KEY_RING, .id = "tokens"};
+    struct resource host = {.kind = RESOURCE_HOST, .id = "h1"};
+    const struct filter_case cases[] = {
+        {"its service", make_service("live", 2, "karen"), true},
+        {"its service leaves", make_service("live", 2, "westlands"), true},
+        {"a new service", make_service("export", 1, "karen"), true},
+        {"a foreign service", make_service("other", 1, "westlands"), false},
+        {"its target", make_target("live", "t1", 2, 1, false), true},
+        {"its new target", make_target("live", "t2", 1, 2, false), true},
+        {"its target deleted", make_target("live", "t1", 2, 1, true), true},
+        {"a foreign target", make_target("other", "t1", 1, 2, false), false},
+        {"a foreign target of the same address",
+         make_target("other", "t1", 1, 1, false), true},
+        {"the keys", ring, true},
+        {"a host", host, false},
+    };
+    struct fixture f = {.cs = config_store_new()};
+    struct view_filter filter = {0};
+    struct config_view *view;
+
+    apply(&f, make_service("live", 1, "karen"), 1);
+    apply(&f, make_target("live", "t1", 1, 1, false), 2);
+    view = build(&f, "karen");
+    assert_true(view_filter_concerns(&filter, "karen", &cases[3].resource));
+    assert_true(view_filter_set(&filter, view));
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        print_message("%s\n", cases[i].name);
+        assert_int_equal(
+            view_filter_concerns(&filter, "karen", &cases[i].resource),
+            cases[i].concerns);
+    }
+    view_filter_clear(&filter);
+    config_view_destroy(view);
+    config_store_destroy(f.cs);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_view_of_domain),
         cmocka_unit_test(test_quarantine),
+        cmocka_unit_test(test_filter),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/bench-control.c
+++ b/tools/bench-control.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "config-fixture.h"
+#include "coordination/view-builder.h"
 #include "fake-net.h"
 #include "protocol/gossip-codec.h"
 
@@ -14,7 +15,7 @@
  * time from acceptance to in force, bytes and store calls a balancer, memory
  * and processor time. Only processor times depend on the machine.
  *
- * Usage: bench-control [spread|large|memory|messages|restart|all] */
+ * Usage: bench-control [spread|large|memory|messages|view|restart|all] */
 
 #define SEED 1
 #define SETTLE_US (20 * USEC_PER_SEC)
@@ -25,6 +26,7 @@
 #define CHANGES 20
 #define LIMIT_US (60 * USEC_PER_SEC)
 #define RESOURCES 30000
+#define RESOURCES_FUTURE 187000 /* 37,000 services, 150,000 targets */
 #define REPEATS 20000
 
 struct sums {
@@ -256,9 +258,10 @@
     time_codec("delta of one target", &m);
 }
 
-/* A balancer that takes RESOURCES from its peers, the store being down. */
+/* A balancer that takes its configuration from its peers, the store being
+ * down. */
 static void
-bench_restart(void)
+bench_restart_with(int count)
 {
     struct fake_net *net = fake_net_new(8, 2, SEED);
     uint64_t revision = 0;
@@ -266,7 +269,7 @@
     struct sums sums;
     double cpu;
 
-    for (int i = 0; i < RESOURCES; i++) {
+    for (int i = 0; i < count; i++) {
         char id[ID_SIZE];
         struct resource r;
 
@@ -286,13 +289,75 @@
     cpu = cpu_seconds() - cpu;
     printf("restart with %d resources: in force after %" PRIu64 " ms, %" PRIu64
            " bytes in, %.0f ms of processor in all\n",
-           RESOURCES, (uint64_t)(took / USEC_PER_MSEC), net->nodes[7].bytes_in,
+           count, (uint64_t)(took / USEC_PER_MSEC), net->nodes[7].bytes_in,
            cpu * 1000);
     sums = take_sums(net);
     printf("  %" PRIu64 " bytes by all\n", sums.bytes_out);
     fake_net_destroy(net);
 }
 
+static void
+bench_restart(void)
+{
+    bench_restart_with(RESOURCES);
+    bench_restart_with(RESOURCES_FUTURE);
+}
+
+static void
+fill_store(struct config_store *cs, int services, int targets)
+{
+    char id[ID_SIZE];
+    char owner[ID_SIZE];
+
+    for (int i = 0; i < services; i++) {
+        struct resource r;
+        char domains[32];
+
+        snprintf(id, sizeof(id), "service-%05d", i);
+        snprintf(domains, sizeof(domains), "d%d,d%d", i % 16, (i + 1) % 16);
+        r = make_service(id, 1, domains);
+        config_store_apply(cs, &r, 1);
+    }
+    for (int i = 0; i < targets; i++) {
+        struct resource r;
+
+        snprintf(id, sizeof(id), "target-%06d", i);
+        snprintf(owner, sizeof(owner), "service-%05d", i % services);
+        r = make_target(owner, id, 1, (uint32_t)i, false);
+        config_store_apply(cs, &r, 1);
+    }
+}
+
+/* The view of one of 16 domains, each service being in two. */
+static void
+bench_view(void)
+{
+    const int sizes[][2] = {{7500, RESOURCES - 7500},
+                            {37000, RESOURCES_FUTURE - 37000}};
+
+    for (size_t i = 0; i < 2; i++) {
+        struct config_store *cs = config_store_new();
+        struct domain_floors floors = {0};
+        size_t targets = 0;
+        struct config_view *view;
+        double begin;
+
+        fill_store(cs, sizes[i][0], sizes[i][1]);
+        begin = cpu_seconds();
+        view = view_builder_build(cs, &floors, "d0", 1, NULL, NULL);
+        begin = cpu_seconds() - begin;
+        for (size_t k = 0; k < view->service_count; k++) {
+            targets += view->services[k].target_count;
+        }
+        printf("view of %zu services and %zu targets out of %zu resources "
+               "(%zu bytes): %.1f ms\n",
+               view->service_count, targets, config_store_count(cs),
+               config_store_bytes(cs), begin * 1000);
+        config_view_destroy(view);
+        config_store_destroy(cs);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -313,6 +378,9 @@
     if (all || strcmp(what, "messages") == 0) {
         bench_messages();
     }
+    if (all || strcmp(what, "view") == 0) {
+        bench_view();
+    }
     if (all || strcmp(what, "restart") == 0) {
         bench_restart();
     }
