--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -28,8 +28,12 @@
                   "version %llu of revision %llu",
                   (unsigned long long)r->version,
                   (unsigned long long)revision);
-    task->view_stale = true;
-    ask_publish(task);
+    if (task->quarantined > 0 ||
+        view_filter_concerns(&task->view_filter, task->settings->host.domain,
+                             r)) {
+        task->view_stale = true;
+        ask_publish(task);
+    }
 }
 
 static void
@@ -173,6 +177,7 @@
     }
     msg.view->host_draining =
         control_host_is_draining(task, task->settings->host.id);
+    view_filter_set(&task->view_filter, msg.view);
     if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
         config_view_destroy(msg.view);
         return;
@@ -227,15 +232,23 @@
     control_status_seen(ctx, domain, entry);
 }
 
+static void
+end_refresh(struct control_task *task)
+{
+    task->refresh_wanted = false;
+    task->refresh_by_store = false;
+    mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+}
+
 static void
 on_store_complete(void *ctx)
 {
     struct control_task *task = ctx;
 
     spread_complete(task->spread);
-    if (task->refresh_wanted) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+    /* What a watch brings may have waited in its socket during the pause. */
+    if (task->refresh_wanted && task->refresh_by_store) {
+        end_refresh(task);
     }
 }
 
@@ -339,8 +352,7 @@
 check_refresh(struct control_task *task)
 {
     if (task->refresh_wanted && spread_is_refreshed(task->spread)) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+        end_refresh(task);
     }
 }
 
@@ -385,7 +397,8 @@
     spread_ask_refresh(task->spread, clock_monotonic_us());
     if (membership_draw(task->members, true, &peer, 1) == 0 &&
         membership_draw(task->members, false, &peer, 1) == 0) {
-        /* Nobody to compare with: the store itself is asked. */
+        /* Nobody to compare with: the store itself is read. */
+        task->refresh_by_store = true;
         store_reader_stop(task->reader);
         store_reader_start(task->reader, 0);
     }
@@ -399,6 +412,7 @@
     }
     store_client_destroy(task->store);
     store_reader_destroy(task->reader);
+    view_filter_clear(&task->view_filter);
     spread_destroy(task->spread);
     config_store_destroy(task->config);
     if (task->publish != NULL) {
