--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -8,6 +8,7 @@
 #include "coordination/slot-window.h"
 
 #define CANDIDATES_MAX 64 /* targets looked at for one request */
+#define LOAD_CHOICES 4    /* candidates that are compared */
 #define RAMP_US (10 * USEC_PER_SEC)
 #define RAMP_MIN 0.2 /* share of its capacity that a new target counts for */
 #define WARMING_SHARE 0.5
@@ -120,21 +121,34 @@
     return winner_of_tie(a, b, flow_hash) == a ? a : b;
 }
 
+static struct target_state *
+draw_one(struct balance *b, const struct balance_candidates *c)
+{
+    return c->targets[random_below(b->random, (uint32_t)c->count)];
+}
+
+/* The best of a few random candidates. Looking at all of them would do a
+ * little better with true reports, but the balancers would flock to a target
+ * that seems idle and is not. */
 static struct target_state *
 pick_by_load(void *ctx, const struct balance_candidates *c,
              const struct balance_request *request, uint64_t now)
 {
     struct balance *b = ctx;
     double mean = mean_latency(c);
-    double score_one;
-    double score_two;
-    struct target_state *one;
-    struct target_state *two;
+    struct target_state *best = draw_one(b, c);
+    double best_score = load_score(best, mean, c->mean_others, now);
 
-    draw_two(b->random, c, &one, &two);
-    score_one = load_score(one, mean, c->mean_others, now);
-    score_two = load_score(two, mean, c->mean_others, now);
-    return better_of(one, two, score_one, score_two, request->flow_hash);
+    for (int i = 1; i < LOAD_CHOICES; i++) {
+        struct target_state *t = draw_one(b, c);
+        double score = load_score(t, mean, c->mean_others, now);
+
+        if (better_of(best, t, best_score, score, request->flow_hash) == t) {
+            best = t;
+            best_score = score;
+        }
+    }
+    return best;
 }
 
 static struct target_state *
