daemon: probes are shared out in large domains; one receive buffer for all ports

At 7,000 services and 28,000 targets a domain (docs/CAPACITY.md) each UDP socket held 70 KB of receive buffers, 490 MB in all, and each balancer probed every target every 2 s, 14,000 a second. The sockets of a loop now share one batch, and beyond 8 live balancers of a domain each probes its share drawn by a hash, about 8 probers a target. A Reset ends streams only when it comes from a verified address.

--- a/src/client/client.c
+++ b/src/client/client.c
@@ -81,7 +81,7 @@
     client->message_id = (uint16_t)random_next(client->random);
     client->by_token = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->by_message_id = g_hash_table_new(NULL, NULL);
-    client->sock = udp_socket_new(base, &any, on_datagram, client, st);
+    client->sock = udp_socket_new(base, NULL, &any, on_datagram, client, st);
     if (client->sock == NULL) {
         client_destroy(client);
         return NULL;
--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -193,16 +193,13 @@
 }
 
 bool
-health_is_prober(const struct target_state *t, uint64_t self,
-                 const uint64_t *members, size_t member_count, size_t copies)
+health_is_prober(const struct target_state *t, uint64_t self, uint32_t live)
 {
-    uint64_t own = random_mix(t->hash, self);
-    size_t ahead = 0;
+    uint64_t share;
 
-    for (size_t i = 0; i < member_count; i++) {
-        if (members[i] != self && random_mix(t->hash, members[i]) > own) {
-            ahead++;
-        }
+    if (live <= HEALTH_PROBERS_MAX) {
+        return true;
     }
-    return ahead < copies;
+    share = UINT64_MAX / live * HEALTH_PROBERS_MAX;
+    return random_mix(t->hash, self) < share;
 }
--- a/src/coordination/health.h
+++ b/src/coordination/health.h
@@ -67,9 +67,10 @@
  * endpoint has to name its service again before its address is used. */
 void health_forget_verified(struct target_table *table);
 
-/* True when the member "self" of a domain is among the "copies" that probe
- * the target: the first by rendezvous rank of "members", which holds the
- * hashes of the live balancers, with or without "self". */
+/* True when the balancer "self" (a hash of its id) probes the target again and
+ * again. Up to HEALTH_PROBERS_MAX live balancers of a failure domain all do;
+ * of more, each draws its share by a hash, so that a target has about that
+ * many probers, and no list of members is needed. */
+#define HEALTH_PROBERS_MAX 8
 bool health_is_prober(const struct target_state *t, uint64_t self,
-                      const uint64_t *members, size_t member_count,
-                      size_t copies);
+                      uint32_t live);
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -156,10 +156,26 @@
     return true;
 }
 
+/* Tells the data task how many balancers share its failure domain's work. */
+static void
+tell_members(struct control_task *task)
+{
+    struct msg_members msg = {
+        .live = 1 + (uint32_t)member_table_count(
+                        membership_table(task->members), MEMBER_ALIVE, true),
+    };
+
+    if (msg.live != task->members_told &&
+        mailbox_send(task->data, MSG_MEMBERS, &msg, sizeof(msg))) {
+        task->members_told = msg.live;
+    }
+}
+
 void
 control_peers_tick(struct control_task *task, uint64_t now)
 {
     membership_tick(task->members, now);
+    tell_members(task);
     gossip_endpoint_close_idle(task->gossip, now);
     host_list_tick(task->hosts, membership_needs_seeds(task->members, now),
                    spread_is_watcher(task->spread, now), now);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -46,6 +46,7 @@
     struct config_store *config;
     struct domain_floors floors;
     struct membership *members;
+    uint32_t members_told; /* live ones, as the data task knows */
     struct spread *spread;
     struct gossip_endpoint *gossip;
     struct host_list *hosts;
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -158,7 +158,9 @@
     if (p->type == PACKET_ACK || p->type == PACKET_RST) {
         answers_on_ack(task->answers, &in->caller.addr, p->message_id);
     }
-    if (p->type == PACKET_RST) {
+    if (p->type == PACKET_RST &&
+        address_set_contains(task->verified, in->caller.addr.addr,
+                             in->caller.addr.port, in->caller.received_us)) {
         streams_on_reset(task->streams, &in->caller.addr, p->message_id);
     }
 }
@@ -263,8 +265,8 @@
     }
     port->task = task;
     port->port = number;
-    port->sock =
-        udp_socket_new(task->base, &local, on_service_datagram, port, &st);
+    port->sock = udp_socket_new(task->base, task->udp_batch, &local,
+                                on_service_datagram, port, &st);
     if (port->sock == NULL) {
         LOG_ERR("service port not opened: %s", st.message);
         free(port);
@@ -416,6 +418,7 @@
 {
     struct data_task *task = ctx;
     struct msg_config_view view;
+    struct msg_members members;
 
     switch (type) {
     case MSG_CONFIG_VIEW:
@@ -425,6 +428,10 @@
     case MSG_VIEW_FRESH:
         task->home.stale = false;
         break;
+    case MSG_MEMBERS:
+        memcpy(&members, data, sizeof(members));
+        task->live = members.live;
+        break;
     case MSG_PEERS:
         memcpy(&task->peers, data, sizeof(task->peers));
         break;
@@ -510,6 +517,7 @@
     task->home.incarnation &= (1ULL << INCARNATION_BITS) - 1;
     endpoint_parse_addr(settings->host.address, &task->home.addr);
     task->home.port = settings->ports.relay;
+    task->self = id_hash(settings->host.id);
     task->home.flows = flow_table_new(settings->limits.flows, RECORD_BYTES);
 }
 
@@ -520,6 +528,7 @@
                        &task->random, task->settings->limits.queue)) {
         return false;
     }
+    task->udp_batch = udp_batch_new();
     task->metrics = metrics_new();
     task->verified = address_set_new();
     task->links = target_links_new(task);
@@ -529,11 +538,11 @@
     task->probes = probes_new(task);
     task->relays = relays_new(task);
     task->streams = streams_new(task);
-    return task->metrics != NULL && task->verified != NULL &&
-           task->links != NULL && task->answers != NULL &&
-           task->commands != NULL && task->fetches != NULL &&
-           task->probes != NULL && task->relays != NULL &&
-           task->streams != NULL;
+    return task->udp_batch != NULL && task->metrics != NULL &&
+           task->verified != NULL && task->links != NULL &&
+           task->answers != NULL && task->commands != NULL &&
+           task->fetches != NULL && task->probes != NULL &&
+           task->relays != NULL && task->streams != NULL;
 }
 
 static bool
@@ -550,8 +559,8 @@
     if (task->control == NULL) {
         return false;
     }
-    task->relay_sock =
-        udp_socket_new(task->base, &local, on_relay_datagram, task, st);
+    task->relay_sock = udp_socket_new(task->base, task->udp_batch, &local,
+                                      on_relay_datagram, task, st);
     return task->relay_sock != NULL;
 }
 
@@ -639,6 +648,7 @@
     config_view_destroy(task->view);
     g_hash_table_destroy(task->ports);
     udp_socket_destroy(task->relay_sock);
+    udp_batch_destroy(task->udp_batch);
     mailbox_destroy(task->control);
     if (task->tick != NULL) {
         event_free(task->tick);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -49,12 +49,15 @@
     struct event_base *base;
     struct mailbox *control;
     struct event *tick;
+    struct udp_batch *udp_batch;
     struct udp_socket *relay_sock;
     GHashTable *ports; /* port -> struct service_port, owned */
 
     struct config_view *view; /* NULL before the first one */
     struct random random;
     struct home home;
+    uint32_t live;          /* balancers of the own failure domain */
+    uint64_t self;          /* hash of the own host's id */
     struct msg_peers peers; /* known while stopping or draining */
     struct dispatch dispatch;
 
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -18,6 +18,7 @@
     MSG_CONFIG_VIEW = 1, /* struct msg_config_view */
     MSG_STOP,            /* begin the planned stop, no payload */
     MSG_PEERS,           /* struct msg_peers, while stopping or draining */
+    MSG_MEMBERS,         /* struct msg_members, when it changed */
     MSG_VIEW_FRESH,      /* the view was refreshed after a pause */
     /* data -> control */
     MSG_VIEW_APPLIED,  /* struct msg_view_applied */
@@ -38,6 +39,10 @@
     struct config_view *view; /* owned by the receiver */
 };
 
+struct msg_members {
+    uint32_t live; /* balancers of the own failure domain, with this one */
+};
+
 #define MSG_PEERS_MAX 4
 
 /* Live balancers, of the own failure domain if there are any, to which a
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -217,6 +217,21 @@
     }
 }
 
+/* A target is probed until it has named its service, and after that by its
+ * share of the domain's balancers, or while its probes fail. */
+static bool
+is_due(const struct probe *probe, uint64_t now)
+{
+    const struct data_task *task = probe->probes->task;
+    const struct target_state *t = probe->target;
+
+    if (probe->call != NULL || now < probe->next_us) {
+        return false;
+    }
+    return !t->health.verified || t->health.probe_bad ||
+           health_is_prober(t, task->self, task->live);
+}
+
 void
 probes_tick(struct probes *probes, uint64_t now)
 {
@@ -235,8 +250,7 @@
         for (size_t i = 0; i < svc->count && started < PROBES_PER_PASS; i++) {
             struct probe *probe = probe_of(probes, svc->targets[i]);
 
-            if (probe != NULL && probe->call == NULL &&
-                now >= probe->next_us) {
+            if (probe != NULL && is_due(probe, now)) {
                 start(probes, probe, now);
                 started++;
             }
--- a/src/transport/udp-socket.c
+++ b/src/transport/udp-socket.c
@@ -18,11 +18,7 @@
 /* Rounds of one readiness event; the loop's other events get their turn. */
 #define UDP_ROUNDS_PER_EVENT 4
 
-struct udp_socket {
-    int fd;
-    struct event *readable;
-    udp_socket_cb cb;
-    void *ctx;
+struct udp_batch {
     struct mmsghdr headers[UDP_BATCH_DATAGRAMS];
     struct iovec vectors[UDP_BATCH_DATAGRAMS];
     struct sockaddr_in from[UDP_BATCH_DATAGRAMS];
@@ -30,6 +26,42 @@
     uint8_t data[UDP_BATCH_DATAGRAMS][UDP_DATAGRAM_SIZE];
 };
 
+struct udp_socket {
+    int fd;
+    struct event *readable;
+    struct udp_batch *batch;
+    bool owns_batch;
+    udp_socket_cb cb;
+    void *ctx;
+};
+
+struct udp_batch *
+udp_batch_new(void)
+{
+    struct udp_batch *batch = calloc(1, sizeof(*batch));
+
+    if (batch == NULL) {
+        return NULL;
+    }
+    for (size_t i = 0; i < UDP_BATCH_DATAGRAMS; i++) {
+        struct msghdr *hdr = &batch->headers[i].msg_hdr;
+
+        batch->vectors[i].iov_base = batch->data[i];
+        batch->vectors[i].iov_len = UDP_DATAGRAM_SIZE;
+        hdr->msg_iov = &batch->vectors[i];
+        hdr->msg_iovlen = 1;
+        hdr->msg_name = &batch->from[i];
+        hdr->msg_control = batch->control[i];
+    }
+    return batch;
+}
+
+void
+udp_batch_destroy(struct udp_batch *batch)
+{
+    free(batch);
+}
+
 bool
 endpoint_parse_addr(const char *text, uint32_t *addr)
 {
@@ -80,13 +112,13 @@
 }
 
 static void
-reset_batch(struct udp_socket *sock)
+reset_batch(struct udp_batch *batch)
 {
     for (size_t i = 0; i < UDP_BATCH_DATAGRAMS; i++) {
-        struct msghdr *hdr = &sock->headers[i].msg_hdr;
+        struct msghdr *hdr = &batch->headers[i].msg_hdr;
 
-        hdr->msg_namelen = sizeof(sock->from[i]);
-        hdr->msg_controllen = sizeof(sock->control[i]);
+        hdr->msg_namelen = sizeof(batch->from[i]);
+        hdr->msg_controllen = sizeof(batch->control[i]);
     }
 }
 
@@ -94,11 +126,12 @@
 static int
 receive_batch(struct udp_socket *sock)
 {
+    struct udp_batch *batch = sock->batch;
     uint64_t wall_now;
     int count;
 
-    reset_batch(sock);
-    count = recvmmsg(sock->fd, sock->headers, UDP_BATCH_DATAGRAMS,
+    reset_batch(batch);
+    count = recvmmsg(sock->fd, batch->headers, UDP_BATCH_DATAGRAMS,
                      MSG_DONTWAIT, NULL);
     if (count <= 0) {
         return 0;
@@ -106,12 +139,12 @@
     wall_now = clock_wall_us();
     for (int i = 0; i < count; i++) {
         struct endpoint from = {
-            .addr = ntohl(sock->from[i].sin_addr.s_addr),
-            .port = ntohs(sock->from[i].sin_port),
+            .addr = ntohl(batch->from[i].sin_addr.s_addr),
+            .port = ntohs(batch->from[i].sin_port),
         };
-        uint64_t queued = queued_time(&sock->headers[i].msg_hdr, wall_now);
+        uint64_t queued = queued_time(&batch->headers[i].msg_hdr, wall_now);
 
-        sock->cb(sock->ctx, &from, sock->data[i], sock->headers[i].msg_len,
+        sock->cb(sock->ctx, &from, batch->data[i], batch->headers[i].msg_len,
                  queued);
     }
     return count;
@@ -129,21 +162,6 @@
     }
 }
 
-static void
-init_batch(struct udp_socket *sock)
-{
-    for (size_t i = 0; i < UDP_BATCH_DATAGRAMS; i++) {
-        struct msghdr *hdr = &sock->headers[i].msg_hdr;
-
-        sock->vectors[i].iov_base = sock->data[i];
-        sock->vectors[i].iov_len = UDP_DATAGRAM_SIZE;
-        hdr->msg_iov = &sock->vectors[i];
-        hdr->msg_iovlen = 1;
-        hdr->msg_name = &sock->from[i];
-        hdr->msg_control = sock->control[i];
-    }
-}
-
 static int
 open_bound(const struct endpoint *local)
 {
@@ -168,8 +186,9 @@
 /* Opens and binds a socket and starts to receive. Returns NULL with "st" set
  * when the address cannot be bound. */
 struct udp_socket *
-udp_socket_new(struct event_base *base, const struct endpoint *local,
-               udp_socket_cb cb, void *ctx, struct status *st)
+udp_socket_new(struct event_base *base, struct udp_batch *batch,
+               const struct endpoint *local, udp_socket_cb cb, void *ctx,
+               struct status *st)
 {
     struct udp_socket *sock = calloc(1, sizeof(*sock));
     char where[32];
@@ -178,6 +197,8 @@
         status_set(st, ERR_NO_MEMORY, "UDP socket: out of memory");
         return NULL;
     }
+    sock->batch = batch == NULL ? udp_batch_new() : batch;
+    sock->owns_batch = batch == NULL;
     sock->cb = cb;
     sock->ctx = ctx;
     sock->fd = open_bound(local);
@@ -187,10 +208,10 @@
         free(sock);
         return NULL;
     }
-    init_batch(sock);
     sock->readable =
         event_new(base, sock->fd, EV_READ | EV_PERSIST, on_readable, sock);
-    if (sock->readable == NULL || event_add(sock->readable, NULL) < 0) {
+    if (sock->batch == NULL || sock->readable == NULL ||
+        event_add(sock->readable, NULL) < 0) {
         status_set(st, ERR_NO_MEMORY, "UDP socket: out of memory");
         udp_socket_destroy(sock);
         return NULL;
@@ -207,6 +228,9 @@
     if (sock->readable != NULL) {
         event_free(sock->readable);
     }
+    if (sock->owns_batch) {
+        udp_batch_destroy(sock->batch);
+    }
     close(sock->fd);
     free(sock);
 }
--- a/src/transport/udp-socket.h
+++ b/src/transport/udp-socket.h
@@ -11,6 +11,15 @@
 /* A bound UDP socket driven from an event loop. */
 struct udp_socket;
 
+/* Buffers into which datagrams are received. One serves all sockets of a loop,
+ * so that a socket by itself is small; a socket that is given none makes its
+ * own. */
+struct udp_batch;
+
+struct udp_batch *udp_batch_new(void);
+/* The sockets that use it must be gone. */
+void udp_batch_destroy(struct udp_batch *batch);
+
 /* An IPv4 endpoint in host byte order. */
 struct endpoint {
     uint32_t addr;
@@ -25,6 +34,7 @@
                               uint64_t queued_us);
 
 struct udp_socket *udp_socket_new(struct event_base *base,
+                                  struct udp_batch *batch,
                                   const struct endpoint *local,
                                   udp_socket_cb cb, void *ctx,
                                   struct status *st);
--- a/tools/bench-path.c
+++ b/tools/bench-path.c
@@ -271,7 +271,7 @@
         return b->client != NULL;
     case MODE_FLOWS:
     case MODE_RELAY:
-        b->sock = udp_socket_new(b->base, &any, on_datagram, b, st);
+        b->sock = udp_socket_new(b->base, NULL, &any, on_datagram, b, st);
         return b->sock != NULL;
     }
     return false;
