--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -319,7 +319,7 @@
         echo "  endpoints:"
         echo "    - address: ${STORE%:*}"
         echo "      port: $STORE_PORT"
-        echo "seeds:"
+        [ ${#BALANCERS[@]} -gt 1 ] && echo "seeds:"
         for seed in "${BALANCERS[@]}"; do
             if [ "$seed" != "$id" ]; then
                 echo "  - address: ${BALANCER_ADDR[$seed]}"
