--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -8,6 +8,7 @@
 declare -A PIDS=()      # name -> process id
 declare -a BALANCERS=() # ids of the deployment's balancers
 declare -A BALANCER_ADDR=() BALANCER_DOMAIN=()
+declare -A STORE_VIA=() # address that a balancer reaches the store by
 declare -a TARGETS=()
 declare -A TARGET_ADDR=() TARGET_SERVICE=() TARGET_DOMAIN=()
 declare -A SERVICE_PORT=() SERVICE_TENANT=() SERVICE_OPTIONS=()
@@ -317,7 +318,7 @@
         echo "  api: $API_PORT"
         echo "platform:"
         echo "  endpoints:"
-        echo "    - address: ${STORE%:*}"
+        echo "    - address: ${STORE_VIA[$id]:-${STORE%:*}}"
         echo "      port: $STORE_PORT"
         echo "seeds:"
         for seed in "${BALANCERS[@]}"; do
@@ -413,6 +414,18 @@
     : >"$JOURNAL"
 }
 
+# Declares a target's state, as an operator would.
+# Usage: set_target_state TARGET active|draining
+declare -A VERSION=()
+set_target_state() {
+    VERSION[$1]=$((${VERSION[$1]:-1} + 1))
+    store_order "$(jq -nc --argjson fields "$(target_fields "$1" "$2")" \
+        --argjson version "${VERSION[$1]}" \
+        --arg key "pimentohaven/v1/target/${TARGET_SERVICE[$1]}/$1" \
+        '{put: {($key): ({version: $version, writes: [], deleted: false}
+                         + $fields)}}')"
+}
+
 # --- callers ---------------------------------------------------------------
 
 COAP=coap-client-notls
