--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -4,6 +4,9 @@
 
 #define FAILURES_TO_EJECT 3  /* consecutive, on real requests */
 #define PROBE_FAILURES_MAX 3 /* consecutive */
+/* Silence that counts as a failure: this many usual latencies, or the time. */
+#define SILENT_LATENCIES 4.0
+#define SILENT_MAX_US USEC_PER_SEC
 #define LOAD_FRESH_US USEC_PER_SEC
 #define EJECTION_BASE_US (2 * USEC_PER_SEC)
 #define EJECTION_DOUBLINGS_MAX 5 /* 64 s at most, without jitter */
@@ -166,16 +169,37 @@
 }
 
 bool
-health_is_prober(const struct target_state *t, uint64_t self,
-                 const uint64_t *members, size_t member_count, size_t copies)
+health_timeout_counts(const struct target_state *t, uint64_t waited_us)
 {
-    uint64_t own = random_mix(t->hash, self);
-    size_t ahead = 0;
+    double usual = t->latency_us * SILENT_LATENCIES;
 
-    for (size_t i = 0; i < member_count; i++) {
-        if (members[i] != self && random_mix(t->hash, members[i]) > own) {
-            ahead++;
+    if (waited_us >= SILENT_MAX_US) {
+        return true;
+    }
+    return t->latency_us > 0 && (double)waited_us >= usual;
+}
+
+void
+health_forget_verified(struct target_table *table)
+{
+    list_for_each (it, &table->services) {
+        const struct service_targets *svc =
+            container_of(it, struct service_targets, link);
+
+        for (size_t i = 0; i < svc->count; i++) {
+            svc->targets[i]->health.verified = false;
         }
     }
-    return ahead < copies;
+}
+
+bool
+health_is_prober(const struct target_state *t, uint64_t self, uint32_t live)
+{
+    uint64_t share;
+
+    if (live <= HEALTH_PROBERS_MAX) {
+        return true;
+    }
+    share = UINT64_MAX / live * HEALTH_PROBERS_MAX;
+    return random_mix(t->hash, self) < share;
 }
--- a/src/coordination/health.h
+++ b/src/coordination/health.h
@@ -58,9 +58,19 @@
                                    const struct health_probe *probe,
                                    uint64_t now);
 
-/* True when the member "self" of a domain is among the "copies" that probe
- * the target: the first by rendezvous rank of "members", which holds the
- * hashes of the live balancers, with or without "self". */
+/* True when a request that was given up after "waited_us" without an answer
+ * counts as a failure of its target: a caller's short deadline alone says
+ * nothing of it. */
+bool health_timeout_counts(const struct target_state *t, uint64_t waited_us);
+
+/* After a pause of this process nothing may be taken for granted: every
+ * endpoint has to name its service again before its address is used. */
+void health_forget_verified(struct target_table *table);
+
+/* True when the balancer "self" (a hash of its id) probes the target again and
+ * again. Up to HEALTH_PROBERS_MAX live balancers of a failure domain all do;
+ * of more, each draws its share by a hash, so that a target has about that
+ * many probers, and no list of members is needed. */
+#define HEALTH_PROBERS_MAX 8
 bool health_is_prober(const struct target_state *t, uint64_t self,
-                      const uint64_t *members, size_t member_count,
-                      size_t copies);
+                      uint32_t live);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,6 +12,7 @@
 #include "coordination/report.h"
 #include "coordination/spread.h"
 #include "coordination/view-builder.h"
+#include "coordination/view-filter.h"
 #include "daemon/host-list.h"
 #include "daemon/store-reader.h"
 #include "state/config-store.h"
@@ -45,6 +46,7 @@
     struct config_store *config;
     struct domain_floors floors;
     struct membership *members;
+    uint32_t members_told; /* live ones, as the data task knows */
     struct spread *spread;
     struct gossip_endpoint *gossip;
     struct host_list *hosts;
@@ -57,8 +59,9 @@
     uint64_t view_sequence; /* of the last view sent */
     uint64_t view_revision; /* the configuration is complete up to it */
     bool view_stale;        /* news came after the last view was built */
-    bool view_applied;      /* the data task runs the last view */
-    size_t quarantined;     /* targets left out of the last view */
+    struct view_filter view_filter; /* what the last view holds */
+    bool view_applied;              /* the data task runs the last view */
+    size_t quarantined;             /* targets left out of the last view */
     /* The first of them, so that only news becomes an event. */
     struct view_quarantine held[CONTROL_HELD_MAX];
     struct view_quarantine held_before[CONTROL_HELD_MAX];
@@ -68,9 +71,10 @@
     uint64_t metrics_asked[CONTROL_METRICS_MAX];
     size_t metrics_asked_count;
 
-    bool refresh_wanted; /* the data task was paused */
-    bool stopping;       /* planned stop */
-    bool isolated;       /* neither peers nor store can be reached */
+    bool refresh_wanted;   /* the data task was paused */
+    bool refresh_by_store; /* the store is being read for that */
+    bool stopping;         /* planned stop */
+    bool isolated;         /* neither peers nor store can be reached */
 };
 
 /* Records an event for the log and /v1/events. */
@@ -85,13 +89,16 @@
                         const struct gossip_message *m);
 void control_peers_tick(struct control_task *task, uint64_t now);
 void control_peers_close(struct control_task *task);
-/* Names live peers to the data task, which is stopping. */
+/* Names live peers, those that drain left out, to the data task, which is
+ * stopping or draining. */
 void control_peers_offer(struct control_task *task);
 
 /* control-config.c: from store and peers to the data task's view. */
 bool control_config_open(struct control_task *task, struct status *st);
 void control_config_tick(struct control_task *task, uint64_t now);
 void control_config_close(struct control_task *task);
+/* Whether a host is declared draining. */
+bool control_host_is_draining(const struct control_task *task, const char *id);
 void control_config_view_applied(struct control_task *task, uint64_t sequence);
 /* The data task was paused: answers with MSG_VIEW_FRESH once the
  * configuration was compared with a peer's or the store's. */
--- a/tests/unit/test-resource-name.c
+++ b/tests/unit/test-resource-name.c
@@ -9,6 +9,8 @@
 #include "state/resource-name.h"
 
 #define ID_63 "a23456789012345678901234567890123456789012345678901234567890123"
+#define NAME_TOO_LONG                                                         \
+    "host/a234567890123456789012345678901234567890123456789012345678901234"
 
 static void
 test_round_trips(void **state)
@@ -32,20 +34,10 @@
 test_refusals(void **state)
 {
     static const char *const names[] = {
-        "",
-        "service",
-        "service/",
-        "service//",
-        "service/a/",
-        "service/a/b",
-        "target/a",
-        "target/a/",
-        "target//a",
-        "target/a/b/c",
-        "status/hall-a",
-        "service/a b",
-        "service/-a",
-        "service/" ID_63 "4",
+        "",           "service",      "service/",      "service//",
+        "service/a/", "service/a/b",  "target/a",      "target/a/",
+        "target//a",  "target/a/b/c", "status/hall-a", "service/a b",
+        "service/-a", NAME_TOO_LONG,
     };
 
     for (size_t i = 0; i < sizeof(names) / sizeof(*names); i++) {
