coordination: silence of a target that never answered counts after 200 ms

Cause: the rule of four usual latencies has no latency for a target that is dead from the start, and a deadline of 500 ms never reaches the one second that was left. Ruled out: trials after a back-off (keeping commands out of them changed nothing then). The test case that expected 500 ms of silence from an unknown target not to count stated the fault; it is replaced.

--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -6,10 +6,12 @@
 #define PROBE_FAILURES_MAX 3 /* consecutive */
 /* Silence that counts as a failure: this many usual latencies, or the time. */
 #define SILENT_LATENCIES 4.0
+#define SILENT_UNKNOWN_US (200 * USEC_PER_MSEC) /* no answer was ever seen */
 #define SILENT_MAX_US USEC_PER_SEC
 #define LOAD_FRESH_US USEC_PER_SEC
 #define EJECTION_BASE_US (2 * USEC_PER_SEC)
-#define EJECTION_DOUBLINGS_MAX 5 /* 64 s at most, without jitter */
+#define COMMAND_TRIAL_US (30 * USEC_PER_SEC) /* after the back-off */
+#define EJECTION_DOUBLINGS_MAX 5             /* 64 s at most, without jitter */
 
 /* True while real requests keep the target out: during the back-off, and
  * during the one trial request that follows it. */
@@ -60,6 +62,14 @@
     return !trust->probes || !h->probe_bad;
 }
 
+bool
+health_is_on_trial(const struct target_state *t, uint64_t now)
+{
+    uint64_t until = t->health.ejected_until_us;
+
+    return until != 0 && now < until + COMMAND_TRIAL_US;
+}
+
 void
 health_on_start(struct target_state *t, uint64_t now)
 {
@@ -171,12 +181,12 @@
 bool
 health_timeout_counts(const struct target_state *t, uint64_t waited_us)
 {
-    double usual = t->latency_us * SILENT_LATENCIES;
+    double patience = SILENT_UNKNOWN_US;
 
-    if (waited_us >= SILENT_MAX_US) {
-        return true;
+    if (t->latency_us > 0) {
+        patience = t->latency_us * SILENT_LATENCIES;
     }
-    return t->latency_us > 0 && (double)waited_us >= usual;
+    return waited_us >= SILENT_MAX_US || (double)waited_us >= patience;
 }
 
 void
--- a/src/coordination/health.h
+++ b/src/coordination/health.h
@@ -45,6 +45,11 @@
 bool health_usable(const struct target_state *t,
                    const struct health_trust *trust, uint64_t now);
 
+/* True for a target whose back-off is over and which the next request would
+ * try. A command, which cannot be sent again, leaves the trial to others, for
+ * some time: a service may have nothing but commands. */
+bool health_is_on_trial(const struct target_state *t, uint64_t now);
+
 /* A request was sent to the target: ends the back-off of an ejected one for a
  * trial. */
 void health_on_start(struct target_state *t, uint64_t now);
--- a/tests/unit/test-health.c
+++ b/tests/unit/test-health.c
@@ -139,7 +139,7 @@
         uint64_t waited_ms;
         bool counts;
     } cases[] = {{40, 10, false}, {40, 100, false}, {40, 500, true},
-                 {0, 500, false}, {0, 1000, true},  {900, 1000, true}};
+                 {0, 100, false}, {0, 500, true},   {900, 1000, true}};
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         t->latency_us = (double)(cases[i].latency_ms * USEC_PER_MSEC);
