coordination: commands do not try out a target that failed

A command cannot be sent again, so the trial after a back-off is left to requests that can, for 30 s, unless no other target is left.

--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -292,6 +292,30 @@
     sample->count = kept;
 }
 
+/* Leaves out targets on trial for a command, unless there are no others. */
+static void
+spare_commands(const struct balance_request *request, struct sample *sample,
+               uint64_t now)
+{
+    size_t kept = 0;
+
+    if (request->class != CLASS_COMMAND) {
+        return;
+    }
+    for (size_t i = 0; i < sample->count; i++) {
+        struct target_state *t = sample->targets[i];
+
+        if (!health_is_on_trial(t, now)) {
+            sample->targets[i] = sample->targets[kept];
+            sample->targets[kept] = t;
+            kept++;
+        }
+    }
+    if (kept > 0) {
+        sample->count = kept;
+    }
+}
+
 static void
 keep_with_room(const struct balance *b, const struct balance_request *request,
                struct sample *sample, uint64_t now)
@@ -354,6 +378,7 @@
         *result = BALANCE_NO_TARGET;
         return NULL;
     }
+    spare_commands(request, &sample, now);
     keep_with_room(b, request, &sample, now);
     if (sample.count == 0) {
         *result = BALANCE_FULL;
@@ -381,6 +406,7 @@
 
     draw_sample(b, svc, &sample);
     keep_usable(request, &sample, now);
+    spare_commands(request, &sample, now);
     for (size_t i = 0; i < sample.count; i++) {
         uint64_t at = slot_window_opens_us(sample.targets[i], now);
 
--- a/tests/unit/test-balance.c
+++ b/tests/unit/test-balance.c
@@ -249,6 +249,48 @@
     }
 }
 
+/* Who may try target t01 again when its back-off has ended a second ago. */
+static void
+test_trials(void **state)
+{
+    static const struct {
+        const char *name;
+        enum traffic_class class;
+        uint64_t after_us;
+        bool others;
+        bool may_try;
+    } cases[] = {
+        {"interactive", CLASS_INTERACTIVE, USEC_PER_SEC, true, true},
+        {"download", CLASS_DOWNLOAD, USEC_PER_SEC, true, true},
+        {"command", CLASS_COMMAND, USEC_PER_SEC, true, false},
+        {"command, no other target", CLASS_COMMAND, USEC_PER_SEC, false, true},
+        {"command, nobody else tried", CLASS_COMMAND, 60 * USEC_PER_SEC, true,
+         true},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct balance_request request = {.class = cases[i].class};
+        enum balance_result result;
+        struct balance b;
+        bool tried = false;
+
+        print_message("case: %s\n", cases[i].name);
+        assert_true(balance_init(&b, "random", &random_source));
+        svc->targets[1]->health.ejected_until_us =
+            FIXTURE_NOW - cases[i].after_us;
+        for (size_t t = 0; t < svc->count; t++) {
+            svc->targets[t]->draining = t != 1 && !cases[i].others;
+        }
+        for (int n = 0; n < PICKS; n++) {
+            tried = tried || balance_pick(&b, svc, &request, FIXTURE_NOW,
+                                          &result) == svc->targets[1];
+        }
+        assert_int_equal(tried, cases[i].may_try);
+        teardown(state);
+        setup(state);
+    }
+}
+
 static void
 test_unknown_policy(void **state)
 {
@@ -267,6 +309,7 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_load_policy_prefers, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_trials, setup, teardown),
         cmocka_unit_test_setup_teardown(test_unknown_policy, setup, teardown),
     };
 
