--- a/src/client/call-private.h
+++ b/src/client/call-private.h
@@ -30,7 +30,8 @@
     unsigned challenges;
     unsigned asked_again; /* under the same token and id */
     unsigned elsewhere;   /* tries after a lost target or home */
-    unsigned refusals;    /* in a row */
+    unsigned refusals;    /* in a row, under the same token */
+    unsigned timeless_refusals;
     unsigned upload_restarts;
     uint64_t deadline_us;
     struct exchange *ex;
@@ -52,7 +53,9 @@
      * shows that this address is the caller's own. */
     uint8_t proof[PACKET_ECHO_MAX];
     uint8_t proof_len;
-    uint64_t used_us; /* the token was last used or confirmed */
+    uint64_t proof_us;  /* when it came */
+    uint64_t opened_us; /* when the token came */
+    uint64_t used_us;   /* the token was last used or confirmed */
     unsigned tokens;
     struct event *pump; /* sends what is queued, from the loop */
 };
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -7,13 +7,15 @@
 
 #define FANOUT 3                               /* peers per push */
 #define SYNC_MIN_GAP_US (300 * USEC_PER_MSEC)  /* between two repairs */
-#define SYNC_BULK_GAP_US (20 * USEC_PER_MSEC)  /* while they get through */
+#define SYNC_BULK_GAP_US (30 * USEC_PER_MSEC)  /* while they get through */
 #define DIGEST_INTERVAL_US (10 * USEC_PER_SEC) /* even without difference */
-#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC)   /* news of floors is bundled */
-#define SYNC_BUCKETS 4   /* buckets repaired in one exchange */
-#define SYNC_LEAVES 8    /* parts of a bucket repaired in one exchange */
+#define REFRESH_INTERVAL_US (300 * USEC_PER_MSEC)
+#define FLOOR_REPLY_GAP_US (200 * USEC_PER_MSEC)
+#define FLOOR_PUSH_GAP_US (1 * USEC_PER_SEC) /* news of floors is bundled */
+#define SYNC_BUCKETS 8   /* buckets repaired in one exchange */
+#define SYNC_LEAVES 16   /* parts of a bucket repaired in one exchange */
 #define BUCKET_DIRECT 64 /* records of a bucket listed without leaf digest */
-#define PUSH_MESSAGES_MAX 8 /* messages of resources per answer */
+#define PUSH_MESSAGES_MAX 32 /* messages of resources per answer */
 #define WATCHER_SALT 0x77617463686572ULL
 
 struct spread {
@@ -27,8 +29,13 @@
     uint64_t next_sync;
     uint64_t next_digest;
     uint64_t next_floor_push;
+    uint64_t next_floor_reply;
     bool floors_news;
-    bool refresh_wanted;
+    /* After a pause: peers were asked with this nonce, 0 when all is well;
+     * whether one has answered since; and when to ask again. */
+    uint64_t refresh_nonce;
+    bool refresh_answered;
+    uint64_t next_refresh;
     /* Resources to push at the next flush. */
     size_t news_count;
     struct gossip_resource news[GOSSIP_RESOURCES_MAX];
@@ -68,6 +75,7 @@
 {
     m->revision = sp->revision;
     m->checksum = config_store_checksum(sp->cs);
+    m->floor_sum = domain_floors_sum(sp->floors);
 }
 
 static struct gossip_message *
@@ -208,7 +216,9 @@
                 uint64_t now)
 {
     if (m->checksum == config_store_checksum(sp->cs)) {
-        sp->refresh_wanted = false;
+        if (sp->refresh_answered) {
+            sp->refresh_nonce = 0;
+        }
         set_revision(sp, m->revision);
         return;
     }
@@ -283,6 +293,16 @@
     send_to_member(sp, to, m);
 }
 
+static size_t
+count_bucket(const struct spread *sp, uint32_t bucket)
+{
+    size_t count = 0;
+
+    config_store_each_version(sp->cs, CONFIG_BUCKET_BITS, bucket,
+                              count_version, &count);
+    return count;
+}
+
 /* Answers the peer's digest for some of the buckets that differ, starting at
  * a random one so that several peers do not all repair the same. */
 static void
@@ -294,15 +314,12 @@
 
     for (uint32_t i = 0; i < CONFIG_BUCKETS && answered < SYNC_BUCKETS; i++) {
         uint32_t bucket = (first + i) % CONFIG_BUCKETS;
-        size_t count = 0;
 
         if (own->buckets[bucket] == m->digest.buckets[bucket]) {
             continue;
         }
         answered++;
-        config_store_each_version(sp->cs, CONFIG_BUCKET_BITS, bucket,
-                                  count_version, &count);
-        if (count <= BUCKET_DIRECT) {
+        if (count_bucket(sp, bucket) <= BUCKET_DIRECT) {
             send_versions(sp, &m->sender, CONFIG_BUCKET_BITS, bucket);
         }
         else {
@@ -311,14 +328,25 @@
     }
 }
 
+/* Lists the versions of the parts that differ, or at once those of the whole
+ * bucket when we have so little of it that most has to come anyway. */
 static void
 on_leaf_digest(struct spread *sp, const struct gossip_message *m)
 {
     struct config_digest own;
     uint32_t first = random_below(sp->random, CONFIG_BUCKETS);
+    unsigned differing = 0;
     unsigned answered = 0;
 
     config_store_leaf_digest(sp->cs, m->prefix, &own);
+    for (uint32_t i = 0; i < CONFIG_BUCKETS; i++) {
+        differing += own.buckets[i] != m->digest.buckets[i];
+    }
+    if (differing > SYNC_LEAVES &&
+        count_bucket(sp, m->prefix) <= GOSSIP_VERSIONS_MAX) {
+        send_versions(sp, &m->sender, CONFIG_BUCKET_BITS, m->prefix);
+        return;
+    }
     for (uint32_t i = 0; i < CONFIG_BUCKETS && answered < SYNC_LEAVES; i++) {
         uint32_t part = (first + i) % CONFIG_BUCKETS;
 
@@ -433,10 +461,29 @@
     }
 }
 
+/* Sends our floors to a peer that lacks some of them. */
+static void
+compare_floors(struct spread *sp, const struct gossip_message *m, uint64_t now)
+{
+    if (m->floor_sum >= domain_floors_sum(sp->floors) ||
+        now < sp->next_floor_reply) {
+        return;
+    }
+    sp->next_floor_reply = now + FLOOR_REPLY_GAP_US;
+    message_start(sp, GOSSIP_DELTA);
+    add_floors(sp, &sp->out);
+    send_to_member(sp, &m->sender, &sp->out);
+}
+
 void
 spread_receive(struct spread *sp, const struct gossip_message *m, uint64_t now)
 {
     take_floors(sp, m);
+    compare_floors(sp, m, now);
+    if (m->kind == GOSSIP_ACK && sp->refresh_nonce != 0 &&
+        m->nonce == sp->refresh_nonce) {
+        sp->refresh_answered = true;
+    }
     switch (m->kind) {
     case GOSSIP_DELTA:
         on_delta(sp, m, now);
@@ -495,9 +542,23 @@
     send_to_member(sp, &peer->info, &sp->out);
 }
 
+/* Asks a few peers for what they hold. An answer proves that it was given
+ * after the pause; anything else may have waited in a socket. */
+static void
+ask_peers(struct spread *sp, uint64_t now)
+{
+    sp->next_refresh = now + REFRESH_INTERVAL_US;
+    message_start(sp, GOSSIP_PING);
+    sp->out.nonce = sp->refresh_nonce;
+    push(sp, &sp->out, true);
+}
+
 void
 spread_tick(struct spread *sp, uint64_t now)
 {
+    if (sp->refresh_nonce != 0 && now >= sp->next_refresh) {
+        ask_peers(sp, now);
+    }
     spread_flush(sp);
     push_floors(sp, now);
     compare_with_random_peer(sp, now);
@@ -525,12 +586,14 @@
 void
 spread_ask_refresh(struct spread *sp, uint64_t now)
 {
-    sp->refresh_wanted = true;
+    sp->refresh_nonce = random_next(sp->random) | 1;
+    sp->refresh_answered = false;
     sp->next_sync = now;
+    ask_peers(sp, now);
 }
 
 bool
 spread_is_refreshed(const struct spread *sp)
 {
-    return !sp->refresh_wanted;
+    return sp->refresh_nonce == 0;
 }
--- a/src/ctl/ctl-write.c
+++ b/src/ctl/ctl-write.c
@@ -21,46 +21,12 @@
     {RESOURCE_KEY_RING, "key-rings"},
 };
 
-static bool
-copy_part(char out[ID_SIZE], const char *text, size_t len)
-{
-    if (len == 0 || len >= ID_SIZE) {
-        return false;
-    }
-    memcpy(out, text, len);
-    out[len] = '\0';
-    return true;
-}
-
-bool
-ctl_resource_init(struct resource *r, const char *name)
-{
-    size_t len = strcspn(name, "/");
-    char kind[ID_SIZE];
-    const char *rest = name + len + 1;
-
-    memset(r, 0, sizeof(*r));
-    list_init(&r->link);
-    if (name[len] != '/' || !copy_part(kind, name, len) ||
-        !resource_kind_from_name(kind, &r->kind)) {
-        return false;
-    }
-    if (r->kind == RESOURCE_TARGET) {
-        len = strcspn(rest, "/");
-        if (rest[len] != '/' || !copy_part(r->target.service, rest, len)) {
-            return false;
-        }
-        rest += len + 1;
-    }
-    return strchr(rest, '/') == NULL && copy_part(r->id, rest, strlen(rest));
-}
-
 bool
 ctl_resource_path(const char *name, char out[CTL_PATH_SIZE])
 {
     struct resource r;
 
-    if (!ctl_resource_init(&r, name)) {
+    if (!resource_name_parse(&r, name)) {
         return false;
     }
     for (size_t i = 0; i < sizeof(collections) / sizeof(*collections); i++) {
@@ -183,6 +149,22 @@
     return CTL_UNKNOWN;
 }
 
+static enum ctl_exit
+report_unknown(const char *name, const char *message, const char *write_id)
+{
+    fprintf(stderr, "%s: %s; whether write %s was accepted is not known\n",
+            name, message, write_id);
+    return CTL_UNKNOWN;
+}
+
+/* Whether a refusal also speaks for an attempt whose answer was lost: with the
+ * version moved, that one cannot succeed any more. */
+static bool
+is_final(int http_status)
+{
+    return http_status == 409 || http_status == 412;
+}
+
 /* Sends a write and sees to its outcome. */
 static enum ctl_exit
 send_write(struct ctl *ctl, const char *name, enum ctl_method method,
@@ -207,9 +189,10 @@
     snprintf(match, sizeof(match), "\"%" PRIu64 "\"", version);
     ctl_new_write_id(write_id);
     if (!ctl_api_call(&ctl->api, &request, &answer, &st)) {
-        fprintf(stderr, "%s: %s; whether write %s was accepted is not known\n",
-                name, st.message, write_id);
-        return CTL_UNKNOWN;
+        if (st.kind != ERR_STORE_UNKNOWN) {
+            return report_unreachable(&st);
+        }
+        return report_unknown(name, st.message, write_id);
     }
     if (answer.http_status == 202) {
         *new_version = take_accepted(ctl, &answer);
@@ -217,6 +200,9 @@
     else if (answer.http_status == 504) {
         result = resolve_unknown(ctl, name, &answer, new_version);
     }
+    else if (answer.maybe_done && !is_final(answer.http_status)) {
+        result = report_unknown(name, ctl_answer_message(&answer), write_id);
+    }
     else {
         result = ctl_report_error(name, &answer);
     }
@@ -250,7 +236,7 @@
     bool exists = false;
     enum ctl_exit result;
 
-    if (!ctl_resource_init(&r, name)) {
+    if (!resource_name_parse(&r, name)) {
         fprintf(stderr, "pimentohaven ctl: %s: no name of a resource\n", name);
         return CTL_USAGE;
     }
@@ -300,7 +286,7 @@
     bool changed = false;
     enum ctl_exit result;
 
-    if (!ctl_resource_init(&r, name) || !change_state(&r, state, &changed)) {
+    if (!resource_name_parse(&r, name) || !change_state(&r, state, &changed)) {
         fprintf(stderr, "pimentohaven ctl: %s: no name of a target or host\n",
                 name);
         return CTL_USAGE;
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -12,6 +12,7 @@
 #define LATE_ACK_TIMEOUT_US (2 * USEC_PER_SEC)
 #define LATE_RETRANSMIT_MAX 3
 #define LATE_ANSWERS_MAX 10000
+#define NO_TOKEN_RETRY_MS 1000
 
 /* An answer is at most this many times as long as the request of a caller
  * whose address is not verified (RFC 9175 section 2.4). */
@@ -144,28 +145,40 @@
            size <= caller->request_size * AMPLIFICATION_MAX;
 }
 
-/* Builds a challenge in place of an answer that is too long for a caller
- * whose address is not verified. Only a read gets there, which may be sent
- * again without harm: a request that changed something came with a token.
- * Returns 0 when no token can be issued. */
-static size_t
-build_challenge(struct data_task *task, const struct caller *caller,
-                const struct packet *answer, uint8_t *data, size_t size)
+/* Why answer_add_token() failed, and when to come back. */
+static enum error_kind
+no_token_kind(const struct data_task *task)
+{
+    return task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED;
+}
+
+static uint32_t
+no_token_retry_ms(const struct data_task *task)
+{
+    return task->home.stopping ? RETRY_ELSEWHERE_MS : RETRY_SOON_MS;
+}
+
+/* Puts a short answer in the place of one that is too long for a caller whose
+ * address is not verified: a challenge, or the word to come back where none
+ * can be issued. Only a read gets there, which may be sent again without harm:
+ * a request that changed something came with a token. */
+static void
+shorten(struct data_task *task, const struct caller *caller,
+        struct packet *answer)
 {
     const struct service_port *port = data_port(task, caller->service_port);
-    struct packet challenge = {
-        .type = answer->type,
-        .code = CODE_UNAUTHORIZED,
-        .message_id = answer->message_id,
-    };
+    struct packet shorter = {.code = CODE_UNAUTHORIZED};
 
     if (port == NULL || port->view == NULL ||
-        !answer_add_token(task, &challenge, port->view->hash,
+        !answer_add_token(task, &shorter, port->view->hash,
                           clock_monotonic_us())) {
-        return 0;
+        answer_fill_error(&shorter, no_token_kind(task), OUTCOME_NOT_RUN,
+                          no_token_retry_ms(task));
     }
-    set_token(&challenge, caller);
-    return packet_build(&challenge, data, size);
+    shorter.type = answer->type;
+    shorter.message_id = answer->message_id;
+    set_token(&shorter, caller);
+    *answer = shorter;
 }
 
 void
@@ -178,7 +191,8 @@
     set_header(task->answers, answer, caller);
     size = packet_build(answer, data, sizeof(data));
     if (!caller->verified && !fits_request(caller, size)) {
-        size = build_challenge(task, caller, answer, data, sizeof(data));
+        shorten(task, caller, answer);
+        size = packet_build(answer, data, sizeof(data));
     }
     if (size == 0) {
         return;
@@ -220,7 +234,7 @@
     if (answer->outcome != OUTCOME_NONE) {
         answer->fields |= FIELD_OUTCOME;
     }
-    if (retry_after_ms > 0) {
+    if (retry_after_ms != RETRY_NO_ADVICE_MS) {
         answer->fields |= FIELD_MAX_AGE;
         answer->max_age_s = (retry_after_ms + 999) / 1000;
     }
@@ -272,9 +286,8 @@
 
     if (!answer_add_token(task, &answer, in->port->view->hash,
                           clock_monotonic_us())) {
-        answer_error(task, &in->caller,
-                     task->home.stopping ? ERR_STOPPING : ERR_OVERLOADED,
-                     OUTCOME_NOT_RUN, 1000);
+        answer_error(task, &in->caller, no_token_kind(task), OUTCOME_NOT_RUN,
+                     no_token_retry_ms(task));
         return;
     }
     answer_send(task, &in->caller, &answer);
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -2,11 +2,11 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define LOG_MODULE "config"
 #include "base/clock.h"
 #include "base/log.h"
-#include "coordination/view-builder.h"
 #include "daemon/messages.h"
 
 #define ENDPOINT_TEXT_SIZE 64
@@ -28,8 +28,12 @@
                   "version %llu of revision %llu",
                   (unsigned long long)r->version,
                   (unsigned long long)revision);
-    task->view_stale = true;
-    ask_publish(task);
+    if (task->quarantined > 0 ||
+        view_filter_concerns(&task->view_filter, task->settings->host.domain,
+                             r)) {
+        task->view_stale = true;
+        ask_publish(task);
+    }
 }
 
 static void
@@ -68,12 +72,50 @@
     }
 }
 
+static bool
+same_quarantine(const struct view_quarantine *a,
+                const struct view_quarantine *b)
+{
+    return strcmp(a->target, b->target) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->domain, b->domain) == 0;
+}
+
+static bool
+was_held(const struct control_task *task, const struct view_quarantine *q)
+{
+    for (size_t i = 0; i < CONTROL_HELD_MAX; i++) {
+        if (same_quarantine(&task->held_before[i], q)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_held(const struct control_task *task, const struct view_quarantine *q)
+{
+    for (size_t i = 0; i < task->quarantined && i < CONTROL_HELD_MAX; i++) {
+        if (strcmp(task->held[i].target, q->target) == 0 &&
+            strcmp(task->held[i].service, q->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_quarantine(void *ctx, const struct view_quarantine *q)
 {
     struct control_task *task = ctx;
 
+    if (task->quarantined < CONTROL_HELD_MAX) {
+        task->held[task->quarantined] = *q;
+    }
     task->quarantined++;
+    if (was_held(task, q)) {
+        return;
+    }
     if (q->domain[0] == '\0') {
         control_event(task, "quarantine", q->target,
                       "address is declared by target %s of %s too",
@@ -85,6 +127,31 @@
                   q->former_target, q->former_service);
 }
 
+/* Tells which targets have left quarantine with the last view. */
+static void
+report_admitted(struct control_task *task)
+{
+    for (size_t i = 0; i < CONTROL_HELD_MAX; i++) {
+        const struct view_quarantine *q = &task->held_before[i];
+
+        if (q->target[0] != '\0' && !is_held(task, q)) {
+            control_event(task, "quarantine_over", q->target,
+                          "its address was given up everywhere");
+        }
+    }
+}
+
+bool
+control_host_is_draining(const struct control_task *task, const char *id)
+{
+    char name[RESOURCE_NAME_SIZE];
+    struct resource r;
+
+    snprintf(name, sizeof(name), "host/%s", id);
+    return config_store_get(task->config, name, &r, NULL) && !r.deleted &&
+           r.host.state == ADMIN_DRAINING;
+}
+
 /* Builds a view and hands it to the data task. Nothing is published before
  * the configuration was complete once: a part of it could admit an address
  * that the missing part forbids. */
@@ -98,6 +165,8 @@
         (task->view_sequence > 0 && !task->view_stale)) {
         return;
     }
+    memcpy(task->held_before, task->held, sizeof(task->held));
+    memset(task->held, 0, sizeof(task->held));
     task->quarantined = 0;
     msg.view = view_builder_build(
         task->config, &task->floors, task->settings->host.domain,
@@ -106,10 +175,14 @@
         LOG_ERR("no memory for a view; tried again with the next change");
         return;
     }
+    msg.view->host_draining =
+        control_host_is_draining(task, task->settings->host.id);
+    view_filter_set(&task->view_filter, msg.view);
     if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
         config_view_destroy(msg.view);
         return;
     }
+    report_admitted(task);
     task->view_sequence++;
     task->view_stale = false;
     task->view_applied = false;
@@ -159,15 +232,23 @@
     control_status_seen(ctx, domain, entry);
 }
 
+static void
+end_refresh(struct control_task *task)
+{
+    task->refresh_wanted = false;
+    task->refresh_by_store = false;
+    mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+}
+
 static void
 on_store_complete(void *ctx)
 {
     struct control_task *task = ctx;
 
     spread_complete(task->spread);
-    if (task->refresh_wanted) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+    /* What a watch brings may have waited in its socket during the pause. */
+    if (task->refresh_wanted && task->refresh_by_store) {
+        end_refresh(task);
     }
 }
 
@@ -271,8 +352,7 @@
 check_refresh(struct control_task *task)
 {
     if (task->refresh_wanted && spread_is_refreshed(task->spread)) {
-        task->refresh_wanted = false;
-        mailbox_send(task->data, MSG_VIEW_FRESH, NULL, 0);
+        end_refresh(task);
     }
 }
 
@@ -317,7 +397,8 @@
     spread_ask_refresh(task->spread, clock_monotonic_us());
     if (membership_draw(task->members, true, &peer, 1) == 0 &&
         membership_draw(task->members, false, &peer, 1) == 0) {
-        /* Nobody to compare with: the store itself is asked. */
+        /* Nobody to compare with: the store itself is read. */
+        task->refresh_by_store = true;
         store_reader_stop(task->reader);
         store_reader_start(task->reader, 0);
     }
@@ -331,6 +412,7 @@
     }
     store_client_destroy(task->store);
     store_reader_destroy(task->reader);
+    view_filter_clear(&task->view_filter);
     spread_destroy(task->spread);
     config_store_destroy(task->config);
     if (task->publish != NULL) {
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -102,6 +102,11 @@
 static void
 handle_request(struct data_task *task, struct inbound *in)
 {
+    if (task->home.stopping && !in->has_token && !in->caller.relayed &&
+        task->peers.count > 0) {
+        relays_hand_over(task->relays, in);
+        return;
+    }
     if (in->packet.code != CODE_GET && in->packet.code != CODE_FETCH) {
         commands_handle(task->commands, in);
         return;
@@ -153,7 +158,9 @@
     if (p->type == PACKET_ACK || p->type == PACKET_RST) {
         answers_on_ack(task->answers, &in->caller.addr, p->message_id);
     }
-    if (p->type == PACKET_RST) {
+    if (p->type == PACKET_RST &&
+        address_set_contains(task->verified, in->caller.addr.addr,
+                             in->caller.addr.port, in->caller.received_us)) {
         streams_on_reset(task->streams, &in->caller.addr, p->message_id);
     }
 }
@@ -186,7 +193,7 @@
         return;
     }
     if (kind != ERR_NONE) {
-        answer_error(task, &in.caller, kind, OUTCOME_NONE, 0);
+        answer_error(task, &in.caller, kind, OUTCOME_NONE, RETRY_NO_ADVICE_MS);
         return;
     }
     if (!open_token(task, &in)) {
@@ -258,8 +265,8 @@
     }
     port->task = task;
     port->port = number;
-    port->sock =
-        udp_socket_new(task->base, &local, on_service_datagram, port, &st);
+    port->sock = udp_socket_new(task->base, task->udp_batch, &local,
+                                on_service_datagram, port, &st);
     if (port->sock == NULL) {
         LOG_ERR("service port not opened: %s", st.message);
         free(port);
@@ -300,11 +307,63 @@
     }
 }
 
+/* New work is refused during the planned stop, and while the host is declared
+ * draining; the latter may be taken back. */
+static void
+update_stopping(struct data_task *task, uint64_t now)
+{
+    bool stopping = task->stop_begun || task->view->host_draining;
+
+    if (stopping == task->home.stopping) {
+        return;
+    }
+    task->home.stopping = stopping;
+    if (stopping) {
+        streams_stop(task->streams, now);
+    }
+    else {
+        streams_resume(task->streams);
+    }
+}
+
+/* Tells a change of the host's declared state. */
+static void
+note_draining(struct data_task *task, bool was_draining)
+{
+    bool draining = task->view->host_draining;
+
+    if (draining != was_draining) {
+        task->drained = false;
+        data_event(task, draining ? "host_draining" : "host_active",
+                   task->settings->host.id, "as declared");
+    }
+}
+
+static bool
+is_idle(const struct data_task *task)
+{
+    return commands_idle(task->commands) && fetches_idle(task->fetches) &&
+           streams_idle(task->streams);
+}
+
+/* Tells once when nothing runs here any more. */
+static void
+check_drained(struct data_task *task)
+{
+    if (task->view != NULL && task->view->host_draining && !task->drained &&
+        is_idle(task)) {
+        task->drained = true;
+        data_event(task, "host_drained", task->settings->host.id,
+                   "nothing runs here any more");
+    }
+}
+
 static void
 apply_view(struct data_task *task, struct config_view *view)
 {
     struct msg_view_applied applied = {.sequence = view->sequence};
     uint64_t now = clock_monotonic_us();
+    bool was_draining;
 
     if (!dispatch_apply_view(&task->dispatch, view, now)) {
         LOG_ERR("no memory for a new configuration; the old one stays");
@@ -312,8 +371,11 @@
         return;
     }
     apply_ports(task, view);
+    was_draining = task->view != NULL && task->view->host_draining;
     config_view_destroy(task->view);
     task->view = view;
+    note_draining(task, was_draining);
+    update_stopping(task, now);
     mailbox_send(task->control, MSG_VIEW_APPLIED, &applied, sizeof(applied));
 }
 
@@ -324,9 +386,10 @@
 {
     uint64_t now = clock_monotonic_us();
 
-    if (task->home.stopping) {
+    if (task->stop_begun) {
         return;
     }
+    task->stop_begun = true;
     task->home.stopping = true;
     task->stop_by_us =
         now +
@@ -355,6 +418,7 @@
 {
     struct data_task *task = ctx;
     struct msg_config_view view;
+    struct msg_members members;
 
     switch (type) {
     case MSG_CONFIG_VIEW:
@@ -364,6 +428,13 @@
     case MSG_VIEW_FRESH:
         task->home.stale = false;
         break;
+    case MSG_MEMBERS:
+        memcpy(&members, data, sizeof(members));
+        task->live = members.live;
+        break;
+    case MSG_PEERS:
+        memcpy(&task->peers, data, sizeof(task->peers));
+        break;
     case MSG_STOP:
         begin_stop(task);
         break;
@@ -380,9 +451,7 @@
 static bool
 stop_is_over(struct data_task *task, uint64_t now)
 {
-    return task->home.stopping && now >= task->stop_by_us &&
-           commands_idle(task->commands) && fetches_idle(task->fetches) &&
-           streams_idle(task->streams);
+    return task->stop_begun && now >= task->stop_by_us && is_idle(task);
 }
 
 static void
@@ -397,6 +466,7 @@
     if (task->home.stale && now >= task->stale_until_us) {
         task->home.stale = false;
     }
+    check_drained(task);
     if (stop_is_over(task, now)) {
         mailbox_send(task->control, MSG_STOPPED, NULL, 0);
         event_base_loopbreak(task->base);
@@ -447,6 +517,7 @@
     task->home.incarnation &= (1ULL << INCARNATION_BITS) - 1;
     endpoint_parse_addr(settings->host.address, &task->home.addr);
     task->home.port = settings->ports.relay;
+    task->self = id_hash(settings->host.id);
     task->home.flows = flow_table_new(settings->limits.flows, RECORD_BYTES);
 }
 
@@ -457,6 +528,7 @@
                        &task->random, task->settings->limits.queue)) {
         return false;
     }
+    task->udp_batch = udp_batch_new();
     task->metrics = metrics_new();
     task->verified = address_set_new();
     task->links = target_links_new(task);
@@ -466,11 +538,11 @@
     task->probes = probes_new(task);
     task->relays = relays_new(task);
     task->streams = streams_new(task);
-    return task->metrics != NULL && task->verified != NULL &&
-           task->links != NULL && task->answers != NULL &&
-           task->commands != NULL && task->fetches != NULL &&
-           task->probes != NULL && task->relays != NULL &&
-           task->streams != NULL;
+    return task->udp_batch != NULL && task->metrics != NULL &&
+           task->verified != NULL && task->links != NULL &&
+           task->answers != NULL && task->commands != NULL &&
+           task->fetches != NULL && task->probes != NULL &&
+           task->relays != NULL && task->streams != NULL;
 }
 
 static bool
@@ -487,8 +559,8 @@
     if (task->control == NULL) {
         return false;
     }
-    task->relay_sock =
-        udp_socket_new(task->base, &local, on_relay_datagram, task, st);
+    task->relay_sock = udp_socket_new(task->base, task->udp_batch, &local,
+                                      on_relay_datagram, task, st);
     return task->relay_sock != NULL;
 }
 
@@ -576,6 +648,7 @@
     config_view_destroy(task->view);
     g_hash_table_destroy(task->ports);
     udp_socket_destroy(task->relay_sock);
+    udp_batch_destroy(task->udp_batch);
     mailbox_destroy(task->control);
     if (task->tick != NULL) {
         event_free(task->tick);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -12,6 +12,7 @@
 #include "base/settings.h"
 #include "coordination/dispatch.h"
 #include "coordination/home.h"
+#include "daemon/messages.h"
 #include "protocol/packet.h"
 #include "state/address-set.h"
 #include "state/config-view.h"
@@ -48,12 +49,16 @@
     struct event_base *base;
     struct mailbox *control;
     struct event *tick;
+    struct udp_batch *udp_batch;
     struct udp_socket *relay_sock;
     GHashTable *ports; /* port -> struct service_port, owned */
 
     struct config_view *view; /* NULL before the first one */
     struct random random;
     struct home home;
+    uint32_t live;          /* balancers of the own failure domain */
+    uint64_t self;          /* hash of the own host's id */
+    struct msg_peers peers; /* known while stopping or draining */
     struct dispatch dispatch;
 
     struct metrics *metrics;
@@ -69,6 +74,8 @@
     uint64_t next_slow_us;
     uint64_t turned_us; /* last turn of the loop, for pauses */
     uint64_t stale_until_us;
+    bool stop_begun;     /* the planned stop was asked for */
+    bool drained;        /* declared draining, and nothing runs any more */
     uint64_t stop_by_us; /* planned stop, at the latest */
 };
 
--- a/tools/load/runner.c
+++ b/tools/load/runner.c
@@ -36,6 +36,7 @@
     const struct client_options options = {
         .via = &runner->options->entries[entry].via,
         .via_count = 1,
+        .ack_timeout_ms = runner->options->ack_timeout_ms,
         .random = &runner->random,
     };
     struct status st;
@@ -75,6 +76,7 @@
     switch (result->outcome) {
     case CALL_ANSWERED:
         if (result->answer->code >> 5 != 2) {
+            rq->tally->codes[result->answer->code]++;
             return RESULT_ERROR;
         }
         return answer_is_ours(rq, result->answer) ? RESULT_ANSWERED
