coordination: nothing is sent while the view may be out of date; repeats wait

Now the dispatcher holds everything back, and a balancer that cannot refresh its view has each target name its service again before use.

Also: a repeated try waits for a window instead of failing when all are closed, and a timeout counts against a target by its own latency, so that the silent target of a service with a deadline of 500 ms is ejected.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -11,8 +11,6 @@
 /* A tick follows at the latest after this time while jobs are in hand. */
 #define TICK_BUSY_US (5 * USEC_PER_MSEC)
 #define TICK_IDLE_US (200 * USEC_PER_MSEC)
-/* A deadline shorter than this says nothing of the target's health. */
-#define TIMEOUT_EVIDENCE_US USEC_PER_SEC
 
 static void pump(struct dispatch *d, struct dispatch_service *svc,
                  uint64_t now);
@@ -277,6 +275,9 @@
     struct admission_entry *entry;
 
     expire(d, svc, now);
+    if (d->held) {
+        return;
+    }
     while ((entry = admission_peek(svc->admission)) != NULL) {
         struct job *job = container_of(entry, struct job, entry);
         enum balance_result result = try_start(d, job, now);
@@ -316,6 +317,15 @@
     svc->jobs++;
 }
 
+void
+dispatch_hold(struct dispatch *d, bool held, uint64_t now)
+{
+    d->held = held;
+    list_for_each_safe (it, &d->active) {
+        pump(d, container_of(it, struct dispatch_service, active), now);
+    }
+}
+
 void
 dispatch_submit(struct dispatch *d, struct dispatch_service *svc,
                 struct job *job, uint64_t now)
@@ -348,7 +358,8 @@
     enum health_change change;
 
     target_finish(t);
-    if (result->kind == ERR_TARGET_TIMEOUT && took < TIMEOUT_EVIDENCE_US) {
+    if (result->kind == ERR_TARGET_TIMEOUT &&
+        !health_timeout_counts(t, took)) {
         return;
     }
     if (result->kind != ERR_NONE) {
@@ -376,14 +387,30 @@
                         now);
 }
 
+/* Puts a job back at the head of its queue. Returns false when memory is
+ * short. */
+static bool
+wait_again(struct dispatch *d, struct job *job, uint64_t now)
+{
+    struct dispatch_service *svc = job->svc;
+
+    if (!admission_requeue(svc->admission, &job->entry, job->tenant,
+                           job->class, now)) {
+        return false;
+    }
+    job->target = NULL;
+    job->state = JOB_WAITING;
+    list_remove(&job->link);
+    pump(d, svc, now);
+    return true;
+}
+
 /* A request that no target has taken goes back to the head of its queue and
  * waits for a slot. Returns false when it is out of time or of targets. */
 static bool
 requeue(struct dispatch *d, struct job *job, const struct job_result *result,
         uint64_t now)
 {
-    struct dispatch_service *svc = job->svc;
-
     if (now >= job->deadline_us) {
         return false;
     }
@@ -395,15 +422,7 @@
             return false;
         }
     }
-    if (!admission_requeue(svc->admission, &job->entry, job->tenant,
-                           job->class, now)) {
-        return false;
-    }
-    job->target = NULL;
-    job->state = JOB_WAITING;
-    list_remove(&job->link);
-    pump(d, svc, now);
-    return true;
+    return wait_again(d, job, now);
 }
 
 /* Sends a request that may be repeated to another target, within the retry
@@ -419,9 +438,7 @@
         !retry_budget_withdraw(&job->svc->retries)) {
         return false;
     }
-    job->state = JOB_WAITING;
-    list_remove(&job->link);
-    return try_start(d, job, now) == BALANCE_PICKED;
+    return wait_again(d, job, now);
 }
 
 /* Ends a job that no target has answered, or tries it again. A request that
@@ -531,7 +548,7 @@
         .flow_hash = flow_hash, .class = CLASS_STREAM, .bound = bound};
     enum balance_result result;
 
-    if (svc->targets == NULL || svc->targets->count == 0) {
+    if (d->held || svc->targets == NULL || svc->targets->count == 0) {
         return NULL;
     }
     return balance_pick(&d->balance, svc->targets, &pick, now, &result);
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -93,6 +93,7 @@
     GHashTable *services; /* id -> struct dispatch_service, owned */
     struct list active;
     uint32_t queue_limit;
+    bool held; /* nothing is sent */
 };
 
 bool dispatch_init(struct dispatch *d, const struct dispatch_ops *ops,
@@ -106,6 +107,10 @@
                          uint64_t now);
 struct dispatch_service *dispatch_find(struct dispatch *d, const char *id);
 
+/* Holds all jobs back, or lets them go on. For the time in which the view may
+ * be out of date, as after a pause; jobs still end at their deadlines. */
+void dispatch_hold(struct dispatch *d, bool held, uint64_t now);
+
 /* Takes a job. It ends by ops->failed(), possibly before this returns, or by
  * dispatch_result() returning true, or by dispatch_cancel(). */
 void dispatch_submit(struct dispatch *d, struct dispatch_service *svc,
@@ -125,7 +130,7 @@
 uint64_t dispatch_tick(struct dispatch *d, uint64_t now);
 
 /* Picks a target for a stream, which holds no slot; NULL when there is
- * none. */
+ * none, or while jobs are held back. */
 struct target_state *dispatch_pick_stream(struct dispatch *d,
                                           struct dispatch_service *svc,
                                           uint64_t flow_hash, uint32_t bound,
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -204,6 +204,14 @@
     handle_request(task, &in);
 }
 
+/* While the view may be out of date nothing is delivered. */
+static void
+set_stale(struct data_task *task, bool stale, uint64_t now)
+{
+    task->home.stale = stale;
+    dispatch_hold(&task->dispatch, stale, now);
+}
+
 /* Notes that the loop turned, and finds out whether the process was paused:
  * what it believes may then be out of date. */
 static uint64_t
@@ -212,7 +220,7 @@
     uint64_t now = clock_monotonic_us();
 
     if (now - task->turned_us >= PAUSE_US) {
-        task->home.stale = true;
+        set_stale(task, true, now);
         task->stale_until_us = now + STALE_MAX_US;
         data_event(task, "paused", task->settings->host.id, "for %llu ms",
                    (unsigned long long)(now - task->turned_us) /
@@ -426,7 +434,7 @@
         apply_view(task, view.view);
         break;
     case MSG_VIEW_FRESH:
-        task->home.stale = false;
+        set_stale(task, false, clock_monotonic_us());
         break;
     case MSG_MEMBERS:
         memcpy(&members, data, sizeof(members));
@@ -464,7 +472,10 @@
     probes_tick(task->probes, now);
     target_links_sweep(task->links);
     if (task->home.stale && now >= task->stale_until_us) {
-        task->home.stale = false;
+        /* Cut off from all that could refresh the view, it has to go on with
+         * what it has; each target names its service again before use. */
+        probes_start_over(task->probes);
+        set_stale(task, false, now);
     }
     check_drained(task);
     if (stop_is_over(task, now)) {
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -232,6 +232,22 @@
            health_is_prober(t, task->self, task->live);
 }
 
+void
+probes_start_over(struct probes *probes)
+{
+    GHashTableIter iter;
+    void *value;
+
+    health_forget_verified(probes->task->dispatch.targets);
+    g_hash_table_iter_init(&iter, probes->by_target);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct probe *probe = value;
+
+        probe->next_us = 0;
+    }
+    probes->next_pass_us = 0;
+}
+
 void
 probes_tick(struct probes *probes, uint64_t now)
 {
--- a/tests/unit/test-dispatch.c
+++ b/tests/unit/test-dispatch.c
@@ -275,6 +275,61 @@
     }
 }
 
+/* A try that may have run waits for a window like any other request when the
+ * remaining targets are busy. */
+static void
+test_repeat_waits_for_a_slot(void **state)
+{
+    static const struct job_result lost = {.kind = ERR_TARGET_LOST,
+                                           .sent = true};
+    struct fixture f;
+    struct job job;
+    struct service_targets *svc;
+
+    setup(&f, 2);
+    svc = target_table_service(f.dispatch.targets, "rigctl");
+    submit(&f, &job, true);
+    for (size_t i = 0; i < svc->count; i++) {
+        if (svc->targets[i] != f.first) {
+            svc->targets[i]->window.size = 1;
+            svc->targets[i]->in_flight = 2;
+        }
+    }
+    dispatch_result(&f.dispatch, &job, &lost, START_US + 1000);
+    assert_int_equal(f.failed, 0);
+    assert_int_equal(job.state, JOB_WAITING);
+    for (size_t i = 0; i < svc->count; i++) {
+        if (svc->targets[i] != f.first) {
+            svc->targets[i]->in_flight = 0;
+        }
+    }
+    dispatch_tick(&f.dispatch, START_US + 2000);
+    assert_int_equal(f.sent, 2);
+    dispatch_cancel(&f.dispatch, &job, START_US + 3000);
+    dispatch_destroy(&f.dispatch);
+}
+
+/* Nothing goes to a target while the view may be out of date. */
+static void
+test_held(void **state)
+{
+    struct fixture f;
+    struct job job;
+    struct job late;
+
+    setup(&f, 2);
+    dispatch_hold(&f.dispatch, true, START_US);
+    submit(&f, &job, true);
+    submit(&f, &late, true);
+    assert_int_equal(f.sent, 0);
+    assert_null(dispatch_pick_stream(&f.dispatch, job.svc, 1, 0, START_US));
+    dispatch_hold(&f.dispatch, false, START_US + 1000);
+    assert_int_equal(f.sent, 2);
+    dispatch_cancel(&f.dispatch, &job, START_US + 2000);
+    dispatch_cancel(&f.dispatch, &late, START_US + 2000);
+    dispatch_destroy(&f.dispatch);
+}
+
 static void
 test_removed_service(void **state)
 {
@@ -301,6 +356,8 @@
         cmocka_unit_test(test_refusal_after_a_lost_try),
         cmocka_unit_test(test_deadlines),
         cmocka_unit_test(test_hanging_target),
+        cmocka_unit_test(test_repeat_waits_for_a_slot),
+        cmocka_unit_test(test_held),
         cmocka_unit_test(test_removed_service),
     };
 
