daemon: probes keep within a rate, and beyond 8 balancers a target has 4 probers

With 18,750 targets in a domain of 875 balancers, 8 probers a target and 2 s between probes would be 86 probes a second at each, about 34 KB/s of the 10 that control may take. A first try with a credit that the first targets of the list used up was dropped: the others would never have been probed again.

--- a/src/coordination/health.c
+++ b/src/coordination/health.c
@@ -210,6 +210,6 @@
     if (live <= HEALTH_PROBERS_MAX) {
         return true;
     }
-    share = UINT64_MAX / live * HEALTH_PROBERS_MAX;
+    share = UINT64_MAX / live * HEALTH_PROBERS;
     return random_mix(t->hash, self) < share;
 }
--- a/src/coordination/health.h
+++ b/src/coordination/health.h
@@ -74,8 +74,9 @@
 
 /* True when the balancer "self" (a hash of its id) probes the target again and
  * again. Up to HEALTH_PROBERS_MAX live balancers of a failure domain all do;
- * of more, each draws its share by a hash, so that a target has about that
- * many probers, and no list of members is needed. */
+ * of more, each draws its share by a hash, so that a target has about
+ * HEALTH_PROBERS probers, and no list of members is needed. */
 #define HEALTH_PROBERS_MAX 8
+#define HEALTH_PROBERS 4
 bool health_is_prober(const struct target_state *t, uint64_t self,
                       uint32_t live);
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -13,13 +13,18 @@
 #define PROBE_INTERVAL_US (2 * USEC_PER_SEC)
 #define PROBE_FIRST_INTERVAL_US (500 * USEC_PER_MSEC)
 #define PROBE_TIMEOUT_US (1 * USEC_PER_SEC)
-#define PROBES_PER_PASS 200
+#define PROBES_PER_PASS 200 /* of targets that are not verified yet */
+/* Probes of verified targets, at about 400 bytes each, take a part of the
+ * 10 KB a second that all control traffic of a balancer may take. With many
+ * targets each is probed more seldom. */
+#define PROBES_PER_SECOND 10
 
 struct probes {
     struct data_task *task;
     GHashTable *by_target; /* struct target_state -> struct probe, owned */
     struct list running;   /* struct probe */
     uint64_t next_pass_us;
+    uint32_t ours; /* verified targets that this balancer probes */
 };
 
 struct probe {
@@ -117,6 +122,15 @@
     }
 }
 
+/* Time between two probes of a verified target. */
+static uint64_t
+interval(const struct probes *probes)
+{
+    uint64_t wait = probes->ours * (USEC_PER_SEC / PROBES_PER_SECOND);
+
+    return wait > PROBE_INTERVAL_US ? wait : PROBE_INTERVAL_US;
+}
+
 static void
 finish(struct probe *probe, const struct health_probe *result)
 {
@@ -125,7 +139,7 @@
 
     probe->call = NULL;
     list_remove(&probe->link);
-    probe->next_us = now + (t->health.verified ? PROBE_INTERVAL_US
+    probe->next_us = now + (t->health.verified ? interval(probe->probes)
                                                : PROBE_FIRST_INTERVAL_US);
     report(probe->probes, t, health_on_probe(t, result, now));
 }
@@ -217,19 +231,40 @@
     }
 }
 
-/* A target is probed until it has named its service, and after that by its
- * share of the domain's balancers, or while its probes fail. */
+/* Whether a verified target is to be probed by this balancer: by its share of
+ * the domain's, or while its probes fail. */
 static bool
-is_due(const struct probe *probe, uint64_t now)
+is_ours(const struct probe *probe)
 {
     const struct data_task *task = probe->probes->task;
     const struct target_state *t = probe->target;
 
+    return t->health.probe_bad || health_is_prober(t, task->self, task->live);
+}
+
+/* A target is probed until it has named its service, and by shares after
+ * that. "unverified" counts such probes of this pass. */
+static bool
+may_start(struct probe *probe, unsigned *unverified, uint64_t now)
+{
+    struct probes *probes = probe->probes;
+
+    bool verified = probe->target->health.verified;
+
+    if (verified && !is_ours(probe)) {
+        return false;
+    }
+    if (verified) {
+        probes->ours++;
+    }
     if (probe->call != NULL || now < probe->next_us) {
         return false;
     }
-    return !t->health.verified || t->health.probe_bad ||
-           health_is_prober(t, task->self, task->live);
+    if (verified) {
+        return true;
+    }
+    (*unverified)++;
+    return *unverified <= PROBES_PER_PASS;
 }
 
 void
@@ -248,10 +283,23 @@
     probes->next_pass_us = 0;
 }
 
+static void
+pass_service(struct probes *probes, const struct service_targets *svc,
+             unsigned *unverified, uint64_t now)
+{
+    for (size_t i = 0; i < svc->count; i++) {
+        struct probe *probe = probe_of(probes, svc->targets[i]);
+
+        if (probe != NULL && may_start(probe, unverified, now)) {
+            start(probes, probe, now);
+        }
+    }
+}
+
 void
 probes_tick(struct probes *probes, uint64_t now)
 {
-    unsigned started = 0;
+    unsigned unverified = 0;
 
     expire(probes, now);
     if (now < probes->next_pass_us) {
@@ -259,17 +307,9 @@
     }
     probes->next_pass_us = now + PROBE_PASS_US;
     forget_removed(probes);
+    probes->ours = 0;
     list_for_each (it, &probes->task->dispatch.targets->services) {
-        struct service_targets *svc =
-            container_of(it, struct service_targets, link);
-
-        for (size_t i = 0; i < svc->count && started < PROBES_PER_PASS; i++) {
-            struct probe *probe = probe_of(probes, svc->targets[i]);
-
-            if (probe != NULL && is_due(probe, now)) {
-                start(probes, probe, now);
-                started++;
-            }
-        }
+        pass_service(probes, container_of(it, struct service_targets, link),
+                     &unverified, now);
     }
 }
