--- a/src/coordination/view-filter.c
+++ b/src/coordination/view-filter.c
@@ -103,7 +103,7 @@
 
 bool
 view_filter_concerns(const struct view_filter *filter, const char *domain,
-                     const struct resource *r)
+                     const char *host, const struct resource *r)
 {
     if (filter->services == NULL) {
         return true;
@@ -116,7 +116,8 @@
         return holds_service(filter, r->target.service) ||
                holds_address(filter, &r->target);
     case RESOURCE_HOST:
-        return false;
+        /* The view says whether the own host is declared draining. */
+        return strcmp(r->id, host) == 0;
     default:
         return true;
     }
--- a/src/coordination/view-filter.h
+++ b/src/coordination/view-filter.h
@@ -22,7 +22,8 @@
                      const struct config_view *view);
 void view_filter_clear(struct view_filter *filter);
 
-/* Whether a view built with this resource may differ. Targets in quarantine
+/* Whether a view of the failure domain "domain", for the balancer on "host",
+ * may differ when built with this resource. Targets in quarantine
  * are not in a view: while there are some, the filter does not apply. */
 bool view_filter_concerns(const struct view_filter *filter, const char *domain,
-                          const struct resource *r);
+                          const char *host, const struct resource *r);
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -32,7 +32,7 @@
         (r->kind == RESOURCE_HOST &&
          strcmp(r->id, task->settings->host.id) == 0) ||
         view_filter_concerns(&task->view_filter, task->settings->host.domain,
-                             r)) {
+                             task->settings->host.id, r)) {
         task->view_stale = true;
         ask_publish(task);
     }
--- a/tests/unit/test-view-builder.c
+++ b/tests/unit/test-view-builder.c
@@ -163,7 +163,8 @@
 test_filter(void **state)
 {
     struct resource ring = {.kind = RESOURCE_KEY_RING, .id = "tokens"};
-    struct resource host = {.kind = RESOURCE_HOST, .id = "h1"};
+    struct resource own_host = {.kind = RESOURCE_HOST, .id = "h1"};
+    struct resource host = {.kind = RESOURCE_HOST, .id = "h2"};
     const struct filter_case cases[] = {
         {"its service", make_service("live", 2, "karen"), true},
         {"its service leaves", make_service("live", 2, "westlands"), true},
@@ -176,7 +177,8 @@
         {"a foreign target of the same address",
          make_target("other", "t1", 1, 1, false), true},
         {"the keys", ring, true},
-        {"a host", host, false},
+        {"the own host", own_host, true},
+        {"another host", host, false},
     };
     struct fixture f = {.cs = config_store_new()};
     struct view_filter filter = {0};
@@ -185,12 +187,13 @@
     apply(&f, make_service("live", 1, "karen"), 1);
     apply(&f, make_target("live", "t1", 1, 1, false), 2);
     view = build(&f, "karen");
-    assert_true(view_filter_concerns(&filter, "karen", &cases[3].resource));
+    assert_true(
+        view_filter_concerns(&filter, "karen", "h1", &cases[3].resource));
     assert_true(view_filter_set(&filter, view));
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         print_message("%s\n", cases[i].name);
         assert_int_equal(
-            view_filter_concerns(&filter, "karen", &cases[i].resource),
+            view_filter_concerns(&filter, "karen", "h1", &cases[i].resource),
             cases[i].concerns);
     }
     view_filter_clear(&filter);
