--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -29,8 +29,6 @@
                   (unsigned long long)r->version,
                   (unsigned long long)revision);
     if (task->quarantined > 0 ||
-        (r->kind == RESOURCE_HOST &&
-         strcmp(r->id, task->settings->host.id) == 0) ||
         view_filter_concerns(&task->view_filter, task->settings->host.domain,
                              task->settings->host.id, r)) {
         task->view_stale = true;
