daemon: a planned stop ends when no flow is in use any more

It now ends when nothing runs and no flow was opened or used for 90 s, after which callers have given its tokens up; without flows, at once.

--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -31,6 +31,9 @@
 /* After a pause nothing is delivered until the view was refreshed, or for at
  * most this long. */
 #define STALE_MAX_US (2 * USEC_PER_SEC)
+/* Callers give a token up that they have not used for 60 s; what they sent
+ * last is answered or given up within this time. */
+#define FLOW_QUIET_US (90 * USEC_PER_SEC)
 #define INCARNATION_BITS 40
 #define RECORD_BYTES (16 * 1048576) /* answers kept for late copies */
 
@@ -454,12 +457,25 @@
     }
 }
 
+/* True when no caller can be expected to use a flow of this home again. */
+static bool
+is_quiet(const struct data_task *task, uint64_t now)
+{
+    uint64_t used = flow_table_last_use(task->home.flows);
+
+    return used == 0 || now - used >= FLOW_QUIET_US;
+}
+
 /* True when the planned stop is over. A stopping balancer answers late copies
- * until its time is up, because only it knows what it has run. */
+ * until its time is up or its callers have gone elsewhere, because only it
+ * knows what it has run. */
 static bool
 stop_is_over(struct data_task *task, uint64_t now)
 {
-    return task->stop_begun && now >= task->stop_by_us && is_idle(task);
+    if (!task->stop_begun || !is_idle(task)) {
+        return false;
+    }
+    return now >= task->stop_by_us || is_quiet(task, now);
 }
 
 static void
--- a/src/state/flow-table.c
+++ b/src/state/flow-table.c
@@ -279,6 +279,24 @@
     table->record_bytes += record->answer.payload_len;
 }
 
+/* The lists are in order of use, so the last ones tell. */
+uint64_t
+flow_table_last_use(const struct flow_table *table)
+{
+    const struct list *lists[] = {&table->unproven, &table->proven};
+    uint64_t last = 0;
+
+    for (size_t i = 0; i < 2; i++) {
+        if (!list_empty(lists[i])) {
+            struct flow *flow =
+                container_of(lists[i]->prev, struct flow, link);
+
+            last = flow->used_us > last ? flow->used_us : last;
+        }
+    }
+    return last;
+}
+
 uint32_t
 flow_table_in_use(const struct flow_table *table)
 {
--- a/src/state/flow-table.h
+++ b/src/state/flow-table.h
@@ -110,5 +110,7 @@
 void flow_table_finish(struct flow_table *table, struct request_record *record,
                        const struct recorded_answer *answer);
 
+/* When a flow was last opened or used; 0 when there is none. */
+uint64_t flow_table_last_use(const struct flow_table *table);
 uint32_t flow_table_in_use(const struct flow_table *table);
 uint64_t flow_table_evicted(const struct flow_table *table);
--- a/tests/unit/test-flow-table.c
+++ b/tests/unit/test-flow-table.c
@@ -93,6 +93,22 @@
     flow_table_destroy(table);
 }
 
+static void
+test_last_use(void **state)
+{
+    struct flow_table *table = flow_table_new(3, RECORD_BYTES);
+    uint32_t slot;
+    struct flow *flow;
+
+    assert_int_equal(flow_table_last_use(table), 0);
+    flow = flow_table_open(table, SERVICE, 5, &slot);
+    assert_int_equal(flow_table_last_use(table), 5);
+    flow_table_touch(table, flow, 9);
+    flow_table_open(table, SERVICE, 7, &slot);
+    assert_int_equal(flow_table_last_use(table), 9);
+    flow_table_destroy(table);
+}
+
 /* A slot whose generation would wrap is retired: an old token could name it
  * again otherwise. */
 static void
@@ -115,6 +131,7 @@
         cmocka_unit_test(test_ids_are_new_once),
         cmocka_unit_test(test_dropped_record_is_not_new),
         cmocka_unit_test(test_eviction),
+        cmocka_unit_test(test_last_use),
         cmocka_unit_test(test_wrapping_generation_is_retired),
     };
 
