--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -486,7 +486,7 @@
     streams_tick(task->streams, now);
     answers_tick(task->answers, now);
     probes_tick(task->probes, now);
-    target_links_sweep(task->links);
+    target_links_sweep(task->links, now);
     if (task->home.stale && now >= task->stale_until_us) {
         /* Cut off from all that could refresh the view, it has to go on with
          * what it has; each target names its service again before use. */
--- a/src/daemon/target-links.h
+++ b/src/daemon/target-links.h
@@ -13,5 +13,6 @@
 struct target_client *target_links_get(struct target_links *links,
                                        struct target_state *t);
 
-/* Frees the clients of removed targets on which nothing runs. */
-void target_links_sweep(struct target_links *links);
+/* Frees the clients of removed targets, and those not used for a while, on
+ * which nothing runs. To be called often; does its work once a second. */
+void target_links_sweep(struct target_links *links, uint64_t now);
