--- a/src/ctl/ctl-write.c
+++ b/src/ctl/ctl-write.c
@@ -228,26 +228,35 @@
     return result;
 }
 
+/* Reads what must be there; "r" names it. */
+static enum ctl_exit
+read_existing(struct ctl *ctl, const char *name, struct resource *r)
+{
+    bool exists = false;
+    enum ctl_exit result = ctl_read(ctl, r, &exists);
+
+    if (result == CTL_OK && !exists) {
+        fprintf(stderr, "%s: there is no such resource\n", name);
+        return CTL_REFUSED;
+    }
+    return result;
+}
+
 enum ctl_exit
 ctl_delete(struct ctl *ctl, const char *name)
 {
     struct resource r;
     uint64_t version = 0;
-    bool exists = false;
     enum ctl_exit result;
 
     if (!resource_name_parse(&r, name)) {
         fprintf(stderr, "pimentohaven ctl: %s: no name of a resource\n", name);
         return CTL_USAGE;
     }
-    result = ctl_read(ctl, &r, &exists);
+    result = read_existing(ctl, name, &r);
     if (result != CTL_OK) {
         return result;
     }
-    if (!exists) {
-        fprintf(stderr, "%s: there is no such resource\n", name);
-        return CTL_REFUSED;
-    }
     result = send_write(ctl, name, CTL_DELETE, NULL, r.version, &version);
     if (result == CTL_OK) {
         printf("%s deleted (version %" PRIu64 ")\n", name, version);
@@ -282,7 +291,6 @@
 {
     struct resource r;
     uint64_t version = 0;
-    bool exists = false;
     bool changed = false;
     enum ctl_exit result;
 
@@ -291,14 +299,10 @@
                 name);
         return CTL_USAGE;
     }
-    result = ctl_read(ctl, &r, &exists);
+    result = read_existing(ctl, name, &r);
     if (result != CTL_OK) {
         return result;
     }
-    if (!exists) {
-        fprintf(stderr, "%s: there is no such resource\n", name);
-        return CTL_REFUSED;
-    }
     change_state(&r, state, &changed);
     if (!changed) {
         printf("%s is %s already (version %" PRIu64 ")\n", name,
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "daemon/service-ports.h"
 #include "protocol/error-table.h"
 #include "protocol/token.h"
 
@@ -84,7 +85,8 @@
 send_raw(struct data_task *task, uint16_t service_port,
          const struct endpoint *to, const uint8_t *data, size_t size)
 {
-    const struct service_port *port = data_port(task, service_port);
+    const struct service_port *port =
+        service_ports_find(task->ports, service_port);
 
     if (port != NULL) {
         data_count(task, COUNTER_PACKETS_SENT);
@@ -166,7 +168,8 @@
 shorten(struct data_task *task, const struct caller *caller,
         struct packet *answer)
 {
-    const struct service_port *port = data_port(task, caller->service_port);
+    const struct service_port *port =
+        service_ports_find(task->ports, caller->service_port);
     struct packet shorter = {.code = CODE_UNAUTHORIZED};
 
     if (port == NULL || port->view == NULL ||
--- a/src/daemon/answer.h
+++ b/src/daemon/answer.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/status.h"
 #include "daemon/data.h"
 
 /* Answers to callers: piggybacked on the ACK while that is in time, else
  * separate and retransmitted a few times (RFC 7252 section 5.2). */
 
+/* After this time without an answer the caller gets an empty ACK, before its
+ * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
+#define ANSWER_ACK_AFTER_US (1200 * USEC_PER_MSEC)
+
 /* Values of "retry_after_ms", the time after which a refused request is worth
  * sending again. */
 #define RETRY_ELSEWHERE_MS 0 /* now: another balancer can take it */
--- a/src/daemon/command.c
+++ b/src/daemon/command.c
@@ -17,11 +17,7 @@
 #include "protocol/token.h"
 #include "state/body-assembly.h"
 
-/* After this time without an answer the caller gets an empty ACK, before its
- * first retransmission is due (RFC 7252 section 4.8: at least 2 s). */
-#define ACK_AFTER_US (1200 * USEC_PER_MSEC)
 #define FLOW_ID_SIZE 48
-#define BLOCK_SZX_MAX 6              /* 1024 bytes */
 #define BODY_BYTES_MAX (4 * 1048576) /* in assembly, in all */
 
 struct commands {
@@ -101,7 +97,7 @@
 set_payload(struct packet *answer, const struct recorded_answer *recorded,
             const struct packet_block *wanted)
 {
-    uint8_t szx = wanted->szx > BLOCK_SZX_MAX ? BLOCK_SZX_MAX : wanted->szx;
+    uint8_t szx = wanted->szx > PACKET_SZX_MAX ? PACKET_SZX_MAX : wanted->szx;
     size_t block = (size_t)1 << (szx + 4);
     size_t offset = (size_t)wanted->num * block;
 
@@ -256,7 +252,7 @@
     cmd->caller = in->caller;
     cmd->block2 = p->block2;
     if ((p->fields & FIELD_BLOCK2) == 0) {
-        cmd->block2.szx = BLOCK_SZX_MAX;
+        cmd->block2.szx = PACKET_SZX_MAX;
     }
     cmd->method_code = p->code;
     memcpy(cmd->service, in->port->service, sizeof(cmd->service));
@@ -333,7 +329,7 @@
        uint32_t retry_after_ms)
 {
     struct data_task *task = commands->task;
-    struct packet_block block = {.szx = BLOCK_SZX_MAX};
+    struct packet_block block = {.szx = PACKET_SZX_MAX};
     struct recorded_answer recorded;
     struct request_record *record =
         flow_table_begin(task->home.flows, verdict->flow, verdict->id);
@@ -478,7 +474,7 @@
     struct packet_block block = in->packet.block2;
 
     if ((in->packet.fields & FIELD_BLOCK2) == 0) {
-        block.szx = BLOCK_SZX_MAX;
+        block.szx = PACKET_SZX_MAX;
     }
     send_recorded(commands->task, &in->caller, &verdict->record->answer,
                   &block);
@@ -585,7 +581,7 @@
         struct command *cmd = container_of(it, struct command, link);
 
         if (!cmd->caller.acked &&
-            now - cmd->caller.received_us >= ACK_AFTER_US) {
+            now - cmd->caller.received_us >= ANSWER_ACK_AFTER_US) {
             answer_ack(commands->task, &cmd->caller);
         }
     }
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -18,6 +18,7 @@
 #include "daemon/messages.h"
 #include "daemon/probe.h"
 #include "daemon/relay.h"
+#include "daemon/service-ports.h"
 #include "daemon/stream.h"
 #include "daemon/target-links.h"
 #include "daemon/work.h"
@@ -67,12 +68,6 @@
     counters_add_error(metrics_counters(task->metrics), kind);
 }
 
-const struct service_port *
-data_port(const struct data_task *task, uint16_t port)
-{
-    return g_hash_table_lookup(task->ports, GUINT_TO_POINTER(port));
-}
-
 void
 data_serve_repeatable(struct data_task *task, const struct inbound *in)
 {
@@ -255,69 +250,6 @@
     relays_on_datagram(task->relays, from, data, size, now - queued_us);
 }
 
-static void
-port_destroy(void *arg)
-{
-    struct service_port *port = arg;
-
-    udp_socket_destroy(port->sock);
-    free(port);
-}
-
-static struct service_port *
-port_open(struct data_task *task, uint16_t number)
-{
-    struct endpoint local = {.addr = task->home.addr, .port = number};
-    struct service_port *port = calloc(1, sizeof(*port));
-    struct status st;
-
-    if (port == NULL) {
-        return NULL;
-    }
-    port->task = task;
-    port->port = number;
-    port->sock = udp_socket_new(task->base, task->udp_batch, &local,
-                                on_service_datagram, port, &st);
-    if (port->sock == NULL) {
-        LOG_ERR("service port not opened: %s", st.message);
-        free(port);
-        return NULL;
-    }
-    g_hash_table_insert(task->ports, GUINT_TO_POINTER(number), port);
-    return port;
-}
-
-/* Points the open ports at the services of a new view and opens the missing
- * ones. The port of a removed service stays open without a service until it
- * is used again, so that nothing else receives its packets. */
-static void
-apply_ports(struct data_task *task, struct config_view *view)
-{
-    GHashTableIter iter;
-    void *value;
-
-    g_hash_table_iter_init(&iter, task->ports);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct service_port *port = value;
-
-        port->view = NULL;
-    }
-    for (size_t i = 0; i < view->service_count; i++) {
-        struct service_view *svc = &view->services[i];
-        uint16_t number = svc->service.port;
-        struct service_port *port =
-            g_hash_table_lookup(task->ports, GUINT_TO_POINTER(number));
-
-        if (port == NULL) {
-            port = port_open(task, number);
-        }
-        if (port != NULL) {
-            port->view = svc;
-            memcpy(port->service, svc->id, sizeof(port->service));
-        }
-    }
-}
-
 /* New work is refused during the planned stop, and while the host is declared
  * draining; the latter may be taken back. */
 static void
@@ -381,7 +313,7 @@
         config_view_destroy(view);
         return;
     }
-    apply_ports(task, view);
+    service_ports_apply(task->ports, view);
     was_draining = task->view != NULL && task->view->host_draining;
     config_view_destroy(task->view);
     task->view = view;
@@ -556,6 +488,7 @@
         return false;
     }
     task->udp_batch = udp_batch_new();
+    task->ports = service_ports_new(task, on_service_datagram);
     task->metrics = metrics_new();
     task->verified = address_set_new();
     task->links = target_links_new(task);
@@ -565,11 +498,12 @@
     task->probes = probes_new(task);
     task->relays = relays_new(task);
     task->streams = streams_new(task);
-    return task->udp_batch != NULL && task->metrics != NULL &&
-           task->verified != NULL && task->links != NULL &&
-           task->answers != NULL && task->commands != NULL &&
-           task->fetches != NULL && task->probes != NULL &&
-           task->relays != NULL && task->streams != NULL;
+    return task->udp_batch != NULL && task->ports != NULL &&
+           task->metrics != NULL && task->verified != NULL &&
+           task->links != NULL && task->answers != NULL &&
+           task->commands != NULL && task->fetches != NULL &&
+           task->probes != NULL && task->relays != NULL &&
+           task->streams != NULL;
 }
 
 static bool
@@ -603,7 +537,6 @@
     }
     task->zmq_ctx = zmq_ctx;
     task->settings = settings;
-    task->ports = g_hash_table_new_full(NULL, NULL, NULL, port_destroy);
     task->base = event_base_new();
     init_home(task);
     if (task->base == NULL || task->home.flows == NULL || !make_parts(task)) {
@@ -673,7 +606,7 @@
     metrics_destroy(task->metrics);
     flow_table_destroy(task->home.flows);
     config_view_destroy(task->view);
-    g_hash_table_destroy(task->ports);
+    service_ports_destroy(task->ports);
     udp_socket_destroy(task->relay_sock);
     udp_batch_destroy(task->udp_batch);
     mailbox_destroy(task->control);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -28,6 +28,7 @@
 struct probes;
 struct relays;
 struct commands;
+struct service_ports;
 struct streams;
 struct target_links;
 
@@ -51,7 +52,7 @@
     struct event *tick;
     struct udp_batch *udp_batch;
     struct udp_socket *relay_sock;
-    GHashTable *ports; /* port -> struct service_port, owned */
+    struct service_ports *ports;
 
     struct config_view *view; /* NULL before the first one */
     struct random random;
@@ -121,6 +122,3 @@
                           size_t size, uint64_t received_us, bool relayed);
 /* Serves a request here that needs no home, or whose home is lost. */
 void data_serve_repeatable(struct data_task *task, const struct inbound *in);
-
-const struct service_port *data_port(const struct data_task *task,
-                                     uint16_t port);
--- a/src/daemon/fetch.c
+++ b/src/daemon/fetch.c
@@ -12,8 +12,6 @@
 #include "protocol/http-map.h"
 #include "state/object-cache.h"
 
-#define ACK_AFTER_US (1200 * USEC_PER_MSEC)
-#define BLOCK_SZX_MAX 6   /* 1024 bytes */
 #define CHUNK_BYTES 65536 /* read from a target at once */
 #define CACHE_BYTES (16 * 1048576)
 #define KEY_SIZE (ID_SIZE + PACKET_PATH_MAX + PACKET_QUERY_MAX + 4)
@@ -261,7 +259,7 @@
     };
 
     if (body->code != CODE_CONTENT ||
-        body->total <= (1U << (BLOCK_SZX_MAX + 4))) {
+        body->total <= (1U << (PACKET_SZX_MAX + 4))) {
         return;
     }
     memcpy(version.etag, body->etag, sizeof(version.etag));
@@ -464,16 +462,16 @@
 static struct packet_block
 wanted_block(const struct packet *p)
 {
-    struct packet_block block = {.szx = BLOCK_SZX_MAX};
+    struct packet_block block = {.szx = PACKET_SZX_MAX};
 
     if ((p->fields & FIELD_BLOCK2) != 0) {
         block = p->block2;
         block.more = false;
     }
-    if (block.szx > BLOCK_SZX_MAX) {
+    if (block.szx > PACKET_SZX_MAX) {
         /* RFC 7959 section 2.2: 7 is reserved; a server may lower the size,
          * which only the first block allows. */
-        block.szx = BLOCK_SZX_MAX;
+        block.szx = PACKET_SZX_MAX;
     }
     return block;
 }
@@ -522,7 +520,7 @@
         struct waiter *waiter = container_of(it, struct waiter, link);
 
         if (!waiter->caller.acked &&
-            now - waiter->caller.received_us >= ACK_AFTER_US) {
+            now - waiter->caller.received_us >= ANSWER_ACK_AFTER_US) {
             answer_ack(fetch->fetches->task, &waiter->caller);
         }
     }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "daemon/answer.h"
+#include "daemon/service-ports.h"
 #include "protocol/envelope.h"
 
 #define RELAY_RETRY_US (100 * USEC_PER_MSEC)
@@ -180,7 +181,8 @@
 {
     struct inbound in = {
         .caller = relay->caller,
-        .port = data_port(relays->task, relay->caller.service_port),
+        .port = service_ports_find(relays->task->ports,
+                                   relay->caller.service_port),
         .has_token = relay->has_token,
         .token = relay->token,
         .raw = relay->raw,
@@ -216,7 +218,8 @@
      const struct envelope *envelope, uint64_t received_us)
 {
     struct data_task *task = relays->task;
-    const struct service_port *port = data_port(task, envelope->service_port);
+    const struct service_port *port =
+        service_ports_find(task->ports, envelope->service_port);
     struct endpoint caller = {
         .addr = envelope->caller_addr,
         .port = envelope->caller_port,
--- a/src/daemon/stream.c
+++ b/src/daemon/stream.c
@@ -12,7 +12,6 @@
 #include "protocol/http-map.h"
 #include "protocol/sse-parser.h"
 
-#define ACK_AFTER_US (1200 * USEC_PER_MSEC)
 /* A registration ends this long after the caller last renewed it. */
 #define REGISTRATION_US (60 * USEC_PER_SEC)
 #define NOTIFICATION_MAX_AGE_S 60
@@ -477,7 +476,7 @@
         return;
     }
     if (!stream->answered && !stream->caller.acked &&
-        now - stream->caller.received_us >= ACK_AFTER_US) {
+        now - stream->caller.received_us >= ANSWER_ACK_AFTER_US) {
         answer_ack(streams->task, &stream->caller);
     }
     if (stream->broken ||
--- a/src/protocol/packet.h
+++ b/src/protocol/packet.h
@@ -15,6 +15,7 @@
 #define PACKET_QUERY_MAX 256 /* bytes with the final NUL, "a=1&b=2" form */
 #define PACKET_ECHO_MAX 40   /* bytes, RFC 9175 section 2.2.1 */
 #define PACKET_ETAG_MAX 8    /* bytes, RFC 7252 section 5.10 */
+#define PACKET_SZX_MAX 6     /* blocks of 1024 bytes, RFC 7959 section 2.2 */
 #define PACKET_TAG_MAX 8     /* bytes, RFC 9175 section 3.2.1 */
 
 /* Elective options of our own, from the experimental range of RFC 7252
