coordination: an old latency fades

Cause: a target whose first sample was slow was passed over, so that it got no request that could show otherwise; 100 reads in a row went by one of three targets (seen with the load tool at low load). The excess over the mean now halves every 5 s. The new row of test-balance failed before (8 of 2000 picks, 333 to 666 asked for).

--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -13,6 +13,7 @@
 #define RAMP_MIN 0.2 /* share of its capacity that a new target counts for */
 #define WARMING_SHARE 0.5
 #define LOAD_HALF_LIFE_US (100.0 * USEC_PER_MSEC)
+#define LATENCY_HALF_LIFE_US (5.0 * USEC_PER_SEC)
 #define LATENCY_RATIO_MAX 4.0 /* against the mean of the candidates */
 #define MEAN_EWMA_WEIGHT 0.05
 #define TIE_MARGIN 0.05 /* relative difference of scores that says nothing */
@@ -72,6 +73,23 @@
     return known > 0 ? sum / (double)known : 0;
 }
 
+/* How much slower than the mean a target is. An old sample fades, because a
+ * target that is passed over for it gets no request that could show
+ * otherwise. */
+static double
+slowness(const struct target_state *t, double mean, uint64_t now)
+{
+    double ratio;
+    double weight;
+
+    if (mean <= 0 || t->latency_us <= mean) {
+        return 1;
+    }
+    ratio = fmin(t->latency_us / mean, LATENCY_RATIO_MAX);
+    weight = exp2(-(double)(now - t->latency_at_us) / LATENCY_HALF_LIFE_US);
+    return 1 + weight * (ratio - 1);
+}
+
 /* Expected time until a request sent now would be done, in units of one
  * request at a target of usual speed. A target that answers faster than the
  * others is not preferred for it: a broken one may answer fast. */
@@ -81,12 +99,8 @@
 {
     double load = t->in_flight + 1 + others_now(t, mean_others, now);
     double capacity = (t->slots > 0 ? t->slots : 1) * ramp_share(t, now);
-    double ratio = 1;
 
-    if (mean > 0 && t->latency_us > mean) {
-        ratio = t->latency_us / mean;
-    }
-    return load / capacity * fmin(ratio, LATENCY_RATIO_MAX);
+    return load / capacity * slowness(t, mean, now);
 }
 
 /* Draws two different candidates (the same one twice if there is just
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -381,7 +381,7 @@
         slot_window_on_shed(t, d->random, now);
         return;
     }
-    target_record_latency(t, took);
+    target_record_latency(t, took, now);
     slot_window_on_answer(t, now);
     admission_completed(job->svc->admission, job->class, job->tenant, took,
                         now);
--- a/src/state/target-table.c
+++ b/src/state/target-table.c
@@ -356,10 +356,12 @@
 }
 
 void
-target_record_latency(struct target_state *t, uint64_t latency_us)
+target_record_latency(struct target_state *t, uint64_t latency_us,
+                      uint64_t now)
 {
     double sample = (double)latency_us;
 
+    t->latency_at_us = now;
     if (t->latency_us == 0) {
         t->latency_us = sample;
         return;
--- a/src/state/target-table.h
+++ b/src/state/target-table.h
@@ -56,10 +56,11 @@
     bool warming;         /* says that it is still warming up */
     uint64_t first_seen_us;
 
-    uint32_t in_flight;   /* requests from here that hold a slot */
-    uint32_t streams;     /* streams from here */
-    uint32_t connections; /* open from here */
-    double latency_us;    /* EWMA of answered requests, 0: none yet */
+    uint32_t in_flight;     /* requests from here that hold a slot */
+    uint32_t streams;       /* streams from here */
+    uint32_t connections;   /* open from here */
+    double latency_us;      /* EWMA of answered requests, 0: none yet */
+    uint64_t latency_at_us; /* of the last sample */
     struct target_load load;
     struct target_window window;
     struct target_health health;
@@ -113,4 +114,5 @@
  * it, so that "others" leaves out just what runs from here. */
 void target_record_load(struct target_state *t, uint32_t running,
                         uint32_t slots, uint32_t queued, uint64_t now);
-void target_record_latency(struct target_state *t, uint64_t latency_us);
+void target_record_latency(struct target_state *t, uint64_t latency_us,
+                           uint64_t now);
--- a/tests/unit/test-balance.c
+++ b/tests/unit/test-balance.c
@@ -193,6 +193,7 @@
 prepare_slow(struct target_state *t)
 {
     t->latency_us = 400.0 * USEC_PER_MSEC;
+    t->latency_at_us = FIXTURE_NOW;
 }
 
 static void
@@ -217,6 +218,9 @@
         {"busy long ago", prepare_busy, 5 * USEC_PER_SEC, PICKS / 6,
          PICKS / 3},
         {"slow", prepare_slow, 0, 0, PICKS / 8},
+        /* It gets no requests that could show otherwise. */
+        {"slow long ago", prepare_slow, 60 * USEC_PER_SEC, PICKS / 6,
+         PICKS / 3},
         {"cold", prepare_cold, 0, 0, PICKS / 8},
         {"cold long ago", prepare_cold, 60 * USEC_PER_SEC, PICKS / 6,
          PICKS / 3},
@@ -234,6 +238,7 @@
         for (size_t t = 0; t < svc->count; t++) {
             target_record_load(svc->targets[t], 0, 2, 0, FIXTURE_NOW);
             svc->targets[t]->latency_us = 50.0 * USEC_PER_MSEC;
+            svc->targets[t]->latency_at_us = FIXTURE_NOW;
         }
         cases[i].change(svc->targets[1]);
         for (int n = 0; n < PICKS; n++) {
--- a/tests/unit/test-target-table.c
+++ b/tests/unit/test-target-table.c
@@ -89,7 +89,7 @@
 
         print_message("case: %s\n", c->name);
         target_start(t);
-        target_record_latency(t, 777);
+        target_record_latency(t, 777, FIXTURE_NOW);
         c->change(view);
         assert_true(target_table_apply_view(table, view, FIXTURE_NOW));
         config_view_destroy(view);
--- a/tools/balance-model.c
+++ b/tools/balance-model.c
@@ -582,7 +582,7 @@
     target_ref(t);
     target_finish(t);
     record_load(m, r, t);
-    target_record_latency(t, m->now - r->sent_us);
+    target_record_latency(t, m->now - r->sent_us, m->now);
     slot_window_on_answer(t, m->now);
     health_on_success(t);
     target_unref(t);
