--- /dev/null
+++ b/tests/unit/test-target-client.c
@@ -0,0 +1,259 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/bufferevent.h>
+
+#include "transport/target-client.h"
+
+#define LOOPBACK 0x7f000001
+#define BODY_MAX 64 /* bytes */
+#define LIMIT_S 5   /* no case takes longer */
+
+/* A server that answers every request with the same bytes, and may then close
+ * the connection. */
+struct server {
+    struct event_base *base;
+    struct evconnlistener *listener;
+    const char *answer; /* NULL: never answers */
+    bool closes;
+    unsigned connections;
+    uint16_t port;
+};
+
+struct outcome {
+    struct event_base *base;
+    unsigned ends;
+    enum error_kind kind;
+    bool sent;
+    int http_status;
+    size_t body_len;
+};
+
+static void
+on_written(struct bufferevent *bev, void *ctx)
+{
+    struct server *server = ctx;
+
+    if (server->closes) {
+        bufferevent_free(bev);
+    }
+}
+
+static void
+on_request(struct bufferevent *bev, void *ctx)
+{
+    struct server *server = ctx;
+    struct evbuffer *input = bufferevent_get_input(bev);
+
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (server->closes && server->answer[0] == '\0') {
+        bufferevent_free(bev);
+    }
+    else if (server->answer != NULL) {
+        bufferevent_write(bev, server->answer, strlen(server->answer));
+    }
+}
+
+static void
+on_gone(struct bufferevent *bev, short what, void *ctx)
+{
+    bufferevent_free(bev);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *addr, int len, void *ctx)
+{
+    struct server *server = ctx;
+    struct bufferevent *bev =
+        bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+    server->connections++;
+    bufferevent_setcb(bev, on_request, on_written, on_gone, server);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void
+start_server(struct server *server, struct event_base *base)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET};
+    socklen_t len = sizeof(sin);
+
+    sin.sin_addr.s_addr = htonl(LOOPBACK);
+    server->base = base;
+    server->listener =
+        evconnlistener_new_bind(base, on_accept, server, LEV_OPT_CLOSE_ON_FREE,
+                                -1, (struct sockaddr *)&sin, sizeof(sin));
+    assert_non_null(server->listener);
+    getsockname(evconnlistener_get_fd(server->listener),
+                (struct sockaddr *)&sin, &len);
+    server->port = ntohs(sin.sin_port);
+}
+
+static void
+on_end(void *ctx, enum error_kind kind, bool sent,
+       const struct target_response *response)
+{
+    struct outcome *out = ctx;
+
+    out->ends++;
+    out->kind = kind;
+    out->sent = sent;
+    if (response != NULL) {
+        out->http_status = response->http_status;
+        out->body_len = response->body_len;
+    }
+    event_base_loopbreak(out->base);
+}
+
+static void
+run_loop(struct event_base *base, int seconds)
+{
+    struct timeval limit = {.tv_sec = seconds};
+
+    event_base_loopexit(base, &limit);
+    event_base_dispatch(base);
+}
+
+static const struct {
+    const char *name;
+    const char *answer;
+    bool closes;
+    bool refused; /* nobody listens */
+    enum error_kind kind;
+    bool sent;
+    size_t body_len;
+} cases[] = {
+    {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false, false,
+     ERR_NONE, true, 2},
+    {"shed",
+     "HTTP/1.1 503 No\r\nX-Outcome: not_run\r\nContent-Length: 0\r\n\r\n",
+     false, false, ERR_NONE, true, 0},
+    {"longer than it says it is allowed to be",
+     "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhi", false, false,
+     ERR_TARGET_BAD_ANSWER, true, 0},
+    {"shorter than it says", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi",
+     true, false, ERR_TARGET_LOST, true, 0},
+    {"no HTTP", "hello\r\n\r\n", false, false, ERR_TARGET_BAD_ANSWER, true, 0},
+    {"closed without an answer", "", true, false, ERR_TARGET_LOST, true, 0},
+    {"nobody listens", "", false, true, ERR_TARGET_LOST, false, 0},
+};
+
+static void
+test_ends(void **state)
+{
+    struct target_request request = {
+        .method = "POST", .path = "/run", .service = "rigctl"};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct event_base *base = event_base_new();
+        struct server server = {.answer = cases[i].answer,
+                                .closes = cases[i].closes};
+        struct outcome out = {.base = base};
+        struct endpoint where = {.addr = LOOPBACK};
+        struct target_client *tc;
+
+        print_message("case: %s\n", cases[i].name);
+        start_server(&server, base);
+        where.port = server.port;
+        if (cases[i].refused) {
+            evconnlistener_free(server.listener);
+        }
+        tc = target_client_new(base, &where, 4, BODY_MAX);
+        assert_non_null(target_client_call(tc, &request, on_end, NULL, &out));
+        run_loop(base, LIMIT_S);
+        assert_int_equal(out.ends, 1);
+        assert_int_equal(out.kind, cases[i].kind);
+        assert_int_equal(out.sent, cases[i].sent);
+        assert_int_equal(out.body_len, cases[i].body_len);
+        assert_int_equal(target_client_busy(tc), 0);
+        target_client_destroy(tc);
+        if (!cases[i].refused) {
+            evconnlistener_free(server.listener);
+        }
+        event_base_free(base);
+    }
+}
+
+/* A connection is used again, and no more are opened than allowed. */
+static void
+test_reuse_and_bound(void **state)
+{
+    struct event_base *base = event_base_new();
+    struct server server = {
+        .answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"};
+    struct outcome out = {.base = base};
+    struct target_request request = {
+        .method = "GET", .path = "/", .service = "rigctl"};
+    struct endpoint where = {.addr = LOOPBACK};
+    struct target_client *tc;
+
+    start_server(&server, base);
+    where.port = server.port;
+    tc = target_client_new(base, &where, 1, BODY_MAX);
+    for (unsigned i = 1; i <= 3; i++) {
+        assert_non_null(target_client_call(tc, &request, on_end, NULL, &out));
+        assert_null(target_client_call(tc, &request, on_end, NULL, &out));
+        run_loop(base, LIMIT_S);
+        assert_int_equal(out.ends, i);
+    }
+    assert_int_equal(server.connections, 1);
+    target_client_destroy(tc);
+    evconnlistener_free(server.listener);
+    event_base_free(base);
+}
+
+/* A call that was given up reports nothing, and its connection is not used
+ * again: the target may have lost track of it. */
+static void
+test_cancel(void **state)
+{
+    struct event_base *base = event_base_new();
+    struct server server = {.answer = NULL};
+    struct outcome out = {.base = base};
+    struct target_request request = {
+        .method = "POST", .path = "/run", .service = "rigctl"};
+    struct endpoint where = {.addr = LOOPBACK};
+    struct target_client *tc;
+    struct target_call *call;
+
+    start_server(&server, base);
+    where.port = server.port;
+    tc = target_client_new(base, &where, 4, BODY_MAX);
+    call = target_client_call(tc, &request, on_end, NULL, &out);
+    run_loop(base, 1);
+    assert_int_equal(server.connections, 1);
+    target_call_cancel(call);
+    assert_int_equal(target_client_open(tc), 0);
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    assert_non_null(target_client_call(tc, &request, on_end, NULL, &out));
+    run_loop(base, LIMIT_S);
+    assert_int_equal(out.ends, 1);
+    assert_int_equal(server.connections, 2);
+    target_client_destroy(tc);
+    evconnlistener_free(server.listener);
+    event_base_free(base);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_ends),
+        cmocka_unit_test(test_reuse_and_bound),
+        cmocka_unit_test(test_cancel),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
