protocol: an empty text of a gossip message has no pointer; sanitizers stop a test

Undefined behaviour was only printed, so that test-gossip-codec passed in spite of two findings (memchr and memcpy with NULL and size 0). The server of test-target-client frees its connections.

--- a/src/protocol/gossip-codec.c
+++ b/src/protocol/gossip-codec.c
@@ -319,7 +319,8 @@
         return;
     }
     msgpack_unpacked_init(&result);
-    if (next_object(in, &result)) {
+    /* An empty text has no pointer. */
+    if (next_object(in, &result) && str->size > 0) {
         if (str->size >= ID_SIZE ||
             memchr(str->ptr, '\0', str->size) != NULL) {
             in->failed = true;
--- a/tests/unit/test-target-client.c
+++ b/tests/unit/test-target-client.c
@@ -17,8 +17,9 @@
 #include "transport/target-client.h"
 
 #define LOOPBACK 0x7f000001
-#define BODY_MAX 64 /* bytes */
-#define LIMIT_S 5   /* no case takes longer */
+#define BODY_MAX 64       /* bytes */
+#define CONNECTIONS_MAX 8 /* in a case */
+#define LIMIT_S 5         /* no case takes longer */
 
 /* A server that answers every request with the same bytes, and may then close
  * the connection. */
@@ -28,6 +29,7 @@
     const char *answer; /* NULL: never answers */
     bool closes;
     unsigned connections;
+    struct bufferevent *open[CONNECTIONS_MAX];
     uint16_t port;
 };
 
@@ -40,13 +42,24 @@
     size_t body_len;
 };
 
+static void
+close_connection(struct server *server, struct bufferevent *bev)
+{
+    for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
+        if (server->open[i] == bev) {
+            server->open[i] = NULL;
+        }
+    }
+    bufferevent_free(bev);
+}
+
 static void
 on_written(struct bufferevent *bev, void *ctx)
 {
     struct server *server = ctx;
 
     if (server->closes) {
-        bufferevent_free(bev);
+        close_connection(server, bev);
     }
 }
 
@@ -58,7 +71,7 @@
 
     evbuffer_drain(input, evbuffer_get_length(input));
     if (server->closes && server->answer[0] == '\0') {
-        bufferevent_free(bev);
+        close_connection(server, bev);
     }
     else if (server->answer != NULL) {
         bufferevent_write(bev, server->answer, strlen(server->answer));
@@ -68,7 +81,7 @@
 static void
 on_gone(struct bufferevent *bev, short what, void *ctx)
 {
-    bufferevent_free(bev);
+    close_connection(ctx, bev);
 }
 
 static void
@@ -79,6 +92,8 @@
     struct bufferevent *bev =
         bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 
+    assert_true(server->connections < CONNECTIONS_MAX);
+    server->open[server->connections] = bev;
     server->connections++;
     bufferevent_setcb(bev, on_request, on_written, on_gone, server);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
@@ -101,6 +116,24 @@
     server->port = ntohs(sin.sin_port);
 }
 
+/* Frees what belongs to a case. The loop turns once, because libevent frees
+ * connections from there. */
+static void
+stop(struct server *server, struct target_client *tc)
+{
+    target_client_destroy(tc);
+    for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
+        if (server->open[i] != NULL) {
+            bufferevent_free(server->open[i]);
+        }
+    }
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+    }
+    event_base_loop(server->base, EVLOOP_NONBLOCK);
+    event_base_free(server->base);
+}
+
 static void
 on_end(void *ctx, enum error_kind kind, bool sent,
        const struct target_response *response)
@@ -169,6 +202,7 @@
         where.port = server.port;
         if (cases[i].refused) {
             evconnlistener_free(server.listener);
+            server.listener = NULL;
         }
         tc = target_client_new(base, &where, 4, BODY_MAX);
         assert_non_null(target_client_call(tc, &request, on_end, NULL, &out));
@@ -178,11 +212,7 @@
         assert_int_equal(out.sent, cases[i].sent);
         assert_int_equal(out.body_len, cases[i].body_len);
         assert_int_equal(target_client_busy(tc), 0);
-        target_client_destroy(tc);
-        if (!cases[i].refused) {
-            evconnlistener_free(server.listener);
-        }
-        event_base_free(base);
+        stop(&server, tc);
     }
 }
 
@@ -209,9 +239,7 @@
         assert_int_equal(out.ends, i);
     }
     assert_int_equal(server.connections, 1);
-    target_client_destroy(tc);
-    evconnlistener_free(server.listener);
-    event_base_free(base);
+    stop(&server, tc);
 }
 
 /* A call that was given up reports nothing, and its connection is not used
@@ -241,9 +269,7 @@
     run_loop(base, LIMIT_S);
     assert_int_equal(out.ends, 1);
     assert_int_equal(server.connections, 2);
-    target_client_destroy(tc);
-    evconnlistener_free(server.listener);
-    event_base_free(base);
+    stop(&server, tc);
 }
 
 int
