--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -14,7 +14,7 @@
 #define PROBE_FIRST_INTERVAL_US (500 * USEC_PER_MSEC)
 #define PROBE_TIMEOUT_US (1 * USEC_PER_SEC)
 #define PROBES_PER_PASS 200 /* of targets that are not verified yet */
-/* Probes of verified targets, at about 400 bytes each, take a part of the
+/* Probes of verified targets, at about 270 bytes each, take a part of the
  * 10 KB a second that all control traffic of a balancer may take. With many
  * targets each is probed more seldom. */
 #define PROBES_PER_SECOND 10
--- a/tests/standins/standin-common.c
+++ b/tests/standins/standin-common.c
@@ -117,6 +117,26 @@
     evbuffer_free(out);
 }
 
+void
+standin_take_order(struct evhttp_request *req, standin_member_cb member)
+{
+    json_t *order = standin_request_json(req);
+    const char *name;
+    json_t *value;
+    bool ok = json_is_object(order);
+
+    json_object_foreach(order, name, value)
+    {
+        ok = member(order, name, value) && ok;
+    }
+    json_decref(order);
+    if (!ok) {
+        evhttp_send_error(req, HTTP_BADREQUEST, "order not understood");
+        return;
+    }
+    standin_reply_json(req, HTTP_OK, json_pack("{s:b}", "ok", 1));
+}
+
 /* The loop sees the shut-down socket as closed by the other side and frees
  * the connection itself, at a moment when nobody uses it. */
 void
--- a/tests/standins/standin-common.h
+++ b/tests/standins/standin-common.h
@@ -43,6 +43,14 @@
 /* Answers with a JSON body and takes its ownership. */
 void standin_reply_json(struct evhttp_request *req, int code, json_t *body);
 
+/* Carries out one member of an order; false when it is not understood. */
+typedef bool (*standin_member_cb)(const json_t *order, const char *name,
+                                  const json_t *value);
+
+/* Carries out the order that a request holds, member by member, and answers
+ * it: 400 when a member was not understood. */
+void standin_take_order(struct evhttp_request *req, standin_member_cb member);
+
 /* Closes a request's connection without an answer. */
 void standin_request_abort(struct evhttp_request *req);
 
--- a/tests/standins/standin-fabric.c
+++ b/tests/standins/standin-fabric.c
@@ -340,7 +340,7 @@
 }
 
 static bool
-control_member(const char *name, const json_t *value)
+control_member(const json_t *order, const char *name, const json_t *value)
 {
     const struct {
         const char *name;
@@ -399,27 +399,16 @@
 handle_control(struct evhttp_request *req, void *ctx)
 {
     const char *path = evhttp_request_get_uri(req);
-    json_t *order;
-    const char *name;
-    json_t *value;
-    bool ok;
 
     if (strcmp(path, "/control/stats") == 0) {
         standin_reply_json(req, HTTP_OK, stats_json());
         return;
     }
-    order = standin_request_json(req);
-    ok = strcmp(path, "/control") == 0 && json_is_object(order);
-    json_object_foreach(order, name, value)
-    {
-        ok = control_member(name, value) && ok;
-    }
-    json_decref(order);
-    if (!ok) {
+    if (strcmp(path, "/control") != 0) {
         evhttp_send_error(req, HTTP_BADREQUEST, "order not understood");
         return;
     }
-    standin_reply_json(req, HTTP_OK, json_pack("{s:b}", "ok", 1));
+    standin_take_order(req, control_member);
 }
 
 static void
--- a/tests/standins/standin-store.c
+++ b/tests/standins/standin-store.c
@@ -607,22 +607,8 @@
 static void
 control(struct evhttp_request *req)
 {
-    json_t *order = standin_request_json(req);
-    const char *name;
-    json_t *value;
-    bool ok = json_is_object(order);
-
-    json_object_foreach(order, name, value)
-    {
-        ok = control_member(order, name, value) && ok;
-    }
-    json_decref(order);
+    standin_take_order(req, control_member);
     watches_deliver();
-    if (!ok) {
-        evhttp_send_error(req, HTTP_BADREQUEST, "order not understood");
-        return;
-    }
-    standin_reply_json(req, HTTP_OK, json_pack("{s:b}", "ok", 1));
 }
 
 static void
--- a/tests/standins/standin-target.c
+++ b/tests/standins/standin-target.c
@@ -114,7 +114,7 @@
 }
 
 static bool
-control_member(const char *name, const json_t *value)
+control_member(const json_t *order, const char *name, const json_t *value)
 {
     if (control_flag(name, value)) {
         return true;
@@ -143,26 +143,6 @@
     return false;
 }
 
-static void
-control(struct evhttp_request *req)
-{
-    json_t *order = standin_request_json(req);
-    const char *name;
-    json_t *value;
-    bool ok = json_is_object(order);
-
-    json_object_foreach(order, name, value)
-    {
-        ok = control_member(name, value) && ok;
-    }
-    json_decref(order);
-    if (!ok) {
-        evhttp_send_error(req, HTTP_BADREQUEST, "order not understood");
-        return;
-    }
-    standin_reply_json(req, HTTP_OK, json_pack("{s:b}", "ok", 1));
-}
-
 /* A request must name this target's service as its host. */
 static bool
 is_misdirected(struct evhttp_request *req)
@@ -197,7 +177,7 @@
     bool is_health = strcmp(path, "/health") == 0;
 
     if (strcmp(path, "/control") == 0) {
-        control(req);
+        standin_take_order(req, control_member);
     }
     else if (strcmp(path, "/control/stats") == 0) {
         stats(req);
