--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -17,6 +17,12 @@
     return clock_read_us(CLOCK_MONOTONIC);
 }
 
+uint64_t
+clock_boot_us(void)
+{
+    return clock_read_us(CLOCK_BOOTTIME);
+}
+
 uint64_t
 clock_wall_us(void)
 {
--- /dev/null
+++ b/src/coordination/view-message.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/view-news.h"
+
+/* Messages between forwarders about what they hold, in decoded form;
+ * protocol/view-codec.h puts them on the wire. All are one-way. */
+
+enum view_message_kind {
+    VIEW_NEWS = 1, /* what changed, and when the store confirmed it */
+    VIEW_PULL,     /* please send what changed after "news.from" */
+    VIEW_MESSAGE_KIND_END,
+};
+
+/* Where a balancer stands in the order of who watches the store: 0 is first,
+ * VIEW_POSITION_END comes after the last. */
+#define VIEW_POSITION_END 65536U
+
+struct view_message {
+    enum view_message_kind kind;
+    uint32_t sender_addr; /* of its gossip endpoint */
+    uint16_t sender_port;
+    bool pass_on;      /* the receiver tells its neighbours */
+    bool confirmed;    /* "age_us" holds */
+    uint64_t age_us;   /* since the store confirmed the news */
+    uint32_t position; /* of the balancer that asked the store */
+    struct view_news news;
+};
--- /dev/null
+++ b/src/coordination/view-sync.c
@@ -0,0 +1,320 @@
+#include "coordination/view-sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+/* Up to this many members are told directly, without passing on. */
+#define DIRECT_MEMBERS_MAX 16
+#define PEERS_MAX 32
+/* A member heard within this time has a connection with us. */
+#define HEARD_RECENTLY_US (2500 * USEC_PER_MSEC)
+#define PULL_INTERVAL_US (100 * USEC_PER_MSEC)
+/* Confirmations closer to the last one are not passed on. */
+#define PASS_ON_STEP_US (50 * USEC_PER_MSEC)
+/* Salt of the rendezvous order of watchers. */
+#define WATCHER_SALT 0x77617463686572ULL
+/* Position of a balancer that does not know the others yet. */
+#define POSITION_UNSETTLED 0.5
+
+struct view_sync {
+    struct forward_view *view;
+    struct membership *members;
+    struct freshness *freshness;
+    struct target_absence *absence;
+    struct random *random;
+    struct view_sync_callbacks cb;
+    uint64_t next_pull;
+};
+
+struct view_sync *
+view_sync_new(struct forward_view *view, struct membership *members,
+              struct freshness *freshness, struct target_absence *absence,
+              struct random *random, const struct view_sync_callbacks *cb)
+{
+    struct view_sync *vs = calloc(1, sizeof(*vs));
+
+    if (vs == NULL) {
+        return NULL;
+    }
+    vs->view = view;
+    vs->members = members;
+    vs->freshness = freshness;
+    vs->absence = absence;
+    vs->random = random;
+    vs->cb = *cb;
+    return vs;
+}
+
+void
+view_sync_destroy(struct view_sync *vs)
+{
+    free(vs);
+}
+
+/* Place of the own failure domain among those with a live member, by
+ * rendezvous score. "count" gets their number. Members of one domain stand
+ * together in the table only by chance, so a domain counts by its member that
+ * comes first in the table. */
+static size_t
+domain_rank(const struct view_sync *vs, size_t *count)
+{
+    const struct member_info *self = membership_self(vs->members);
+    uint64_t own = random_mix(WATCHER_SALT, id_hash(self->domain));
+    uint64_t seen[PEERS_MAX];
+    size_t seen_count = 0;
+    size_t rank = 0;
+
+    list_for_each (it, &membership_table(vs->members)->all) {
+        const struct member *m = container_of(it, struct member, link);
+        uint64_t score = random_mix(WATCHER_SALT, id_hash(m->info.domain));
+        bool known = m->local || m->info.state != MEMBER_ALIVE;
+
+        for (size_t i = 0; i < seen_count && !known; i++) {
+            known = seen[i] == score;
+        }
+        if (known || seen_count == PEERS_MAX) {
+            continue;
+        }
+        seen[seen_count] = score;
+        seen_count++;
+        rank += score < own;
+    }
+    *count = seen_count + 1;
+    return rank;
+}
+
+double
+view_sync_position(const struct view_sync *vs, uint64_t now)
+{
+    size_t domains;
+    size_t domain = domain_rank(vs, &domains);
+    size_t rank = membership_rank(vs->members, WATCHER_SALT);
+    size_t size = 1 + member_table_count(membership_table(vs->members),
+                                         MEMBER_ALIVE, true);
+    double position =
+        ((double)domain + (double)rank / (double)size) / (double)domains;
+
+    if (!membership_settled(vs->members, now) && position <= 0.0) {
+        return POSITION_UNSETTLED;
+    }
+    return position;
+}
+
+static void
+message_init(const struct view_sync *vs, struct view_message *m,
+             enum view_message_kind kind)
+{
+    const struct member_info *self = membership_self(vs->members);
+
+    memset(m, 0, sizeof(*m));
+    m->kind = kind;
+    m->sender_addr = self->addr;
+    m->sender_port = self->port;
+    view_news_init(&m->news);
+}
+
+/* Fills in when the store last answered. "position" is that of the balancer
+ * that asked it. */
+static void
+message_confirm(const struct view_sync *vs, struct view_message *m,
+                double position, uint64_t now)
+{
+    uint64_t age = freshness_age(vs->freshness, now);
+
+    m->confirmed = age != UINT64_MAX;
+    m->age_us = m->confirmed ? age : 0;
+    m->position = (uint32_t)(position * VIEW_POSITION_END);
+}
+
+static bool
+connected(const struct member *m, uint64_t now)
+{
+    return m->neighbor ||
+           (m->heard != 0 && now - m->heard < HEARD_RECENTLY_US);
+}
+
+/* Collects whom to tell: all live members of a small fleet, otherwise those
+ * with whom heartbeats are exchanged. */
+static size_t
+collect_peers(const struct view_sync *vs, bool all, uint64_t now,
+              const struct member *peers[PEERS_MAX])
+{
+    size_t count = 0;
+
+    list_for_each (it, &membership_table(vs->members)->all) {
+        const struct member *m = container_of(it, struct member, link);
+
+        if (m->info.state == MEMBER_ALIVE && (all || connected(m, now)) &&
+            count < PEERS_MAX) {
+            peers[count] = m;
+            count++;
+        }
+    }
+    return count;
+}
+
+static bool
+fleet_is_small(const struct view_sync *vs)
+{
+    return membership_table(vs->members)->count <= DIRECT_MEMBERS_MAX;
+}
+
+/* Tells the peers, but for the one that told us. */
+static void
+tell_peers(struct view_sync *vs, struct view_message *m, uint32_t from_addr,
+           uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    bool small = fleet_is_small(vs);
+    size_t count = collect_peers(vs, small, now, peers);
+
+    m->pass_on = !small;
+    for (size_t i = 0; i < count; i++) {
+        if (peers[i]->info.addr != from_addr) {
+            vs->cb.send(vs->cb.ctx, peers[i]->info.addr, peers[i]->info.port,
+                        m);
+        }
+    }
+}
+
+/* Takes news that the store gave "age_us" ago, and its confirmation. Returns
+ * false when something may be missing in between. */
+static bool
+take(struct view_sync *vs, const struct view_news *news, bool confirms,
+     uint64_t at, uint64_t now)
+{
+    uint64_t age = freshness_age(vs->freshness, at);
+
+    if (confirms) {
+        target_absence_answered(vs->absence, age, now);
+    }
+    if (!forward_view_apply(vs->view, news, now)) {
+        return false;
+    }
+    if (confirms) {
+        freshness_confirm(vs->freshness, at);
+    }
+    vs->cb.changed(vs->cb.ctx);
+    return true;
+}
+
+bool
+view_sync_store_answered(struct view_sync *vs, const struct view_news *news,
+                         bool confirms, uint64_t at)
+{
+    uint64_t before = forward_view_revision(vs->view);
+    struct view_message m;
+
+    if (!take(vs, news, confirms, at, at)) {
+        return false;
+    }
+    if (!confirms) {
+        return true;
+    }
+    message_init(vs, &m, VIEW_NEWS);
+    message_confirm(vs, &m, view_sync_position(vs, at), at);
+    forward_view_since(vs->view, before, at, &m.news);
+    tell_peers(vs, &m, 0, at);
+    view_news_clear(&m.news);
+    return true;
+}
+
+static void
+send_pull(struct view_sync *vs, uint32_t addr, uint16_t port)
+{
+    struct view_message m;
+
+    message_init(vs, &m, VIEW_PULL);
+    m.news.from = forward_view_revision(vs->view);
+    vs->cb.send(vs->cb.ctx, addr, port, &m);
+    view_news_clear(&m.news);
+}
+
+static void
+answer_pull(struct view_sync *vs, const struct view_message *pull,
+            uint64_t now)
+{
+    struct view_message m;
+
+    if (forward_view_revision(vs->view) == 0) {
+        return;
+    }
+    message_init(vs, &m, VIEW_NEWS);
+    /* Not to be taken for a sign of a watcher: the position is the last. */
+    message_confirm(vs, &m, 1.0, now);
+    forward_view_since(vs->view, pull->news.from, now, &m.news);
+    vs->cb.send(vs->cb.ctx, pull->sender_addr, pull->sender_port, &m);
+    view_news_clear(&m.news);
+}
+
+static void
+on_news(struct view_sync *vs, const struct view_message *m, uint64_t now)
+{
+    uint64_t at = now - m->age_us;
+    uint64_t before = forward_view_revision(vs->view);
+    uint64_t known = vs->freshness->confirmed_at;
+    double own = view_sync_position(vs, now) * VIEW_POSITION_END;
+    bool newer;
+
+    if (m->confirmed && m->age_us >= now) {
+        return;
+    }
+    if (!take(vs, &m->news, m->confirmed, at, now)) {
+        send_pull(vs, m->sender_addr, m->sender_port);
+        return;
+    }
+    if (m->confirmed && (double)m->position < own) {
+        freshness_heard(vs->freshness, at);
+    }
+    newer = forward_view_revision(vs->view) > before ||
+            (m->confirmed && at > known + PASS_ON_STEP_US);
+    if (m->pass_on && newer) {
+        struct view_message on;
+
+        message_init(vs, &on, VIEW_NEWS);
+        message_confirm(vs, &on, (double)m->position / VIEW_POSITION_END, now);
+        forward_view_since(vs->view, before == 0 ? m->news.from : before, now,
+                           &on.news);
+        tell_peers(vs, &on, m->sender_addr, now);
+        view_news_clear(&on.news);
+    }
+}
+
+void
+view_sync_receive(struct view_sync *vs, const struct view_message *m,
+                  uint64_t now)
+{
+    if (m->kind == VIEW_NEWS) {
+        on_news(vs, m, now);
+    }
+    else {
+        answer_pull(vs, m, now);
+    }
+}
+
+/* Asks a live member for what it knows. */
+void
+view_sync_ask(struct view_sync *vs, uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    size_t count = collect_peers(vs, true, now, peers);
+    uint32_t drawn;
+
+    if (count == 0) {
+        return;
+    }
+    drawn = random_below(vs->random, (uint32_t)count);
+    send_pull(vs, peers[drawn]->info.addr, peers[drawn]->info.port);
+}
+
+/* Asks when the news are late. */
+void
+view_sync_tick(struct view_sync *vs, uint64_t now)
+{
+    if (now >= vs->next_pull && freshness_should_pull(vs->freshness, now)) {
+        vs->next_pull = now + PULL_INTERVAL_US;
+        view_sync_ask(vs, now);
+    }
+}
--- /dev/null
+++ b/src/daemon/forward-task.c
@@ -0,0 +1,383 @@
+#include "daemon/forward-task.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#define LOG_MODULE "forward"
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/flow-placement.h"
+#include "coordination/passive-health.h"
+#include "state/recent-flows.h"
+
+/* Flows whose packets are told apart from retransmissions. */
+#define RECENT_FLOWS_MAX 16384
+/* A flow that is silent for longer begins anew here; its packets still find
+ * their target. */
+#define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
+#define EXPIRE_INTERVAL_S 1
+/* Times that a caller has sent the same data to a target whose entry is gone,
+ * from which on its flow is reset. */
+#define GONE_REPEATS 1
+
+struct forward_task {
+    const struct flow_packet_format *format;
+    struct forward_view *view;
+    struct forward_callbacks cb;
+    const char *domain; /* interned */
+    uint64_t flow_max_us;
+    uint64_t started;
+    uint16_t return_port; /* at which callers receive packets */
+    struct udp_socket *socket;
+    struct event *expire;
+    struct recent_flows *flows;
+    struct random random;
+    struct forward_counters counters;
+};
+
+/* One packet on its way through. */
+struct inbound_packet {
+    struct flow_packet packet;
+    uint8_t *data;
+    size_t size;
+    uint64_t now;
+};
+
+static void
+drop(struct forward_task *task, enum forward_drop why)
+{
+    task->counters.drops[why]++;
+}
+
+/* Tells the caller at once that its flow is over. Of an opening this says that
+ * nothing was run. */
+static void
+reset(struct forward_task *task, const struct inbound_packet *in,
+      enum forward_reset why)
+{
+    const struct endpoint caller = {in->packet.src_addr, task->return_port};
+    uint8_t out[FLOW_PACKET_MAX];
+    size_t size = task->format->make_reset(&in->packet, out);
+
+    task->counters.resets[why]++;
+    udp_socket_send(task->socket, &caller, out, size);
+}
+
+static void
+send_to_target(struct forward_task *task, const struct inbound_packet *in,
+               const struct forward_target *target)
+{
+    const struct endpoint to = {target->record.addr, target->record.port};
+
+    if (udp_socket_send_parts(task->socket, &to, target->record.tag,
+                              TARGET_TAG_SIZE, in->data, in->size)) {
+        task->counters.passed_on++;
+    }
+    else {
+        drop(task, FORWARD_DROP_NOT_SENT);
+    }
+}
+
+static struct recent_flow_key
+flow_key(const struct flow_packet *packet)
+{
+    return (struct recent_flow_key){
+        .caller_addr = packet->src_addr,
+        .caller_port = packet->src_port,
+        .route_addr = packet->dst_addr,
+        .route_port = packet->dst_port,
+    };
+}
+
+/* A copy of an opening: those that got the earlier ones did not answer in
+ * time. */
+static void
+note_misses(struct forward_task *task, struct recent_flow *flow, uint64_t now)
+{
+    struct forward_target *target;
+
+    if (flow->tried_count == 0 || flow->open) {
+        return;
+    }
+    target =
+        forward_view_target(task->view, flow->tried[flow->tried_count - 1]);
+    if (target != NULL) {
+        passive_health_missed(&target->signs, flow->sent_at, now);
+    }
+}
+
+static void
+note_tried(struct recent_flow *flow, uint32_t cookie, uint64_t now)
+{
+    if (flow->tried_count < RECENT_TRIED_MAX) {
+        flow->tried[flow->tried_count] = cookie;
+        flow->tried_count++;
+    }
+    flow->sent_at = now;
+}
+
+/* A caller opens a flow, or tries again to. A port that is used anew begins
+ * with the first copy. */
+static struct recent_flow *
+touch_opening(struct forward_task *task, const struct inbound_packet *in)
+{
+    struct recent_flow_key key = flow_key(&in->packet);
+    struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
+
+    if (in->packet.ack == 0) {
+        task->counters.openings++;
+        flow->open = false;
+        flow->cookie = 0;
+        flow->tried_count = 0;
+        flow->repeats = 0;
+        flow->waiting = false;
+        flow->seq_end = in->packet.seq + 1;
+        flow->ack = 0;
+    }
+    else {
+        task->counters.opening_copies++;
+        note_misses(task, flow, in->now);
+    }
+    return flow;
+}
+
+static void
+handle_opening(struct forward_task *task, struct inbound_packet *in)
+{
+    const struct forward_route *route = forward_view_route(
+        task->view, in->packet.dst_addr, in->packet.dst_port);
+    struct placement_request request = {.domain = task->domain,
+                                        .now = in->now};
+    struct recent_flow *flow;
+    struct forward_target *target;
+    const char *service;
+
+    if (route == NULL) {
+        reset(task, in, FORWARD_RESET_NO_ROUTE);
+        return;
+    }
+    flow = touch_opening(task, in);
+    service = placement_service(&route->record,
+                                XXH64(&flow->key, sizeof(flow->key), 0));
+    request.service =
+        service == NULL ? NULL : forward_view_service(task->view, service);
+    request.tried = flow->tried;
+    request.tried_count = flow->tried_count;
+    target = placement_choose(&request, &task->random);
+    if (target == NULL) {
+        reset(task, in, FORWARD_RESET_NO_TARGET);
+        return;
+    }
+    if (passive_health_avoid(&target->signs, in->now)) {
+        passive_health_tried(&target->signs, in->now);
+    }
+    passive_health_sent(&target->signs, in->now);
+    note_tried(flow, target->cookie, in->now);
+    task->format->set_cookie(in->data, target->cookie);
+    send_to_target(task, in, target);
+}
+
+/* Learns from a packet of an open flow. The caller's first packet shows that
+ * the target answered the opening, a higher acknowledgement that it answered
+ * since, and data that comes again that it has not. */
+static void
+observe(struct forward_task *task, const struct inbound_packet *in,
+        struct forward_target *target)
+{
+    struct recent_flow_key key = flow_key(&in->packet);
+    struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
+    const struct flow_packet *packet = &in->packet;
+    uint32_t seq_end = packet->seq + packet->length;
+    bool first = !flow->open || flow->cookie != target->cookie;
+
+    if (first) {
+        flow->open = true;
+        flow->cookie = target->cookie;
+        flow->ack = packet->ack;
+        flow->seq_end = packet->seq;
+        flow->repeats = 0;
+    }
+    if (first || (int32_t)(packet->ack - flow->ack) > 0) {
+        flow->ack = packet->ack;
+        flow->repeats = 0;
+        passive_health_answered(&target->signs, in->now);
+    }
+    if (packet->length == 0) {
+        return;
+    }
+    if ((int32_t)(seq_end - flow->seq_end) > 0) {
+        flow->seq_end = seq_end;
+        task->counters.requests++;
+        passive_health_sent(&target->signs, in->now);
+    }
+    else {
+        task->counters.repeats++;
+        flow->repeats =
+            flow->repeats == UINT8_MAX ? UINT8_MAX : flow->repeats + 1;
+    }
+}
+
+/* Whether the flow's target is gone for good: its entry is, and the caller
+ * has had no answer. A target whose entry is gone may still be reachable, so
+ * packets are passed on until then. */
+static bool
+target_is_lost(struct forward_task *task, const struct inbound_packet *in,
+               const struct forward_target *target)
+{
+    struct recent_flow_key key = flow_key(&in->packet);
+    const struct recent_flow *flow = recent_flows_find(task->flows, &key);
+
+    return target->presence == TARGET_GONE && flow != NULL &&
+           flow->repeats >= GONE_REPEATS;
+}
+
+/* The history of a route's services is known back to the start of this
+ * process; before that any service may have been its own. */
+static bool
+is_forged(const struct forward_task *task, const struct forward_route *route,
+          const struct forward_target *target, uint64_t now)
+{
+    uint64_t since = now > task->flow_max_us ? now - task->flow_max_us : 0;
+
+    if (since < task->started) {
+        return false;
+    }
+    return !forward_route_had(route, target->record.service, since);
+}
+
+static void
+handle_open_flow(struct forward_task *task, const struct inbound_packet *in)
+{
+    const struct flow_packet *packet = &in->packet;
+    const struct forward_route *route =
+        forward_view_route(task->view, packet->dst_addr, packet->dst_port);
+    struct forward_target *target;
+
+    if (route == NULL) {
+        if ((packet->flags & FLOW_RST) != 0) {
+            drop(task, FORWARD_DROP_NO_ROUTE);
+            return;
+        }
+        reset(task, in, FORWARD_RESET_NO_ROUTE);
+        return;
+    }
+    target = packet->cookie == 0
+                 ? NULL
+                 : forward_view_target(task->view, packet->cookie);
+    if (target == NULL) {
+        drop(task, FORWARD_DROP_UNKNOWN);
+        task->cb.unknown_target(task->cb.ctx);
+        return;
+    }
+    if (is_forged(task, route, target, in->now)) {
+        drop(task, FORWARD_DROP_FORGED);
+        return;
+    }
+    observe(task, in, target);
+    if (target_is_lost(task, in, target)) {
+        reset(task, in, FORWARD_RESET_TARGET_GONE);
+        return;
+    }
+    send_to_target(task, in, target);
+}
+
+static void
+on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
+            size_t size, uint64_t queued_us)
+{
+    struct forward_task *task = ctx;
+    struct inbound_packet in = {.size = size, .now = clock_monotonic_us()};
+    uint8_t copy[FLOW_PACKET_MAX];
+
+    task->counters.received++;
+    if (size > sizeof(copy) || !task->format->parse(data, size, &in.packet)) {
+        drop(task, FORWARD_DROP_MALFORMED);
+        return;
+    }
+    if ((in.packet.flags & FLOW_SYN) != 0) {
+        memcpy(copy, data, size);
+        in.data = copy;
+        handle_opening(task, &in);
+        return;
+    }
+    in.data = (uint8_t *)data;
+    handle_open_flow(task, &in);
+}
+
+static void
+on_expire(evutil_socket_t fd, short what, void *arg)
+{
+    struct forward_task *task = arg;
+    uint64_t now = clock_monotonic_us();
+
+    recent_flows_expire(task->flows, now - RECENT_FLOW_IDLE_US);
+}
+
+static bool
+open_task(struct forward_task *task, struct event_base *base,
+          const struct forward_settings *settings, struct status *st)
+{
+    const struct timeval interval = {.tv_sec = EXPIRE_INTERVAL_S};
+
+    task->flows = recent_flows_new(RECENT_FLOWS_MAX);
+    task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
+    if (task->flows == NULL || task->expire == NULL) {
+        status_set(st, ERR_NO_MEMORY, "forward: out of memory");
+        return false;
+    }
+    event_add(task->expire, &interval);
+    task->socket =
+        udp_socket_new(base, NULL, &settings->packets, on_datagram, task, st);
+    return task->socket != NULL;
+}
+
+struct forward_task *
+forward_task_new(struct event_base *base,
+                 const struct forward_settings *settings,
+                 const struct flow_packet_format *format,
+                 struct forward_view *view, const struct forward_callbacks *cb,
+                 struct status *st)
+{
+    struct forward_task *task = calloc(1, sizeof(*task));
+
+    if (task == NULL) {
+        status_set(st, ERR_NO_MEMORY, "forward: out of memory");
+        return NULL;
+    }
+    task->format = format;
+    task->view = view;
+    task->cb = *cb;
+    task->domain = g_intern_string(settings->domain);
+    task->flow_max_us = settings->flow_max_us;
+    task->started = clock_monotonic_us();
+    task->return_port = settings->packets.port;
+    random_seed(&task->random, randombytes_random());
+    if (!open_task(task, base, settings, st)) {
+        forward_task_destroy(task);
+        return NULL;
+    }
+    return task;
+}
+
+void
+forward_task_destroy(struct forward_task *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    udp_socket_destroy(task->socket);
+    if (task->expire != NULL) {
+        event_free(task->expire);
+    }
+    recent_flows_destroy(task->flows);
+    free(task);
+}
+
+const struct forward_counters *
+forward_task_counters(const struct forward_task *task)
+{
+    return &task->counters;
+}
--- /dev/null
+++ b/src/daemon/forward-task.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "base/status.h"
+#include "daemon/forward-settings.h"
+#include "protocol/flow-packet.h"
+#include "state/forward-view.h"
+#include "transport/udp-socket.h"
+
+/* Takes callers' packets and sends each to its target. The targets answer the
+ * callers directly, so nothing comes back this way. */
+struct forward_task;
+
+struct forward_callbacks {
+    /* A packet named a target that is not known. */
+    void (*unknown_target)(void *ctx);
+    void *ctx;
+};
+
+/* Why a packet was not passed on. */
+enum forward_drop {
+    FORWARD_DROP_MALFORMED,
+    FORWARD_DROP_NO_ROUTE, /* and no flow to reset */
+    FORWARD_DROP_UNKNOWN,  /* the target it names is not known */
+    FORWARD_DROP_FORGED,   /* it names a target that its route never had */
+    FORWARD_DROP_NOT_SENT, /* the kernel did not take it */
+    FORWARD_DROP_COUNT,
+};
+
+enum forward_reset {
+    FORWARD_RESET_NO_ROUTE,
+    FORWARD_RESET_NO_TARGET,
+    FORWARD_RESET_TARGET_GONE,
+    FORWARD_RESET_COUNT,
+};
+
+struct forward_counters {
+    uint64_t received;
+    uint64_t passed_on;
+    uint64_t openings;
+    uint64_t opening_copies;
+    uint64_t requests;
+    uint64_t repeats;
+    uint64_t drops[FORWARD_DROP_COUNT];
+    uint64_t resets[FORWARD_RESET_COUNT];
+};
+
+/* The view is the caller's. Returns NULL with "st" set when the port cannot be
+ * bound. */
+struct forward_task *forward_task_new(struct event_base *base,
+                                      const struct forward_settings *settings,
+                                      const struct flow_packet_format *format,
+                                      struct forward_view *view,
+                                      const struct forward_callbacks *cb,
+                                      struct status *st);
+void forward_task_destroy(struct forward_task *task);
+
+const struct forward_counters *
+forward_task_counters(const struct forward_task *task);
--- /dev/null
+++ b/src/daemon/forwarder.c
@@ -0,0 +1,304 @@
+#include "daemon/forwarder.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <event2/event.h>
+#include <zmq.h>
+
+#define LOG_MODULE "forwarder"
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "daemon/forward-metrics.h"
+#include "daemon/forward-task.h"
+#include "transport/http-server.h"
+
+/* The routers ask for readiness twice a second and take a balancer out after
+ * two misses; then what was on the way has to arrive. */
+#define STOP_LINGER_US (1800 * USEC_PER_MSEC)
+/* Share of the grace that the planned stop may take. */
+#define STOP_GRACE_SHARE 0.6
+/* Between two looks at the settings file, which may change without a signal.
+ */
+#define SETTINGS_CHECK_S 2
+#define HTTP_BODY_MAX 1024    /* bytes */
+#define HTTP_HEADERS_MAX 8192 /* bytes */
+#define HTTP_TIMEOUT_S 10
+
+struct forwarder {
+    const struct forwarder_adapter *adapter;
+    struct forward_settings settings;
+    struct timespec settings_changed; /* of the file */
+    struct event_base *base;
+    void *zmq_ctx;
+    struct view_task *view;
+    struct forward_task *forward;
+    struct http_server *http;
+    struct event *term;
+    struct event *interrupt;
+    struct event *hangup;
+    struct event *settings_check;
+    struct event *stopped;
+    bool ready;
+    bool stopping;
+};
+
+/* Ready with routes and targets in force. Once ready it stays so until it
+ * stops: what it holds is served for as long as it can be. */
+static void
+on_view_changed(void *ctx)
+{
+    struct forwarder *f = ctx;
+    const struct forward_view *view = view_task_view(f->view);
+
+    if (!f->ready && forward_view_usable(view)) {
+        f->ready = true;
+        LOG_INFO("ready with %zu routes and %zu targets",
+                 forward_view_route_count(view),
+                 forward_view_target_count(view));
+    }
+}
+
+static void
+on_unknown_target(void *ctx)
+{
+    struct forwarder *f = ctx;
+
+    view_task_refresh(f->view);
+}
+
+static void
+reply_metrics(struct forwarder *f, struct http_exchange *x)
+{
+    char *text =
+        forward_metrics_text(forward_task_counters(f->forward), f->view);
+
+    http_exchange_reply(x, text == NULL ? 503 : 200, "text/plain",
+                        text == NULL ? "" : text,
+                        text == NULL ? 0 : strlen(text));
+    free(text);
+}
+
+static void
+on_http(void *ctx, struct http_exchange *x)
+{
+    struct forwarder *f = ctx;
+    const char *path = http_exchange_path(x);
+
+    if (http_exchange_method(x) != EVHTTP_REQ_GET) {
+        http_exchange_reply(x, 405, "text/plain", "", 0);
+    }
+    else if (strcmp(path, f->adapter->ready_path) == 0) {
+        bool ready = f->ready && !f->stopping;
+
+        http_exchange_reply(x, ready ? 200 : 503, "text/plain", "", 0);
+    }
+    else if (strcmp(path, f->adapter->metrics_path) == 0) {
+        reply_metrics(f, x);
+    }
+    else {
+        http_exchange_reply(x, 404, "text/plain", "", 0);
+    }
+}
+
+static void
+note_settings_time(struct forwarder *f)
+{
+    struct stat info;
+
+    if (stat(f->adapter->settings_path, &info) == 0) {
+        f->settings_changed = info.st_mtim;
+    }
+}
+
+/* Reads the settings again. A file that cannot be read changes nothing. */
+static void
+reload(struct forwarder *f)
+{
+    struct forward_settings settings;
+    struct status st;
+
+    note_settings_time(f);
+    if (!f->adapter->load_settings(f->adapter->settings_path, &settings,
+                                   &st)) {
+        LOG_WARN("settings stay as they are: %s", st.message);
+        return;
+    }
+    LOG_INFO("settings read again");
+    f->settings = settings;
+    view_task_reload(f->view, &settings);
+}
+
+static void
+on_hangup(evutil_socket_t fd, short what, void *ctx)
+{
+    reload(ctx);
+}
+
+static void
+on_settings_check(evutil_socket_t fd, short what, void *ctx)
+{
+    struct forwarder *f = ctx;
+    struct stat info;
+
+    if (stat(f->adapter->settings_path, &info) == 0 &&
+        memcmp(&info.st_mtim, &f->settings_changed, sizeof(info.st_mtim)) !=
+            0) {
+        reload(f);
+    }
+}
+
+static void
+on_stopped(evutil_socket_t fd, short what, void *ctx)
+{
+    struct forwarder *f = ctx;
+
+    event_base_loopbreak(f->base);
+}
+
+/* Unready at once, but packets are passed on until the routers have noticed.
+ */
+static void
+on_stop(evutil_socket_t fd, short what, void *ctx)
+{
+    struct forwarder *f = ctx;
+    uint64_t linger = STOP_LINGER_US;
+    uint64_t most =
+        (uint64_t)((double)f->settings.grace_us * STOP_GRACE_SHARE);
+    struct timeval delay;
+
+    if (f->stopping) {
+        return;
+    }
+    f->stopping = true;
+    linger = linger < most ? linger : most;
+    delay.tv_sec = (time_t)(linger / USEC_PER_SEC);
+    delay.tv_usec = (suseconds_t)(linger % USEC_PER_SEC);
+    LOG_INFO("planned stop begins");
+    view_task_leave(f->view);
+    event_add(f->stopped, &delay);
+}
+
+static bool
+open_tasks(struct forwarder *f, struct status *st)
+{
+    const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
+                                         .ctx = f};
+    char address[ADDRESS_TEXT_SIZE];
+    const struct http_server_options options = {
+        .address = address,
+        .port = f->settings.ready.port,
+        .body_max = HTTP_BODY_MAX,
+        .headers_max = HTTP_HEADERS_MAX,
+        .timeout_s = HTTP_TIMEOUT_S,
+    };
+
+    address_format(f->settings.ready.addr, address);
+    f->view = view_task_new(f->zmq_ctx, f->base, &f->settings,
+                            &f->adapter->directory, on_view_changed, f, st);
+    if (f->view == NULL) {
+        return false;
+    }
+    f->forward = forward_task_new(f->base, &f->settings, f->adapter->format,
+                                  view_task_view(f->view), &cb, st);
+    if (f->forward == NULL) {
+        return false;
+    }
+    f->http = http_server_new(f->base, &options, on_http, f, st);
+    return f->http != NULL;
+}
+
+static bool
+open_events(struct forwarder *f, struct status *st)
+{
+    const struct timeval interval = {.tv_sec = SETTINGS_CHECK_S};
+
+    f->term = evsignal_new(f->base, SIGTERM, on_stop, f);
+    f->interrupt = evsignal_new(f->base, SIGINT, on_stop, f);
+    f->hangup = evsignal_new(f->base, SIGHUP, on_hangup, f);
+    f->settings_check =
+        event_new(f->base, -1, EV_PERSIST, on_settings_check, f);
+    f->stopped = event_new(f->base, -1, 0, on_stopped, f);
+    if (f->term == NULL || f->interrupt == NULL || f->hangup == NULL ||
+        f->settings_check == NULL || f->stopped == NULL) {
+        status_set(st, ERR_NO_MEMORY, "out of memory");
+        return false;
+    }
+    event_add(f->term, NULL);
+    event_add(f->interrupt, NULL);
+    event_add(f->hangup, NULL);
+    event_add(f->settings_check, &interval);
+    return true;
+}
+
+static void
+free_event(struct event *event)
+{
+    if (event != NULL) {
+        event_free(event);
+    }
+}
+
+static void
+close_all(struct forwarder *f)
+{
+    http_server_destroy(f->http);
+    forward_task_destroy(f->forward);
+    view_task_destroy(f->view);
+    free_event(f->term);
+    free_event(f->interrupt);
+    free_event(f->hangup);
+    free_event(f->settings_check);
+    free_event(f->stopped);
+    if (f->base != NULL) {
+        event_base_free(f->base);
+    }
+    if (f->zmq_ctx != NULL) {
+        zmq_ctx_term(f->zmq_ctx);
+    }
+}
+
+static bool
+open_all(struct forwarder *f, struct status *st)
+{
+    signal(SIGPIPE, SIG_IGN);
+    f->base = event_base_new();
+    f->zmq_ctx = zmq_ctx_new();
+    if (f->base == NULL || f->zmq_ctx == NULL) {
+        status_set(st, ERR_SYSTEM, "no event loop");
+        return false;
+    }
+    return open_tasks(f, st) && open_events(f, st);
+}
+
+int
+forwarder_run(const struct forwarder_adapter *adapter)
+{
+    struct forwarder f = {.adapter = adapter};
+    struct status st;
+    int result = EXIT_FAILURE;
+
+    note_settings_time(&f);
+    if (!adapter->load_settings(adapter->settings_path, &f.settings, &st)) {
+        fprintf(stderr, "pimentohaven forward: %s\n", st.message);
+        return EXIT_FAILURE;
+    }
+    log_init(LOG_LEVEL_INFO, LOG_FORMAT_JSON);
+    if (open_all(&f, &st)) {
+        LOG_INFO("host %s in failure domain %s is up", f.settings.host,
+                 f.settings.domain);
+        event_base_dispatch(f.base);
+        LOG_INFO("stopped");
+        result = EXIT_SUCCESS;
+    }
+    else {
+        LOG_ERR("%s", st.message);
+    }
+    close_all(&f);
+    return result;
+}
--- /dev/null
+++ b/src/daemon/view-task.c
@@ -0,0 +1,618 @@
+#include "daemon/view-task.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#define LOG_MODULE "view"
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/membership.h"
+#include "coordination/target-absence.h"
+#include "coordination/view-freshness.h"
+#include "coordination/view-sync.h"
+#include "protocol/gossip-codec.h"
+#include "protocol/view-codec.h"
+#include "transport/gossip-endpoint.h"
+
+#define TICK_US MEMBERSHIP_TICK_US
+/* The boot clock running ahead of the steady one by more was a suspension. */
+#define SUSPENSION_US (200 * USEC_PER_MSEC)
+/* A tick that comes this much late: the process stood still. */
+#define PAUSE_US (700 * USEC_PER_MSEC)
+/* Of a call to the store; a slow one takes some hundred milliseconds. */
+#define STORE_CALL_TIMEOUT_US (1 * USEC_PER_SEC)
+/* An answer to a watch may come so much later than it was due. */
+#define STORE_WATCH_SLACK_US (1 * USEC_PER_SEC)
+#define STORE_BACKOFF_MIN_US (100 * USEC_PER_MSEC)
+#define STORE_BACKOFF_MAX_US (2 * USEC_PER_SEC)
+/* How much older than a watch's wait an answer may be before the store counts
+ * as having been away. */
+#define AWAY_MARGIN_US (1 * USEC_PER_SEC)
+#define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
+
+struct view_task {
+    struct forward_settings settings;
+    struct directory directory;
+    void (*changed)(void *ctx);
+    void *ctx;
+
+    struct event_base *base;
+    struct event *tick;
+    uint64_t last_tick;
+    uint64_t boot_lead; /* of the boot clock over the steady one */
+
+    struct random random;
+    struct gossip_endpoint *gossip;
+    struct gossip_message *in;
+    struct membership *members;
+    struct forward_view *view;
+    struct freshness freshness;
+    struct target_absence absence;
+    struct view_sync *sync;
+    struct store_client *store;
+    bool watching;
+    bool reading;
+    bool read_stale;     /* the read under way may return something old */
+    bool read_wanted;    /* everything has to be read */
+    uint64_t read_after; /* but not before, us */
+    struct backoff read_backoff;
+    uint64_t next_refresh;
+    bool leaving;
+};
+
+static void
+send_gossip(void *ctx, uint32_t addr, uint16_t port,
+            const struct gossip_message *m)
+{
+    struct view_task *task = ctx;
+    uint8_t data[GOSSIP_SIZE_MAX];
+    size_t size = gossip_encode(m, data, sizeof(data));
+
+    if (size == 0) {
+        LOG_WARN("a message of kind %d does not fit", m->kind);
+        return;
+    }
+    gossip_endpoint_send(task->gossip, addr, port, data, size,
+                         clock_monotonic_us());
+}
+
+static void
+send_view(void *ctx, uint32_t addr, uint16_t port,
+          const struct view_message *m)
+{
+    struct view_task *task = ctx;
+    size_t size;
+    uint8_t *data = view_encode(m, &size);
+
+    if (data == NULL) {
+        LOG_WARN("news up to revision %" PRIu64 " are too long for a message",
+                 m->news.to);
+        return;
+    }
+    gossip_endpoint_send(task->gossip, addr, port, data, size,
+                         clock_monotonic_us());
+    free(data);
+}
+
+static void
+on_view_message(struct view_task *task, const uint8_t *data, size_t size)
+{
+    struct view_message m;
+
+    memset(&m, 0, sizeof(m));
+    view_news_init(&m.news);
+    if (view_decode(&m, data, size)) {
+        view_sync_receive(task->sync, &m, clock_monotonic_us());
+    }
+    else {
+        LOG_WARN("a message of %zu bytes is not sound", size);
+    }
+    view_news_clear(&m.news);
+}
+
+static void
+on_gossip(void *ctx, const uint8_t *data, size_t size)
+{
+    struct view_task *task = ctx;
+
+    if (view_is_message(data, size)) {
+        on_view_message(task, data, size);
+        return;
+    }
+    if (!gossip_decode(task->in, data, size)) {
+        LOG_WARN("a message of %zu bytes is not sound", size);
+        return;
+    }
+    membership_receive(task->members, task->in, clock_monotonic_us());
+}
+
+static const char *
+member_state_name(enum member_state state)
+{
+    static const char *const names[] = {
+        [MEMBER_ALIVE] = "alive",
+        [MEMBER_SUSPECT] = "suspect",
+        [MEMBER_DEAD] = "dead",
+        [MEMBER_LEFT] = "left",
+    };
+
+    return names[state];
+}
+
+static void
+on_member_changed(void *ctx, const struct member *m)
+{
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"host", m->info.id},
+                          {"state", member_state_name(m->info.state)}),
+               "peer_changed");
+}
+
+/* Nothing learned before a pause can be relied on: the view may be as much
+ * behind as the pause was long. */
+static void
+on_paused(void *ctx, uint64_t gap_us)
+{
+    struct view_task *task = ctx;
+
+    LOG_WARN("paused for %llu ms", gap_us / USEC_PER_MSEC);
+    freshness_forget(&task->freshness);
+}
+
+static void
+on_reconnect(void *ctx, uint32_t addr, uint16_t port)
+{
+    struct view_task *task = ctx;
+
+    gossip_endpoint_reset(task->gossip, addr, port);
+}
+
+static void
+on_sync_changed(void *ctx)
+{
+    struct view_task *task = ctx;
+
+    task->changed(task->ctx);
+}
+
+static uint64_t
+on_hold_until(void *ctx, const struct forward_target *target, uint64_t now)
+{
+    struct view_task *task = ctx;
+
+    return target_absence_hold_until(&task->absence, target->record.draining,
+                                     now);
+}
+
+static const char *
+target_state_name(const struct forward_target *target)
+{
+    static const char *const names[] = {
+        [TARGET_PRESENT] = "ready",
+        [TARGET_LAPSED] = "lapsed",
+        [TARGET_GONE] = "gone",
+    };
+
+    if (target->presence == TARGET_PRESENT && target->record.draining) {
+        return "draining";
+    }
+    return names[target->presence];
+}
+
+static void
+on_target_changed(void *ctx, const struct forward_target *target)
+{
+    char revision[24];
+
+    snprintf(revision, sizeof(revision), "%" PRIu64, target->record.revision);
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"target", target->record.id},
+                          {"state", target_state_name(target)},
+                          {"revision", revision}),
+               "target_changed");
+    if (target->shadowed) {
+        LOG_WARN("target %s has the cookie of an older one: no new flows",
+                 target->record.id);
+    }
+}
+
+/* Decodes entries into news; one that cannot be read spoils no other. */
+static void
+decode_entries(struct view_task *task, struct view_news *news,
+               const struct store_entry *entries, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (!task->directory.add_entry(news, &entries[i])) {
+            LOG_WARN("entry %s at revision %" PRIu64 " cannot be read whole",
+                     entries[i].key, entries[i].mod_revision);
+        }
+    }
+}
+
+static void
+want_read(struct view_task *task, uint64_t delay_us)
+{
+    task->read_wanted = true;
+    task->read_after = clock_monotonic_us() + delay_us;
+}
+
+static void
+on_range(void *ctx, const struct status *st, uint64_t revision,
+         const struct store_entry *entries, size_t count)
+{
+    struct view_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
+    struct view_news news;
+
+    task->reading = false;
+    if (st->kind != ERR_NONE) {
+        LOG_WARN("%s", st->message);
+        want_read(task, backoff_next(&task->read_backoff, &task->random));
+        return;
+    }
+    backoff_reset(&task->read_backoff);
+    view_news_init(&news);
+    decode_entries(task, &news, entries, count);
+    news.to = revision;
+    news.targets_whole = true;
+    LOG_INFO("read %zu entries at revision %" PRIu64 "%s", count, revision,
+             task->read_stale ? ", perhaps old" : "");
+    view_sync_store_answered(task->sync, &news, !task->read_stale, now);
+    view_news_clear(&news);
+}
+
+/* Reads everything. At the start an answer that is some seconds old will do:
+ * it is a tenth of the price, and what is newer follows from the peers. */
+static void
+read_all(struct view_task *task)
+{
+    task->read_wanted = false;
+    task->reading = true;
+    task->read_stale = forward_view_revision(task->view) == 0;
+    if (task->read_stale) {
+        store_client_range_stale(task->store, task->directory.prefix, true,
+                                 on_range, task);
+    }
+    else {
+        store_client_range(task->store, task->directory.prefix, true, on_range,
+                           task);
+    }
+}
+
+static void
+stop_watch(struct view_task *task)
+{
+    store_client_watch_stop(task->store);
+    task->watching = false;
+}
+
+static bool
+should_watch(const struct view_task *task, uint64_t now)
+{
+    return !task->leaving && forward_view_revision(task->view) > 0 &&
+           freshness_should_watch(&task->freshness,
+                                  view_sync_position(task->sync, now), now);
+}
+
+static void on_watch(void *ctx, const struct status *st, uint64_t revision,
+                     const struct store_entry *entries, size_t count);
+
+static void
+start_watch(struct view_task *task, uint64_t now)
+{
+    if (!task->watching) {
+        LOG_INFO("watching the store from revision %" PRIu64,
+                 forward_view_revision(task->view));
+    }
+    task->watching = true;
+    store_client_set_watch_wait(task->store,
+                                freshness_watch_wait(&task->freshness, now));
+    store_client_watch(task->store, task->directory.prefix,
+                       forward_view_revision(task->view) + 1, on_watch, task);
+}
+
+static void
+on_watch_failed(struct view_task *task, const struct status *st)
+{
+    LOG_WARN("%s", st->message);
+    task->watching = false;
+    if (st->kind == ERR_NOT_FOUND) {
+        /* The history from our revision on is gone. */
+        want_read(task, 0);
+    }
+}
+
+static void
+on_watch(void *ctx, const struct status *st, uint64_t revision,
+         const struct store_entry *entries, size_t count)
+{
+    struct view_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
+    struct view_news news;
+    bool complete;
+
+    if (st->kind != ERR_NONE) {
+        on_watch_failed(task, st);
+        return;
+    }
+    view_news_init(&news);
+    decode_entries(task, &news, entries, count);
+    /* Peers may have told us more since the watch began, never less. */
+    news.from = 0;
+    news.to = revision;
+    complete = view_sync_store_answered(task->sync, &news, true, now);
+    view_news_clear(&news);
+    if (!complete) {
+        want_read(task, 0);
+    }
+    if (complete && should_watch(task, now)) {
+        start_watch(task, now);
+        return;
+    }
+    LOG_INFO("no longer watching the store");
+    stop_watch(task);
+}
+
+/* Asks the store when it is this balancer's turn. */
+static void
+tick_store(struct view_task *task, uint64_t now)
+{
+    if (task->read_wanted && !task->reading && now >= task->read_after) {
+        read_all(task);
+    }
+    if (!task->watching && !task->reading && should_watch(task, now)) {
+        start_watch(task, now);
+    }
+}
+
+/* A suspended host's steady clock stands still too, so that only the boot
+ * clock shows the pause. */
+static void
+check_pause(struct view_task *task, uint64_t now)
+{
+    uint64_t lead = clock_boot_us() - now;
+    uint64_t gap = now - task->last_tick;
+
+    if (lead > task->boot_lead + SUSPENSION_US) {
+        on_paused(task, lead - task->boot_lead);
+    }
+    else if (gap > TICK_US + PAUSE_US) {
+        on_paused(task, gap);
+    }
+    task->boot_lead = lead;
+    task->last_tick = now;
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    struct view_task *task = arg;
+    uint64_t now = clock_monotonic_us();
+
+    check_pause(task, now);
+    if (!task->leaving) {
+        membership_tick(task->members, now);
+    }
+    view_sync_tick(task->sync, now);
+    forward_view_tick(task->view, now);
+    tick_store(task, now);
+    gossip_endpoint_close_idle(task->gossip, now);
+}
+
+static void
+add_seeds(struct view_task *task)
+{
+    for (size_t i = 0; i < task->settings.seed_count; i++) {
+        membership_add_seed(task->members, task->settings.seeds[i].addr,
+                            task->settings.seeds[i].port);
+    }
+}
+
+static bool
+open_gossip(struct view_task *task, void *zmq_ctx, struct status *st)
+{
+    const struct forward_settings *settings = &task->settings;
+    const struct membership_callbacks cb = {
+        .send = send_gossip,
+        .changed = on_member_changed,
+        .paused = on_paused,
+        .reconnect = on_reconnect,
+        .ctx = task,
+    };
+    struct member_info self = {
+        .addr = settings->gossip.addr,
+        .port = settings->gossip.port,
+        /* Higher than that of any earlier process of this host. */
+        .incarnation = clock_wall_us(),
+    };
+
+    memcpy(self.id, settings->host, sizeof(self.id));
+    memcpy(self.domain, settings->domain, sizeof(self.domain));
+    task->gossip = gossip_endpoint_new(zmq_ctx, task->base, self.addr,
+                                       self.port, on_gossip, task, st);
+    if (task->gossip == NULL) {
+        return false;
+    }
+    task->in = calloc(1, sizeof(*task->in));
+    task->members =
+        membership_new(&self, &cb, &task->random, clock_monotonic_us());
+    if (task->in == NULL || task->members == NULL) {
+        status_set(st, ERR_NO_MEMORY, "view: out of memory");
+        return false;
+    }
+    add_seeds(task);
+    return true;
+}
+
+static bool
+open_store(struct view_task *task, struct status *st)
+{
+    char endpoint[32];
+    const char *const endpoints[] = {endpoint};
+    struct store_client_options options;
+
+    endpoint_format(&task->settings.store, endpoint, sizeof(endpoint));
+    task->store = store_client_new(task->base, endpoints, 1, st);
+    if (task->store == NULL) {
+        return false;
+    }
+    store_client_options_default(&options);
+    options.call_timeout_us = STORE_CALL_TIMEOUT_US;
+    options.watch_silence_us = STORE_WATCH_SLACK_US;
+    options.backoff_min_us = STORE_BACKOFF_MIN_US;
+    options.backoff_max_us = STORE_BACKOFF_MAX_US;
+    options.attempts = 1;
+    store_client_set_options(task->store, &options);
+    store_client_set_dialect(task->store, task->directory.dialect);
+    return true;
+}
+
+static void
+set_bounds(struct view_task *task)
+{
+    freshness_init(&task->freshness, task->settings.change_bound_us,
+                   clock_monotonic_us());
+    target_absence_init(&task->absence,
+                        task->freshness.limits.watch_wait_us + AWAY_MARGIN_US);
+}
+
+static bool
+open_view(struct view_task *task, struct status *st)
+{
+    const struct forward_view_callbacks view_cb = {
+        .hold_until = on_hold_until,
+        .target_changed = on_target_changed,
+        .ctx = task,
+    };
+    const struct view_sync_callbacks sync_cb = {
+        .send = send_view,
+        .changed = on_sync_changed,
+        .ctx = task,
+    };
+
+    set_bounds(task);
+    task->view = forward_view_new(&view_cb);
+    if (task->view != NULL) {
+        task->sync = view_sync_new(task->view, task->members, &task->freshness,
+                                   &task->absence, &task->random, &sync_cb);
+    }
+    task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
+    if (task->view == NULL || task->sync == NULL || task->tick == NULL) {
+        status_set(st, ERR_NO_MEMORY, "view: out of memory");
+        return false;
+    }
+    return true;
+}
+
+/* Opens the gossip endpoint, begins to read the store and to join the peers.
+ * Returns NULL with "st" set when a port cannot be bound. */
+struct view_task *
+view_task_new(void *zmq_ctx, struct event_base *base,
+              const struct forward_settings *settings,
+              const struct directory *directory, void (*changed)(void *ctx),
+              void *ctx, struct status *st)
+{
+    const struct timeval interval = {.tv_usec = TICK_US};
+    struct view_task *task = calloc(1, sizeof(*task));
+    uint64_t now = clock_monotonic_us();
+
+    if (task == NULL) {
+        status_set(st, ERR_NO_MEMORY, "view: out of memory");
+        return NULL;
+    }
+    task->settings = *settings;
+    task->directory = *directory;
+    task->changed = changed;
+    task->ctx = ctx;
+    task->base = base;
+    task->last_tick = now;
+    task->boot_lead = clock_boot_us() - now;
+    random_seed(&task->random, randombytes_random());
+    backoff_init(&task->read_backoff, STORE_BACKOFF_MIN_US,
+                 STORE_BACKOFF_MAX_US);
+    if (!open_gossip(task, zmq_ctx, st) || !open_store(task, st) ||
+        !open_view(task, st)) {
+        view_task_destroy(task);
+        return NULL;
+    }
+    event_add(task->tick, &interval);
+    read_all(task);
+    return task;
+}
+
+void
+view_task_destroy(struct view_task *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    if (task->tick != NULL) {
+        event_free(task->tick);
+    }
+    store_client_destroy(task->store);
+    view_sync_destroy(task->sync);
+    forward_view_destroy(task->view);
+    membership_destroy(task->members);
+    gossip_endpoint_destroy(task->gossip);
+    free(task->in);
+    free(task);
+}
+
+struct forward_view *
+view_task_view(struct view_task *task)
+{
+    return task->view;
+}
+
+void
+view_task_reload(struct view_task *task,
+                 const struct forward_settings *settings)
+{
+    bool bounds = settings->change_bound_us != task->settings.change_bound_us;
+
+    task->settings = *settings;
+    if (bounds) {
+        set_bounds(task);
+    }
+    add_seeds(task);
+}
+
+void
+view_task_refresh(struct view_task *task)
+{
+    uint64_t now = clock_monotonic_us();
+
+    if (now >= task->next_refresh) {
+        task->next_refresh = now + REFRESH_INTERVAL_US;
+        view_sync_ask(task->sync, now);
+    }
+}
+
+void
+view_task_leave(struct view_task *task)
+{
+    task->leaving = true;
+    stop_watch(task);
+    membership_leave(task->members, clock_monotonic_us());
+}
+
+void
+view_task_counters(struct view_task *task, struct view_task_counters *c)
+{
+    const struct gossip_endpoint_counters *gossip =
+        gossip_endpoint_counters(task->gossip);
+
+    c->store_calls = store_client_calls(task->store);
+    c->gossip_bytes_out = gossip->bytes_out;
+    c->gossip_messages_out = gossip->messages_out;
+    c->members = member_table_count(membership_table(task->members),
+                                    MEMBER_ALIVE, true) +
+                 member_table_count(membership_table(task->members),
+                                    MEMBER_ALIVE, false);
+    c->view_age_us = freshness_age(&task->freshness, clock_monotonic_us());
+}
--- a/src/main.c
+++ b/src/main.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "daemon/commands.h"
+#include "platform/cmd-forward.h"
 
 #define EXIT_USAGE 2
 
@@ -12,6 +13,7 @@
 };
 
 static const struct command commands[] = {
+    {"forward", cmd_forward, "forward packets on the users' platform"},
     {"serve", cmd_serve, "run a balancer"},
     {"call", cmd_call, "send requests as a caller does"},
     {"check-config", cmd_check_config, "check a settings file"},
--- /dev/null
+++ b/src/protocol/view-codec.c
@@ -0,0 +1,335 @@
+#include "protocol/view-codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#define MESSAGE_FIELDS 13
+#define ROUTE_FIELDS 8
+#define TARGET_FIELDS 12
+#define FIXARRAY_MIN 0x90
+#define FIXARRAY_MAX 0x9f
+
+static void
+put_number(msgpack_packer *pk, uint64_t value)
+{
+    msgpack_pack_uint64(pk, value);
+}
+
+static void
+put_bool(msgpack_packer *pk, bool value)
+{
+    put_number(pk, value ? 1 : 0);
+}
+
+static void
+put_text(msgpack_packer *pk, const char *text)
+{
+    size_t len = text == NULL ? 0 : strlen(text);
+
+    msgpack_pack_str(pk, len);
+    msgpack_pack_str_body(pk, text == NULL ? "" : text, len);
+}
+
+static void
+put_route(msgpack_packer *pk, const struct route_record *r)
+{
+    msgpack_pack_array(pk, ROUTE_FIELDS);
+    put_number(pk, r->addr);
+    put_number(pk, r->port);
+    put_number(pk, r->revision);
+    put_bool(pk, r->removed);
+    put_number(pk, r->timeout_ms);
+    put_number(pk, r->aim_ms);
+    put_number(pk, r->priority);
+    msgpack_pack_array(pk, 2 * r->share_count);
+    for (size_t i = 0; i < r->share_count; i++) {
+        put_text(pk, r->shares[i].service);
+        put_number(pk, r->shares[i].weight);
+    }
+}
+
+static void
+put_target(msgpack_packer *pk, const struct target_record *t)
+{
+    msgpack_pack_array(pk, TARGET_FIELDS);
+    put_text(pk, t->id);
+    put_text(pk, t->service);
+    put_text(pk, t->domain);
+    msgpack_pack_bin(pk, TARGET_TAG_SIZE);
+    msgpack_pack_bin_body(pk, t->tag, TARGET_TAG_SIZE);
+    put_number(pk, t->addr);
+    put_number(pk, t->port);
+    put_number(pk, t->slots);
+    put_bool(pk, t->draining);
+    put_bool(pk, t->removed);
+    put_number(pk, t->cold_ms);
+    put_number(pk, t->created);
+    put_number(pk, t->revision);
+}
+
+static void
+put_message(msgpack_packer *pk, const struct view_message *m)
+{
+    const struct view_news *news = &m->news;
+
+    msgpack_pack_array(pk, MESSAGE_FIELDS);
+    put_number(pk, VIEW_FORMAT);
+    put_number(pk, m->kind);
+    put_number(pk, m->sender_addr);
+    put_number(pk, m->sender_port);
+    put_bool(pk, m->pass_on);
+    put_number(pk, m->confirmed ? m->age_us + 1 : 0);
+    put_number(pk, m->position);
+    put_number(pk, news->from);
+    put_number(pk, news->to);
+    put_number(pk, news->routes_revision);
+    put_number(pk, (news->routes_whole ? 1U : 0U) |
+                       (news->targets_whole ? 2U : 0U));
+    msgpack_pack_array(pk, news->routes->len);
+    for (guint i = 0; i < news->routes->len; i++) {
+        put_route(pk, &g_array_index(news->routes, struct route_record, i));
+    }
+    msgpack_pack_array(pk, news->targets->len);
+    for (guint i = 0; i < news->targets->len; i++) {
+        put_target(pk, &g_array_index(news->targets, struct target_record, i));
+    }
+}
+
+uint8_t *
+view_encode(const struct view_message *m, size_t *size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer pk;
+
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
+    put_message(&pk, m);
+    if (buffer.size > VIEW_MESSAGE_MAX) {
+        msgpack_sbuffer_destroy(&buffer);
+        return NULL;
+    }
+    *size = buffer.size;
+    return (uint8_t *)msgpack_sbuffer_release(&buffer);
+}
+
+/* The elements of an array, taken one after the other. The first that is not
+ * as expected makes the whole reading fail. */
+struct reader {
+    const msgpack_object *next;
+    size_t left;
+    bool failed;
+};
+
+static const msgpack_object *
+take(struct reader *r, msgpack_object_type type)
+{
+    const msgpack_object *object = r->next;
+
+    if (r->failed || r->left == 0 || object->type != type) {
+        r->failed = true;
+        return NULL;
+    }
+    r->next++;
+    r->left--;
+    return object;
+}
+
+static uint64_t
+take_number(struct reader *r, uint64_t max)
+{
+    const msgpack_object *object = take(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+    if (object == NULL || object->via.u64 > max) {
+        r->failed = true;
+        return 0;
+    }
+    return object->via.u64;
+}
+
+/* Takes a text of less than ID_SIZE bytes. */
+static void
+take_text(struct reader *r, char out[ID_SIZE])
+{
+    const msgpack_object *object = take(r, MSGPACK_OBJECT_STR);
+
+    out[0] = '\0';
+    if (object == NULL || object->via.str.size >= ID_SIZE ||
+        memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
+        r->failed = true;
+        return;
+    }
+    memcpy(out, object->via.str.ptr, object->via.str.size);
+    out[object->via.str.size] = '\0';
+}
+
+/* Takes a name and interns it; an empty one is NULL. */
+static const char *
+take_name(struct reader *r)
+{
+    char text[ID_SIZE];
+
+    take_text(r, text);
+    return r->failed || text[0] == '\0' ? NULL : g_intern_string(text);
+}
+
+static struct reader
+take_array(struct reader *r)
+{
+    const msgpack_object *object = take(r, MSGPACK_OBJECT_ARRAY);
+    struct reader inner = {.failed = object == NULL};
+
+    if (object != NULL) {
+        inner.next = object->via.array.ptr;
+        inner.left = object->via.array.size;
+    }
+    return inner;
+}
+
+static void
+take_shares(struct reader *r, struct route_record *route)
+{
+    struct reader shares = take_array(r);
+
+    if (shares.left > 2 * ROUTE_SHARES_MAX || shares.left % 2 != 0) {
+        r->failed = true;
+        return;
+    }
+    while (shares.left > 0 && !shares.failed) {
+        struct route_share *share = &route->shares[route->share_count];
+
+        share->service = take_name(&shares);
+        share->weight = (uint32_t)take_number(&shares, UINT32_MAX);
+        route->share_count++;
+    }
+    r->failed = r->failed || shares.failed;
+}
+
+static void
+take_route(struct reader *r, struct route_record *route)
+{
+    struct reader f = take_array(r);
+
+    memset(route, 0, sizeof(*route));
+    route->addr = (uint32_t)take_number(&f, UINT32_MAX);
+    route->port = (uint16_t)take_number(&f, UINT16_MAX);
+    route->revision = take_number(&f, UINT64_MAX);
+    route->removed = take_number(&f, 1) == 1;
+    route->timeout_ms = (uint32_t)take_number(&f, UINT32_MAX);
+    route->aim_ms = (uint32_t)take_number(&f, UINT32_MAX);
+    route->priority = (uint8_t)take_number(&f, UINT8_MAX);
+    take_shares(&f, route);
+    r->failed = r->failed || f.failed || route->revision == 0;
+}
+
+static void
+take_tag(struct reader *r, uint8_t tag[TARGET_TAG_SIZE])
+{
+    const msgpack_object *object = take(r, MSGPACK_OBJECT_BIN);
+
+    if (object == NULL || object->via.bin.size != TARGET_TAG_SIZE) {
+        r->failed = true;
+        return;
+    }
+    memcpy(tag, object->via.bin.ptr, TARGET_TAG_SIZE);
+}
+
+static void
+take_target(struct reader *r, struct target_record *t)
+{
+    struct reader f = take_array(r);
+
+    memset(t, 0, sizeof(*t));
+    take_text(&f, t->id);
+    t->service = take_name(&f);
+    t->domain = take_name(&f);
+    take_tag(&f, t->tag);
+    t->addr = (uint32_t)take_number(&f, UINT32_MAX);
+    t->port = (uint16_t)take_number(&f, UINT16_MAX);
+    t->slots = (uint32_t)take_number(&f, UINT32_MAX);
+    t->draining = take_number(&f, 1) == 1;
+    t->removed = take_number(&f, 1) == 1;
+    t->cold_ms = (uint32_t)take_number(&f, UINT32_MAX);
+    t->created = take_number(&f, UINT64_MAX);
+    t->revision = take_number(&f, UINT64_MAX);
+    r->failed = r->failed || f.failed || t->id[0] == '\0' ||
+                t->service == NULL || t->revision == 0;
+}
+
+static void
+take_records(struct reader *r, struct view_news *news)
+{
+    struct reader routes = take_array(r);
+    struct reader targets = take_array(r);
+    struct route_record route;
+    struct target_record target;
+
+    while (routes.left > 0 && !routes.failed) {
+        take_route(&routes, &route);
+        g_array_append_val(news->routes, route);
+    }
+    while (targets.left > 0 && !targets.failed) {
+        take_target(&targets, &target);
+        g_array_append_val(news->targets, target);
+    }
+    r->failed = r->failed || routes.failed || targets.failed;
+}
+
+static bool
+take_message(struct reader *r, struct view_message *m)
+{
+    uint64_t age;
+    uint64_t whole;
+
+    take_number(r, VIEW_FORMAT);
+    m->kind =
+        (enum view_message_kind)take_number(r, VIEW_MESSAGE_KIND_END - 1);
+    m->sender_addr = (uint32_t)take_number(r, UINT32_MAX);
+    m->sender_port = (uint16_t)take_number(r, UINT16_MAX);
+    m->pass_on = take_number(r, 1) == 1;
+    age = take_number(r, UINT64_MAX);
+    m->confirmed = age > 0;
+    m->age_us = age > 0 ? age - 1 : 0;
+    m->position = (uint32_t)take_number(r, VIEW_POSITION_END);
+    m->news.from = take_number(r, UINT64_MAX);
+    m->news.to = take_number(r, UINT64_MAX);
+    m->news.routes_revision = take_number(r, UINT64_MAX);
+    whole = take_number(r, 3);
+    m->news.routes_whole = (whole & 1) != 0;
+    m->news.targets_whole = (whole & 2) != 0;
+    take_records(r, &m->news);
+    return !r->failed && m->kind != 0;
+}
+
+bool
+view_is_message(const uint8_t *data, size_t size)
+{
+    if (size >= 2 && data[0] >= FIXARRAY_MIN && data[0] <= FIXARRAY_MAX) {
+        return data[1] == VIEW_FORMAT;
+    }
+    return false;
+}
+
+bool
+view_decode(struct view_message *m, const uint8_t *data, size_t size)
+{
+    msgpack_unpacked unpacked;
+    struct reader reader = {.failed = false};
+    size_t offset = 0;
+    bool sound = false;
+
+    if (!view_is_message(data, size)) {
+        return false;
+    }
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, (const char *)data, size, &offset) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
+        reader.next = unpacked.data.via.array.ptr;
+        reader.left = unpacked.data.via.array.size;
+        sound = take_message(&reader, m);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return sound;
+}
--- /dev/null
+++ b/src/state/forward-view.c
@@ -0,0 +1,625 @@
+#include "state/forward-view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/clock.h"
+
+struct forward_view {
+    struct forward_view_callbacks cb;
+    GHashTable *routes;   /* key of addr and port -> struct forward_route */
+    GHashTable *targets;  /* id -> struct forward_target */
+    GHashTable *cookies;  /* cookie -> struct forward_target */
+    GHashTable *services; /* interned name -> struct forward_service */
+    struct list removed_routes;  /* oldest first */
+    struct list removed_targets; /* oldest first */
+    struct list lapsed;
+    size_t removed_route_count;
+    size_t removed_target_count;
+    uint64_t revision;
+    uint64_t routes_revision;
+    uint64_t forgotten; /* highest revision of a removal no longer kept */
+    uint64_t generation;
+};
+
+uint32_t
+forward_cookie(const char *id)
+{
+    uint32_t hash = (uint32_t)XXH64(id, strlen(id), 0);
+
+    return hash == 0 ? 1 : hash;
+}
+
+static guint
+route_key_hash(gconstpointer key)
+{
+    uint64_t value;
+
+    memcpy(&value, key, sizeof(value));
+    return (guint)XXH64(&value, sizeof(value), 0);
+}
+
+static uint64_t
+route_key(uint32_t addr, uint16_t port)
+{
+    return (uint64_t)addr << 16 | port;
+}
+
+static void
+service_free(gpointer data)
+{
+    struct forward_service *service = data;
+
+    g_ptr_array_free(service->targets, TRUE);
+    free(service);
+}
+
+/* Returns a view that holds nothing. */
+struct forward_view *
+forward_view_new(const struct forward_view_callbacks *cb)
+{
+    struct forward_view *view = calloc(1, sizeof(*view));
+
+    if (view == NULL) {
+        return NULL;
+    }
+    view->cb = *cb;
+    view->routes =
+        g_hash_table_new_full(route_key_hash, g_int64_equal, free, free);
+    view->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+    view->cookies = g_hash_table_new(g_direct_hash, g_direct_equal);
+    view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                           service_free);
+    list_init(&view->removed_routes);
+    list_init(&view->removed_targets);
+    list_init(&view->lapsed);
+    return view;
+}
+
+void
+forward_view_destroy(struct forward_view *view)
+{
+    if (view == NULL) {
+        return;
+    }
+    g_hash_table_destroy(view->routes);
+    g_hash_table_destroy(view->cookies);
+    g_hash_table_destroy(view->targets);
+    g_hash_table_destroy(view->services);
+    free(view);
+}
+
+uint64_t
+forward_view_revision(const struct forward_view *view)
+{
+    return view->revision;
+}
+
+size_t
+forward_view_route_count(const struct forward_view *view)
+{
+    return g_hash_table_size(view->routes) - view->removed_route_count;
+}
+
+size_t
+forward_view_target_count(const struct forward_view *view)
+{
+    return g_hash_table_size(view->targets) - view->removed_target_count;
+}
+
+bool
+forward_view_usable(const struct forward_view *view)
+{
+    return forward_view_route_count(view) > 0 &&
+           forward_view_target_count(view) > 0;
+}
+
+static struct forward_route *
+find_route(const struct forward_view *view, uint32_t addr, uint16_t port)
+{
+    uint64_t key = route_key(addr, port);
+
+    return g_hash_table_lookup(view->routes, &key);
+}
+
+struct forward_route *
+forward_view_route(const struct forward_view *view, uint32_t addr,
+                   uint16_t port)
+{
+    struct forward_route *route = find_route(view, addr, port);
+
+    return route == NULL || route->record.removed ? NULL : route;
+}
+
+struct forward_service *
+forward_view_service(const struct forward_view *view, const char *name)
+{
+    return g_hash_table_lookup(view->services, name);
+}
+
+struct forward_target *
+forward_view_target(const struct forward_view *view, uint32_t cookie)
+{
+    return g_hash_table_lookup(view->cookies, GUINT_TO_POINTER(cookie));
+}
+
+static bool
+has_share(const struct route_record *record, const char *service)
+{
+    for (size_t i = 0; i < record->share_count; i++) {
+        if (record->shares[i].service == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+forward_route_had(const struct forward_route *route, const char *service,
+                  uint64_t since)
+{
+    if (!route->record.removed && has_share(&route->record, service)) {
+        return true;
+    }
+    for (size_t i = 0; i < ROUTE_PAST_MAX; i++) {
+        if (route->past[i].service == service &&
+            route->past[i].until >= since) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Notes the services that the route is about to lose. */
+static void
+keep_past(struct forward_route *route, const struct route_record *next,
+          uint64_t now)
+{
+    for (size_t i = 0; i < route->record.share_count; i++) {
+        const char *service = route->record.shares[i].service;
+
+        if (route->record.removed ||
+            (!next->removed && has_share(next, service))) {
+            continue;
+        }
+        route->past[route->past_next % ROUTE_PAST_MAX] =
+            (struct route_past){service, now};
+        route->past_next++;
+    }
+}
+
+static bool
+same_route(const struct route_record *a, const struct route_record *b)
+{
+    if (a->removed != b->removed || a->timeout_ms != b->timeout_ms ||
+        a->aim_ms != b->aim_ms || a->priority != b->priority ||
+        a->share_count != b->share_count) {
+        return false;
+    }
+    for (size_t i = 0; i < a->share_count; i++) {
+        if (a->shares[i].service != b->shares[i].service ||
+            a->shares[i].weight != b->shares[i].weight) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+forget(struct forward_view *view, uint64_t revision)
+{
+    if (revision > view->forgotten) {
+        view->forgotten = revision;
+    }
+}
+
+static void
+set_route(struct forward_view *view, struct forward_route *route,
+          const struct route_record *record, uint64_t now)
+{
+    if (route->record.removed && !record->removed) {
+        list_remove(&route->removed_link);
+        view->removed_route_count--;
+    }
+    if (!route->record.removed && record->removed) {
+        list_push_back(&view->removed_routes, &route->removed_link);
+        view->removed_route_count++;
+    }
+    keep_past(route, record, now);
+    route->record = *record;
+}
+
+static struct forward_route *
+add_route(struct forward_view *view, const struct route_record *record)
+{
+    struct forward_route *route = g_new0(struct forward_route, 1);
+    uint64_t *key = g_new(uint64_t, 1);
+
+    *key = route_key(record->addr, record->port);
+    list_init(&route->removed_link);
+    route->record.addr = record->addr;
+    route->record.port = record->port;
+    g_hash_table_insert(view->routes, key, route);
+    return route;
+}
+
+/* Takes one route. In a whole list its revision is that of the list, unless
+ * nothing about it has changed. */
+static void
+apply_route(struct forward_view *view, const struct route_record *record,
+            uint64_t list_revision, uint64_t now)
+{
+    struct forward_route *route = find_route(view, record->addr, record->port);
+    struct route_record next = *record;
+
+    if (route == NULL) {
+        route = add_route(view, record);
+    }
+    route->seen = view->generation;
+    if (next.revision == 0) {
+        next.revision = list_revision;
+        if (route->record.revision != 0 && same_route(&route->record, &next)) {
+            return;
+        }
+    }
+    if (next.revision > route->record.revision) {
+        set_route(view, route, &next, now);
+    }
+}
+
+/* Removes the routes that a whole list did not name. */
+static void
+remove_unlisted_routes(struct forward_view *view, uint64_t revision,
+                       uint64_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->routes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct forward_route *route = value;
+        struct route_record gone = route->record;
+
+        if (route->seen == view->generation || gone.removed ||
+            gone.revision > revision) {
+            continue;
+        }
+        gone.removed = true;
+        gone.revision = revision;
+        set_route(view, route, &gone, now);
+    }
+}
+
+static void
+apply_routes(struct forward_view *view, const struct view_news *news,
+             uint64_t now)
+{
+    if (news->routes_whole && news->routes_revision <= view->routes_revision &&
+        view->routes_revision != 0) {
+        return;
+    }
+    for (guint i = 0; i < news->routes->len; i++) {
+        apply_route(view, &g_array_index(news->routes, struct route_record, i),
+                    news->routes_revision, now);
+    }
+    if (news->routes_whole) {
+        remove_unlisted_routes(view, news->routes_revision, now);
+    }
+    if (news->routes_revision > view->routes_revision) {
+        view->routes_revision = news->routes_revision;
+    }
+}
+
+static struct forward_service *
+service_get(struct forward_view *view, const char *name)
+{
+    struct forward_service *service =
+        g_hash_table_lookup(view->services, name);
+
+    if (service == NULL) {
+        service = g_new0(struct forward_service, 1);
+        service->name = name;
+        service->targets = g_ptr_array_new();
+        g_hash_table_insert(view->services, (gpointer)name, service);
+    }
+    return service;
+}
+
+static void
+join_service(struct forward_view *view, struct forward_target *target,
+             const char *name)
+{
+    struct forward_service *service =
+        name == NULL ? NULL : service_get(view, name);
+
+    if (target->service == service) {
+        return;
+    }
+    if (target->service != NULL) {
+        g_ptr_array_remove_fast(target->service->targets, target);
+    }
+    target->service = service;
+    if (service != NULL) {
+        g_ptr_array_add(service->targets, target);
+    }
+}
+
+/* Gives the cookie to the older of two targets that share it; a target that
+ * is gone has no claim. */
+static void
+claim_cookie(struct forward_view *view, struct forward_target *target)
+{
+    gpointer key = GUINT_TO_POINTER(target->cookie);
+    struct forward_target *holder = g_hash_table_lookup(view->cookies, key);
+
+    if (holder == NULL || holder == target ||
+        holder->presence == TARGET_GONE ||
+        target->record.created < holder->record.created) {
+        if (holder != NULL && holder != target) {
+            holder->shadowed = true;
+        }
+        g_hash_table_insert(view->cookies, key, target);
+        target->shadowed = false;
+        return;
+    }
+    target->shadowed = true;
+}
+
+static void
+tell(struct forward_view *view, const struct forward_target *target)
+{
+    if (view->cb.target_changed != NULL) {
+        view->cb.target_changed(view->cb.ctx, target);
+    }
+}
+
+static void
+set_presence(struct forward_view *view, struct forward_target *target,
+             enum target_presence presence)
+{
+    if (target->presence == presence) {
+        return;
+    }
+    if (target->presence == TARGET_GONE) {
+        view->removed_target_count--;
+    }
+    list_remove(&target->removed_link);
+    list_remove(&target->lapsed_link);
+    target->presence = presence;
+    if (presence == TARGET_LAPSED) {
+        list_push_back(&view->lapsed, &target->lapsed_link);
+    }
+    if (presence == TARGET_GONE) {
+        list_push_back(&view->removed_targets, &target->removed_link);
+        view->removed_target_count++;
+        join_service(view, target, NULL);
+    }
+}
+
+/* The entry of a target went at "revision". */
+static void
+target_went(struct forward_view *view, struct forward_target *target,
+            uint64_t revision, uint64_t now)
+{
+    target->record.removed = true;
+    target->record.revision = revision;
+    target->held_until = view->cb.hold_until(view->cb.ctx, target, now);
+    set_presence(view, target,
+                 target->held_until > now ? TARGET_LAPSED : TARGET_GONE);
+    tell(view, target);
+}
+
+static struct forward_target *
+add_target(struct forward_view *view, const struct target_record *record)
+{
+    struct forward_target *target = g_new0(struct forward_target, 1);
+
+    list_init(&target->removed_link);
+    list_init(&target->lapsed_link);
+    memcpy(target->record.id, record->id, sizeof(target->record.id));
+    target->cookie = forward_cookie(record->id);
+    g_hash_table_insert(view->targets, target->record.id, target);
+    return target;
+}
+
+static void
+set_target(struct forward_view *view, struct forward_target *target,
+           const struct target_record *record, uint64_t now)
+{
+    if (record->removed) {
+        target_went(view, target, record->revision, now);
+        return;
+    }
+    if (record->created != target->record.created &&
+        target->record.created != 0 && target->presence == TARGET_GONE) {
+        memset(&target->signs, 0, sizeof(target->signs));
+    }
+    target->record = *record;
+    target->cold_until = now + record->cold_ms * USEC_PER_MSEC;
+    set_presence(view, target, TARGET_PRESENT);
+    join_service(view, target, record->service);
+    claim_cookie(view, target);
+    tell(view, target);
+}
+
+static void
+apply_target(struct forward_view *view, const struct target_record *record,
+             uint64_t now)
+{
+    struct forward_target *target =
+        g_hash_table_lookup(view->targets, record->id);
+
+    if (target == NULL) {
+        if (record->removed) {
+            return;
+        }
+        target = add_target(view, record);
+    }
+    target->seen = view->generation;
+    if (record->revision > target->record.revision) {
+        set_target(view, target, record, now);
+    }
+}
+
+static void
+remove_unlisted_targets(struct forward_view *view, uint64_t revision,
+                        uint64_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct forward_target *target = value;
+
+        if (target->seen != view->generation && !target->record.removed &&
+            target->record.revision <= revision) {
+            target_went(view, target, revision, now);
+        }
+    }
+}
+
+static void
+apply_targets(struct forward_view *view, const struct view_news *news,
+              uint64_t now)
+{
+    for (guint i = 0; i < news->targets->len; i++) {
+        apply_target(
+            view, &g_array_index(news->targets, struct target_record, i), now);
+    }
+    if (news->targets_whole) {
+        remove_unlisted_targets(view, news->to, now);
+    }
+}
+
+static void
+trim_routes(struct forward_view *view)
+{
+    while (view->removed_route_count > FORWARD_REMOVED_MAX) {
+        struct forward_route *route = container_of(
+            view->removed_routes.next, struct forward_route, removed_link);
+        uint64_t key = route_key(route->record.addr, route->record.port);
+
+        forget(view, route->record.revision);
+        list_remove(&route->removed_link);
+        view->removed_route_count--;
+        g_hash_table_remove(view->routes, &key);
+    }
+}
+
+static void
+trim_targets(struct forward_view *view)
+{
+    while (view->removed_target_count > FORWARD_REMOVED_MAX) {
+        struct forward_target *target = container_of(
+            view->removed_targets.next, struct forward_target, removed_link);
+        gpointer key = GUINT_TO_POINTER(target->cookie);
+
+        forget(view, target->record.revision);
+        list_remove(&target->removed_link);
+        view->removed_target_count--;
+        if (g_hash_table_lookup(view->cookies, key) == target) {
+            g_hash_table_remove(view->cookies, key);
+        }
+        g_hash_table_remove(view->targets, target->record.id);
+    }
+}
+
+bool
+forward_view_apply(struct forward_view *view, const struct view_news *news,
+                   uint64_t now)
+{
+    bool whole = news->routes_whole && news->targets_whole;
+
+    if (!whole && news->from > view->revision) {
+        return false;
+    }
+    if (news->to <= view->revision && view->revision != 0) {
+        return true;
+    }
+    view->generation++;
+    apply_routes(view, news, now);
+    apply_targets(view, news, now);
+    view->revision = news->to;
+    trim_routes(view);
+    trim_targets(view);
+    return true;
+}
+
+static uint32_t
+cold_left_ms(const struct forward_target *target, uint64_t now)
+{
+    return target->cold_until > now
+               ? (uint32_t)((target->cold_until - now) / USEC_PER_MSEC)
+               : 0;
+}
+
+static void
+add_routes_since(const struct forward_view *view, uint64_t from,
+                 struct view_news *news)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->routes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct forward_route *route = value;
+
+        if (route->record.revision > from &&
+            !(news->routes_whole && route->record.removed)) {
+            g_array_append_val(news->routes, route->record);
+        }
+    }
+}
+
+static void
+add_targets_since(const struct forward_view *view, uint64_t from, uint64_t now,
+                  struct view_news *news)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct forward_target *target = value;
+        struct target_record record = target->record;
+
+        if (record.revision <= from ||
+            (news->targets_whole && record.removed)) {
+            continue;
+        }
+        record.cold_ms = cold_left_ms(target, now);
+        g_array_append_val(news->targets, record);
+    }
+}
+
+void
+forward_view_since(const struct forward_view *view, uint64_t from,
+                   uint64_t now, struct view_news *news)
+{
+    bool whole = from == 0 || from < view->forgotten;
+
+    news->from = whole ? 0 : from;
+    news->to = view->revision;
+    news->routes_whole = whole;
+    news->targets_whole = whole;
+    news->routes_revision = view->routes_revision;
+    add_routes_since(view, news->from, news);
+    add_targets_since(view, news->from, now, news);
+}
+
+void
+forward_view_tick(struct forward_view *view, uint64_t now)
+{
+    list_for_each_safe (it, &view->lapsed) {
+        struct forward_target *target =
+            container_of(it, struct forward_target, lapsed_link);
+
+        if (now >= target->held_until) {
+            set_presence(view, target, TARGET_GONE);
+            tell(view, target);
+        }
+    }
+}
--- /dev/null
+++ b/src/state/view-news.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "state/resource.h"
+
+/* Changes of what a forwarder holds: routes and targets, each with the store's
+ * revision at its last change. Read from the store, or told by a peer. Names
+ * of services and failure domains are interned (g_intern_string()), so equal
+ * ones are the same pointer. */
+
+#define ROUTE_SHARES_MAX 8
+#define TARGET_TAG_SIZE 8
+
+struct route_share {
+    const char *service;
+    uint32_t weight;
+};
+
+struct route_record {
+    uint32_t addr; /* where callers reach it: IPv4, host byte order */
+    uint16_t port;
+    uint64_t revision; /* 0: that of the whole list of routes */
+    bool removed;
+    uint32_t timeout_ms;
+    uint32_t aim_ms;
+    uint8_t priority; /* 0 is the most urgent */
+    size_t share_count;
+    struct route_share shares[ROUTE_SHARES_MAX];
+};
+
+struct target_record {
+    char id[ID_SIZE];
+    const char *service;
+    const char *domain;
+    uint8_t tag[TARGET_TAG_SIZE]; /* names it in front of packets */
+    uint32_t addr;
+    uint16_t port;
+    uint32_t slots; /* requests that it runs at once */
+    bool draining;
+    bool removed;
+    uint32_t cold_ms;  /* time for which it is still slow */
+    uint64_t created;  /* revision at which its entry appeared */
+    uint64_t revision; /* of its last change */
+};
+
+struct view_news {
+    uint64_t from; /* for one who is complete up to here, */
+    uint64_t to;   /* complete up to here afterwards */
+    /* The list holds all that there is: what is not on it is gone. */
+    bool routes_whole;
+    bool targets_whole;
+    uint64_t routes_revision; /* of the newest list of routes; 0: none */
+    GArray *routes;           /* struct route_record */
+    GArray *targets;          /* struct target_record */
+};
+
+void view_news_init(struct view_news *news);
+void view_news_clear(struct view_news *news);
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -12,13 +12,15 @@
 #include "base/list.h"
 #include "base/log.h"
 #include "transport/http-call.h"
-#include "transport/store-json.h"
+#include "transport/store-dialect.h"
 
 #define CALL_TIMEOUT_US (2 * USEC_PER_SEC)
 #define WATCH_SILENCE_US (3 * USEC_PER_SEC)
+#define WATCH_WAIT_US (1 * USEC_PER_SEC)
 #define BACKOFF_MIN_US (50 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (2 * USEC_PER_SEC)
 #define ATTEMPTS 3
+#define STATUS_GONE 410 /* which <event2/http.h> does not name */
 #define PAGE_KEYS 500
 #define ANSWER_MAX (64U << 20) /* bytes */
 #define LINE_MAX_SIZE ANSWER_MAX
@@ -34,26 +36,28 @@
     struct store_client *sc;
     struct http_call *call;
     struct event *retry;
-    const char *path;
-    char *body; /* of the current attempt */
+    struct store_request request; /* of the current attempt */
     unsigned attempts_left;
     size_t endpoint; /* of the current attempt */
     bool is_cas;
     void *ctx;
     store_cas_cb on_cas;
     store_range_cb on_range;
-    char end[STORE_KEY_SIZE]; /* of a prefix read */
-    uint64_t revision;        /* of the first page */
+    char key[STORE_KEY_SIZE]; /* of a read */
+    bool prefix;
+    bool stale;
+    uint64_t revision; /* of the first page */
     struct store_entries entries;
 };
 
 struct watch {
     struct store_client *sc;
     struct http_call *call;
-    struct event *start; /* delayed start */
+    struct event *start; /* delayed start, or the next poll */
     size_t endpoint;
-    char *body;
-    char *buf; /* bytes of an unfinished line */
+    char prefix[STORE_KEY_SIZE];
+    uint64_t next_revision; /* to start from */
+    char *buf;              /* bytes of an unfinished line */
     size_t len;
     size_t size;
     store_watch_cb cb;
@@ -62,6 +66,7 @@
 
 struct store_client {
     struct event_base *base;
+    const struct store_dialect *dialect;
     struct store_client_options options;
     struct endpoint *endpoints;
     size_t endpoint_count;
@@ -81,6 +86,7 @@
     *options = (struct store_client_options){
         .call_timeout_us = CALL_TIMEOUT_US,
         .watch_silence_us = WATCH_SILENCE_US,
+        .watch_wait_us = WATCH_WAIT_US,
         .backoff_min_us = BACKOFF_MIN_US,
         .backoff_max_us = BACKOFF_MAX_US,
         .attempts = ATTEMPTS,
@@ -99,6 +105,19 @@
                  options->backoff_max_us);
 }
 
+void
+store_client_set_dialect(struct store_client *sc,
+                         const struct store_dialect *dialect)
+{
+    sc->dialect = dialect;
+}
+
+void
+store_client_set_watch_wait(struct store_client *sc, uint64_t wait_us)
+{
+    sc->options.watch_wait_us = wait_us;
+}
+
 /* Reads "a.b.c.d:port". */
 static bool
 parse_endpoint(const char *text, struct endpoint *endpoint)
@@ -156,6 +175,7 @@
         return NULL;
     }
     sc->base = base;
+    sc->dialect = &store_dialect_gateway;
     list_init(&sc->operations);
     store_client_options_default(&options);
     store_client_set_options(sc, &options);
@@ -177,7 +197,7 @@
         event_free(op->retry);
     }
     store_entries_clear(&op->entries);
-    free(op->body);
+    store_request_clear(&op->request);
     free(op);
 }
 
@@ -203,7 +223,7 @@
 
 /* Starts one HTTP call to the current endpoint and tells which it was. */
 static struct http_call *
-start_call(struct store_client *sc, const char *path, const char *body,
+start_call(struct store_client *sc, const struct store_request *sent,
            uint64_t timeout_us, size_t *endpoint, http_chunk_cb on_chunk,
            http_call_cb cb, void *ctx)
 {
@@ -214,11 +234,11 @@
     const struct http_call_request request = {
         .address = sc->endpoints[sc->current].address,
         .port = sc->endpoints[sc->current].port,
-        .method = EVHTTP_REQ_POST,
-        .path = path,
-        .body = body,
-        .body_len = strlen(body),
-        .headers = headers,
+        .method = sent->method,
+        .path = sent->path,
+        .body = sent->body,
+        .body_len = sent->body == NULL ? 0 : strlen(sent->body),
+        .headers = sent->body == NULL ? NULL : headers,
         .timeout_us = timeout_us,
         .answer_max = ANSWER_MAX,
     };
@@ -290,7 +310,7 @@
     struct store_client *sc = op->sc;
 
     op->attempts_left--;
-    op->call = start_call(sc, op->path, op->body, sc->options.call_timeout_us,
+    op->call = start_call(sc, &op->request, sc->options.call_timeout_us,
                           &op->endpoint, NULL, on_operation_answer, op);
     if (op->call == NULL) {
         /* The caller does not expect its callback yet. */
@@ -357,11 +377,16 @@
         operation_fail(op, ERR_STORE_UNKNOWN, "answer to a write was lost");
         return;
     }
+    if (answer->status == op->sc->dialect->conflict_status) {
+        backoff_reset(&op->sc->backoff);
+        operation_fail(op, ERR_CONFLICT, "the key has changed");
+        return;
+    }
     if (answer->status != HTTP_OK) {
         handle_cas_refusal(op, answer->status);
         return;
     }
-    if (!store_json_parse_cas(answer->body, answer->body_len, &cas)) {
+    if (!op->sc->dialect->parse_cas(answer->body, answer->body_len, &cas)) {
         operation_fail(op, ERR_STORE_UNKNOWN, "answer to a write malformed");
         return;
     }
@@ -373,20 +398,29 @@
     operation_end(op, &st, cas.succeeded ? cas.revision : 0);
 }
 
-/* Reads the next page: from the successor of the last key, at the revision of
- * the first page, so that all pages show one moment. */
+/* Builds the request for the next page of a read. */
+static bool
+build_page(struct operation *op)
+{
+    const struct store_range range = {
+        .key = op->key,
+        .prefix = op->prefix,
+        .after = op->entries.count == 0
+                     ? NULL
+                     : op->entries.items[op->entries.count - 1].key,
+        .revision = op->revision,
+        .limit = PAGE_KEYS,
+        .stale = op->stale,
+    };
+
+    store_request_clear(&op->request);
+    return op->sc->dialect->range(&op->request, &range);
+}
+
 static void
 read_next_page(struct operation *op)
 {
-    const char *last = op->entries.items[op->entries.count - 1].key;
-    char successor[STORE_KEY_SIZE + 1];
-
-    /* The least key above "last" is last + "\1": keys hold no control
-     * characters and the text form holds no NUL. */
-    snprintf(successor, sizeof(successor), "%s\1", last);
-    free(op->body);
-    op->body = store_json_range(successor, op->end, op->revision, PAGE_KEYS);
-    if (op->body == NULL) {
+    if (!build_page(op)) {
         operation_fail(op, ERR_STORE_DOWN, "out of memory");
         return;
     }
@@ -410,8 +444,8 @@
         operation_retry(op, "read refused");
         return;
     }
-    if (!store_json_parse_range(answer->body, answer->body_len, &range,
-                                &op->entries)) {
+    if (!op->sc->dialect->parse_range(answer->body, answer->body_len, &range,
+                                      &op->entries)) {
         operation_fail(op, ERR_STORE_DOWN, "answer to a read malformed");
         return;
     }
@@ -441,22 +475,26 @@
     }
 }
 
-/* Links a new operation. Returns NULL when memory is short; then the callback
- * could only be run from here, so callers log it and the process, which needs
- * little memory for this, is about to fail anyway. */
+static void
+out_of_memory(void)
+{
+    LOG_ERR("out of memory");
+    abort();
+}
+
+/* Links a new operation, whose request is still to be built. Without memory
+ * the callback could only be run from here, where its caller does not expect
+ * it; the process, which needs little memory for this, is about to fail
+ * anyway. */
 static struct operation *
-operation_new(struct store_client *sc, const char *path, char *body, void *ctx)
+operation_new(struct store_client *sc, void *ctx)
 {
-    struct operation *op = body == NULL ? NULL : calloc(1, sizeof(*op));
+    struct operation *op = calloc(1, sizeof(*op));
 
     if (op == NULL) {
-        free(body);
-        LOG_ERR("out of memory");
-        abort();
+        out_of_memory();
     }
     op->sc = sc;
-    op->path = path;
-    op->body = body;
     op->ctx = ctx;
     op->attempts_left = sc->options.attempts;
     op->retry = event_new(sc->base, -1, 0, on_retry, op);
@@ -464,21 +502,34 @@
     return op;
 }
 
+static void
+start_range(struct store_client *sc, const char *key, bool prefix, bool stale,
+            store_range_cb cb, void *ctx)
+{
+    struct operation *op = operation_new(sc, ctx);
+
+    snprintf(op->key, sizeof(op->key), "%s", key);
+    op->prefix = prefix;
+    op->stale = stale;
+    op->on_range = cb;
+    if (!build_page(op)) {
+        out_of_memory();
+    }
+    operation_attempt(op);
+}
+
 void
 store_client_range(struct store_client *sc, const char *key, bool prefix,
                    store_range_cb cb, void *ctx)
 {
-    char end[STORE_KEY_SIZE];
-    struct operation *op;
+    start_range(sc, key, prefix, false, cb, ctx);
+}
 
-    store_prefix_end(key, end);
-    op = operation_new(
-        sc, "/v3/kv/range",
-        store_json_range(key, prefix ? end : NULL, 0, prefix ? PAGE_KEYS : 0),
-        ctx);
-    memcpy(op->end, end, sizeof(end));
-    op->on_range = cb;
-    operation_attempt(op);
+void
+store_client_range_stale(struct store_client *sc, const char *key, bool prefix,
+                         store_range_cb cb, void *ctx)
+{
+    start_range(sc, key, prefix, true, cb, ctx);
 }
 
 void
@@ -486,12 +537,13 @@
                  size_t value_len, uint64_t expected, store_cas_cb cb,
                  void *ctx)
 {
-    struct operation *op =
-        operation_new(sc, "/v3/kv/txn",
-                      store_json_cas(key, value, value_len, expected), ctx);
+    struct operation *op = operation_new(sc, ctx);
 
     op->is_cas = true;
     op->on_cas = cb;
+    if (!sc->dialect->cas(&op->request, key, value, value_len, expected)) {
+        out_of_memory();
+    }
     operation_attempt(op);
 }
 
@@ -502,7 +554,6 @@
     if (w->start != NULL) {
         event_free(w->start);
     }
-    free(w->body);
     free(w->buf);
     free(w);
 }
@@ -543,7 +594,7 @@
     struct store_entries entries = {.count = 0};
     struct status st;
 
-    if (!store_json_parse_watch(text, len, &line, &entries)) {
+    if (!w->sc->dialect->parse_watch(text, len, &line, &entries)) {
         watch_fail(w, ERR_STORE_DOWN, "a line of the watch is malformed");
     }
     else if (line.canceled && line.compacted) {
@@ -555,6 +606,7 @@
     else {
         backoff_reset(&w->sc->backoff);
         status_ok(&st);
+        w->next_revision = line.revision + 1;
         w->cb(w->ctx, &st, line.revision, entries.items, entries.count);
     }
     store_entries_clear(&entries);
@@ -627,13 +679,38 @@
     }
 }
 
+/* Hands the answer to a poll on, and polls again unless the callback has
+ * stopped the watch or started another. */
+static void
+watch_handle_poll(struct watch *w, const struct http_call_answer *answer)
+{
+    struct store_client *sc = w->sc;
+    uint64_t sequence = sc->watch_sequence;
+
+    if (answer->status == STATUS_GONE) {
+        watch_fail(w, ERR_NOT_FOUND, "the watch's start is compacted");
+        return;
+    }
+    if (answer->status != HTTP_OK) {
+        watch_fail(w, ERR_STORE_DOWN, "the watch was refused");
+        return;
+    }
+    watch_handle_line(w, answer->body, answer->body_len);
+    if (sc->watch_sequence == sequence) {
+        schedule(w->start, 0);
+    }
+}
+
 static void
 on_watch_end(void *ctx, const struct http_call_answer *answer)
 {
     struct watch *w = ctx;
 
     w->call = NULL;
-    if (answer->end == HTTP_CALL_NOT_SENT) {
+    if (answer->end == HTTP_CALL_ANSWERED && w->sc->dialect->watch_polls) {
+        watch_handle_poll(w, answer);
+    }
+    else if (answer->end == HTTP_CALL_NOT_SENT) {
         watch_fail(w, ERR_STORE_DOWN, "no connection for the watch");
     }
     else if (answer->end == HTTP_CALL_LOST) {
@@ -648,10 +725,17 @@
 on_watch_start(evutil_socket_t fd, short what, void *ctx)
 {
     struct watch *w = ctx;
+    struct store_client *sc = w->sc;
+    bool polls = sc->dialect->watch_polls;
+    uint64_t wait = polls ? sc->options.watch_wait_us : 0;
+    struct store_request request = {.path = NULL};
 
-    w->call = start_call(w->sc, "/v3/watch", w->body,
-                         w->sc->options.watch_silence_us, &w->endpoint,
-                         on_watch_chunk, on_watch_end, w);
+    if (sc->dialect->watch(&request, w->prefix, w->next_revision, wait)) {
+        w->call = start_call(sc, &request, wait + sc->options.watch_silence_us,
+                             &w->endpoint, polls ? NULL : on_watch_chunk,
+                             on_watch_end, w);
+    }
+    store_request_clear(&request);
     if (w->call == NULL) {
         watch_fail(w, ERR_STORE_DOWN, "out of memory");
     }
@@ -662,18 +746,16 @@
                    uint64_t start_revision, store_watch_cb cb, void *ctx)
 {
     struct watch *w = calloc(1, sizeof(*w));
-    char end[STORE_KEY_SIZE];
 
     store_client_watch_stop(sc);
     if (w == NULL) {
-        LOG_ERR("out of memory");
-        abort();
+        out_of_memory();
     }
-    store_prefix_end(prefix, end);
     w->sc = sc;
     w->cb = cb;
     w->ctx = ctx;
-    w->body = store_json_watch(prefix, end, start_revision);
+    snprintf(w->prefix, sizeof(w->prefix), "%s", prefix);
+    w->next_revision = start_revision;
     w->start = event_new(sc->base, -1, 0, on_watch_start, w);
     sc->watch = w;
     sc->watch_sequence++;
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -9,18 +9,20 @@
 #include "base/backoff.h"
 #include "base/status.h"
 
-/* Client of the platform's key-value service: the etcd v3 JSON gateway
- * (POST /v3/kv/range, /v3/kv/txn, /v3/watch) over HTTP/1.1. One client belongs
- * to one task. */
+/* Client of the platform's key-value service over HTTP/1.1. How the service is
+ * spoken to is a struct store_dialect, the etcd v3 JSON gateway unless another
+ * is set. One client belongs to one task. */
 
 #define STORE_KEY_SIZE 192 /* bytes with the final NUL */
 
 struct store_client;
+struct store_dialect;
 
 /* A key with its value; valid during the callback only. */
 struct store_entry {
     const char *key;
     uint64_t mod_revision;
+    uint64_t create_revision; /* 0: the dialect does not tell */
     const char *value;
     size_t value_len;
 };
@@ -50,6 +52,7 @@
 struct store_client_options {
     uint64_t call_timeout_us;  /* one attempt of a read or a write */
     uint64_t watch_silence_us; /* a watch without a line for so long is dead */
+    uint64_t watch_wait_us;    /* the store may hold a poll back for so long */
     uint64_t backoff_min_us;
     uint64_t backoff_max_us;
     unsigned attempts;    /* of a read, or of a write that was not sent */
@@ -69,11 +72,21 @@
 void store_client_set_options(struct store_client *sc,
                               const struct store_client_options *options);
 
+/* Before the first call; the dialect is not copied. */
+void store_client_set_dialect(struct store_client *sc,
+                              const struct store_dialect *dialect);
+/* Of the next poll of a watch. */
+void store_client_set_watch_wait(struct store_client *sc, uint64_t wait_us);
+
 /* Reads one key (range_end NULL) or all keys that start with "key" (prefix
  * set), in pages; the callback runs once with everything. */
 void store_client_range(struct store_client *sc, const char *key, bool prefix,
                         store_range_cb cb, void *ctx);
 
+/* The same, but the answer may be some seconds old. */
+void store_client_range_stale(struct store_client *sc, const char *key,
+                              bool prefix, store_range_cb cb, void *ctx);
+
 /* Puts "value" if the key's mod_revision is "expected"; 0 means absent. */
 void store_client_cas(struct store_client *sc, const char *key,
                       const char *value, size_t value_len, uint64_t expected,
--- /dev/null
+++ b/src/transport/store-gateway.c
@@ -0,0 +1,69 @@
+#include "transport/store-dialect.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+store_request_clear(struct store_request *request)
+{
+    free(request->path);
+    free(request->body);
+    memset(request, 0, sizeof(*request));
+}
+
+static bool
+post(struct store_request *request, const char *path, char *body)
+{
+    request->method = EVHTTP_REQ_POST;
+    request->path = strdup(path);
+    request->body = body;
+    return request->path != NULL && body != NULL;
+}
+
+static bool
+build_range(struct store_request *request, const struct store_range *range)
+{
+    char end[STORE_KEY_SIZE];
+    char first[STORE_KEY_SIZE + 1];
+
+    store_prefix_end(range->key, end);
+    snprintf(first, sizeof(first), "%s", range->key);
+    if (range->after != NULL) {
+        /* The least key above "after" is it with "\1" behind: keys hold no
+         * control characters and the text form holds no NUL. */
+        snprintf(first, sizeof(first), "%s\1", range->after);
+    }
+    return post(request, "/v3/kv/range",
+                store_json_range(first, range->prefix ? end : NULL,
+                                 range->revision,
+                                 range->prefix ? range->limit : 0));
+}
+
+static bool
+build_cas(struct store_request *request, const char *key, const char *value,
+          size_t value_len, uint64_t expected)
+{
+    return post(request, "/v3/kv/txn",
+                store_json_cas(key, value, value_len, expected));
+}
+
+static bool
+build_watch(struct store_request *request, const char *prefix,
+            uint64_t start_revision, uint64_t wait_us)
+{
+    char end[STORE_KEY_SIZE];
+
+    store_prefix_end(prefix, end);
+    return post(request, "/v3/watch",
+                store_json_watch(prefix, end, start_revision));
+}
+
+const struct store_dialect store_dialect_gateway = {
+    .range = build_range,
+    .cas = build_cas,
+    .watch = build_watch,
+    .parse_range = store_json_parse_range,
+    .parse_cas = store_json_parse_cas,
+    .parse_watch = store_json_parse_watch,
+};
--- a/src/transport/store-json.c
+++ b/src/transport/store-json.c
@@ -27,8 +27,8 @@
     memset(entries, 0, sizeof(*entries));
 }
 
-static struct store_entry *
-entries_append(struct store_entries *entries)
+struct store_entry *
+store_entries_append(struct store_entries *entries)
 {
     struct store_entry *entry;
 
@@ -184,7 +184,7 @@
 static bool
 append_kv(const json_t *kv, bool deleted, struct store_entries *entries)
 {
-    struct store_entry *entry = entries_append(entries);
+    struct store_entry *entry = store_entries_append(entries);
     size_t key_len;
 
     if (entry == NULL) {
--- a/src/transport/store-json.h
+++ b/src/transport/store-json.h
@@ -18,6 +18,9 @@
 };
 
 void store_entries_clear(struct store_entries *entries);
+/* Adds an empty entry, whose texts the list frees. Returns NULL when memory is
+ * short. */
+struct store_entry *store_entries_append(struct store_entries *entries);
 
 /* The builders return a text that the caller frees, NULL when memory is
  * short. */
--- a/src/transport/udp-socket.c
+++ b/src/transport/udp-socket.c
@@ -245,3 +245,24 @@
 
     return sent == (ssize_t)size;
 }
+
+bool
+udp_socket_send_parts(struct udp_socket *sock, const struct endpoint *to,
+                      const uint8_t *head, size_t head_size,
+                      const uint8_t *data, size_t size)
+{
+    struct sockaddr_in sin = to_sockaddr(to);
+    struct iovec parts[] = {
+        {.iov_base = (void *)head, .iov_len = head_size},
+        {.iov_base = (void *)data, .iov_len = size},
+    };
+    const struct msghdr message = {
+        .msg_name = &sin,
+        .msg_namelen = sizeof(sin),
+        .msg_iov = parts,
+        .msg_iovlen = 2,
+    };
+
+    return sendmsg(sock->fd, &message, MSG_DONTWAIT) ==
+           (ssize_t)(head_size + size);
+}
--- a/src/transport/udp-socket.h
+++ b/src/transport/udp-socket.h
@@ -44,6 +44,11 @@
 bool udp_socket_send(struct udp_socket *sock, const struct endpoint *to,
                      const uint8_t *data, size_t size);
 
+/* The same for a datagram that is put together from two parts. */
+bool udp_socket_send_parts(struct udp_socket *sock, const struct endpoint *to,
+                           const uint8_t *head, size_t head_size,
+                           const uint8_t *data, size_t size);
+
 /* Parses a dotted IPv4 address into host byte order. */
 bool endpoint_parse_addr(const char *text, uint32_t *addr);
 /* Writes "a.b.c.d:port". */
