--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -17,6 +17,7 @@
     static const char *const drops[] = {
         [FORWARD_DROP_MALFORMED] = "{cause=\"malformed\"}",
         [FORWARD_DROP_NO_ROUTE] = "{cause=\"no_route\"}",
+        [FORWARD_DROP_NO_VIEW] = "{cause=\"no_view\"}",
         [FORWARD_DROP_UNKNOWN] = "{cause=\"unknown_target\"}",
         [FORWARD_DROP_FORGED] = "{cause=\"forged\"}",
         [FORWARD_DROP_NOT_SENT] = "{cause=\"not_sent\"}",
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -23,6 +23,19 @@
  * from which on its flow is reset. */
 #define GONE_REPEATS 1
 
+/* Packets that wait for the first view. A start takes some ten milliseconds;
+ * a caller sends its packet again after 200 ms. */
+#define EARLY_PACKETS_MAX 256
+#define EARLY_AGE_US (150 * USEC_PER_MSEC)
+
+/* A packet that came before there was a view. */
+struct early_packet {
+    struct list link;
+    uint64_t arrived; /* us */
+    size_t size;
+    uint8_t data[];
+};
+
 struct forward_task {
     const struct flow_packet_format *format;
     struct forward_view *view;
@@ -34,6 +47,8 @@
     struct udp_socket *socket;
     struct event *expire;
     struct recent_flows *flows;
+    struct list early; /* struct early_packet, oldest first */
+    size_t early_count;
     struct random random;
     struct forward_counters counters;
 };
@@ -257,7 +272,9 @@
     struct forward_target *target;
 
     if (route == NULL) {
-        if ((packet->flags & FLOW_RST) != 0) {
+        /* An open flow is not ended on the word of an old view. */
+        if ((packet->flags & FLOW_RST) != 0 ||
+            !task->cb.view_is_fresh(task->cb.ctx)) {
             drop(task, FORWARD_DROP_NO_ROUTE);
             return;
         }
@@ -285,14 +302,11 @@
 }
 
 static void
-on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
-            size_t size, uint64_t queued_us)
+handle_packet(struct forward_task *task, const uint8_t *data, size_t size)
 {
-    struct forward_task *task = ctx;
     struct inbound_packet in = {.size = size, .now = clock_monotonic_us()};
     uint8_t copy[FLOW_PACKET_MAX];
 
-    task->counters.received++;
     if (size > sizeof(copy) || !task->format->parse(data, size, &in.packet)) {
         drop(task, FORWARD_DROP_MALFORMED);
         return;
@@ -307,6 +321,67 @@
     handle_open_flow(task, &in);
 }
 
+static void
+keep_early(struct forward_task *task, const uint8_t *data, size_t size)
+{
+    struct early_packet *early;
+
+    if (task->early_count == EARLY_PACKETS_MAX || size > FLOW_PACKET_MAX) {
+        drop(task, FORWARD_DROP_NO_VIEW);
+        return;
+    }
+    early = g_malloc(sizeof(*early) + size);
+    early->arrived = clock_monotonic_us();
+    early->size = size;
+    memcpy(early->data, data, size);
+    list_push_back(&task->early, &early->link);
+    task->early_count++;
+}
+
+/* Handles the packets that came before the view, or lets go of those whose
+ * callers have sent them again by now. */
+static void
+take_early(struct forward_task *task, bool handle)
+{
+    uint64_t now = clock_monotonic_us();
+
+    list_for_each_safe (it, &task->early) {
+        struct early_packet *early =
+            container_of(it, struct early_packet, link);
+
+        list_remove(&early->link);
+        task->early_count--;
+        if (handle && now - early->arrived <= EARLY_AGE_US) {
+            handle_packet(task, early->data, early->size);
+        }
+        else {
+            drop(task, FORWARD_DROP_NO_VIEW);
+        }
+        g_free(early);
+    }
+}
+
+void
+forward_task_view_ready(struct forward_task *task)
+{
+    take_early(task, true);
+}
+
+static void
+on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
+            size_t size, uint64_t queued_us)
+{
+    struct forward_task *task = ctx;
+
+    task->counters.received++;
+    if (forward_view_usable(task->view)) {
+        handle_packet(task, data, size);
+    }
+    else {
+        keep_early(task, data, size);
+    }
+}
+
 static void
 on_expire(evutil_socket_t fd, short what, void *arg)
 {
@@ -352,6 +427,7 @@
     task->cb = *cb;
     task->domain = g_intern_string(settings->domain);
     task->flow_max_us = settings->flow_max_us;
+    list_init(&task->early);
     task->started = clock_monotonic_us();
     task->return_port = settings->packets.port;
     random_seed(&task->random, randombytes_random());
@@ -368,6 +444,7 @@
     if (task == NULL) {
         return;
     }
+    take_early(task, false);
     udp_socket_destroy(task->socket);
     if (task->expire != NULL) {
         event_free(task->expire);
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -18,6 +18,8 @@
 struct forward_callbacks {
     /* A packet named a target that is not known. */
     void (*unknown_target)(void *ctx);
+    /* Whether the view is new enough to say that a route does not exist. */
+    bool (*view_is_fresh)(void *ctx);
     void *ctx;
 };
 
@@ -25,6 +27,7 @@
 enum forward_drop {
     FORWARD_DROP_MALFORMED,
     FORWARD_DROP_NO_ROUTE, /* and no flow to reset */
+    FORWARD_DROP_NO_VIEW,  /* just started, and the view took too long */
     FORWARD_DROP_UNKNOWN,  /* the target it names is not known */
     FORWARD_DROP_FORGED,   /* it names a target that its route never had */
     FORWARD_DROP_NOT_SENT, /* the kernel did not take it */
@@ -59,5 +62,8 @@
                                       struct status *st);
 void forward_task_destroy(struct forward_task *task);
 
+/* The view can be used now: handles the packets that came before. */
+void forward_task_view_ready(struct forward_task *task);
+
 const struct forward_counters *
 forward_task_counters(const struct forward_task *task);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -58,6 +58,9 @@
 
     if (!f->ready && forward_view_usable(view)) {
         f->ready = true;
+        if (f->forward != NULL) {
+            forward_task_view_ready(f->forward);
+        }
         LOG_INFO("ready with %zu routes and %zu targets",
                  forward_view_route_count(view),
                  forward_view_target_count(view));
@@ -72,6 +75,14 @@
     view_task_refresh(f->view);
 }
 
+static bool
+on_view_is_fresh(void *ctx)
+{
+    struct forwarder *f = ctx;
+
+    return view_task_is_fresh(f->view);
+}
+
 static void
 reply_metrics(struct forwarder *f, struct http_exchange *x)
 {
@@ -188,6 +199,7 @@
 open_tasks(struct forwarder *f, struct status *st)
 {
     const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
+                                         .view_is_fresh = on_view_is_fresh,
                                          .ctx = f};
     char address[ADDRESS_TEXT_SIZE];
     const struct http_server_options options = {
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -569,6 +569,13 @@
     return task->view;
 }
 
+bool
+view_task_is_fresh(struct view_task *task)
+{
+    return freshness_age(&task->freshness, clock_monotonic_us()) <=
+           task->settings.change_bound_us;
+}
+
 void
 view_task_reload(struct view_task *task,
                  const struct forward_settings *settings)
