--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -102,6 +102,19 @@
     return position;
 }
 
+/* Up to where the view is complete, for telling what has changed since. */
+struct known {
+    uint64_t revision;
+    uint64_t routes_revision;
+};
+
+static struct known
+known(const struct view_sync *vs)
+{
+    return (struct known){forward_view_revision(vs->view),
+                          forward_view_routes_revision(vs->view)};
+}
+
 static void
 message_init(const struct view_sync *vs, struct view_message *m,
              enum view_message_kind kind)
@@ -204,7 +217,7 @@
 view_sync_store_answered(struct view_sync *vs, const struct view_news *news,
                          bool confirms, uint64_t at)
 {
-    uint64_t before = forward_view_revision(vs->view);
+    struct known before = known(vs);
     struct view_message m;
 
     if (!take(vs, news, confirms, at, at)) {
@@ -215,7 +228,8 @@
     }
     message_init(vs, &m, VIEW_NEWS);
     message_confirm(vs, &m, view_sync_position(vs, at), at);
-    forward_view_since(vs->view, before, at, &m.news);
+    forward_view_since(vs->view, before.revision, before.routes_revision, at,
+                       &m.news);
     tell_peers(vs, &m, 0, at);
     view_news_clear(&m.news);
     return true;
@@ -228,6 +242,7 @@
 
     message_init(vs, &m, VIEW_PULL);
     m.news.from = forward_view_revision(vs->view);
+    m.news.routes_revision = forward_view_routes_revision(vs->view);
     vs->cb.send(vs->cb.ctx, addr, port, &m);
     view_news_clear(&m.news);
 }
@@ -244,7 +259,8 @@
     message_init(vs, &m, VIEW_NEWS);
     /* Not to be taken for a sign of a watcher: the position is the last. */
     message_confirm(vs, &m, 1.0, now);
-    forward_view_since(vs->view, pull->news.from, now, &m.news);
+    forward_view_since(vs->view, pull->news.from, pull->news.routes_revision,
+                       now, &m.news);
     vs->cb.send(vs->cb.ctx, pull->sender_addr, pull->sender_port, &m);
     view_news_clear(&m.news);
 }
@@ -253,8 +269,8 @@
 on_news(struct view_sync *vs, const struct view_message *m, uint64_t now)
 {
     uint64_t at = now - m->age_us;
-    uint64_t before = forward_view_revision(vs->view);
-    uint64_t known = vs->freshness->confirmed_at;
+    struct known before = known(vs);
+    uint64_t confirmed = vs->freshness->confirmed_at;
     double own = view_sync_position(vs, now) * VIEW_POSITION_END;
     bool newer;
 
@@ -268,15 +284,15 @@
     if (m->confirmed && (double)m->position < own) {
         freshness_heard(vs->freshness, at);
     }
-    newer = forward_view_revision(vs->view) > before ||
-            (m->confirmed && at > known + PASS_ON_STEP_US);
+    newer = forward_view_revision(vs->view) > before.revision ||
+            (m->confirmed && at > confirmed + PASS_ON_STEP_US);
     if (m->pass_on && newer) {
         struct view_message on;
 
         message_init(vs, &on, VIEW_NEWS);
         message_confirm(vs, &on, (double)m->position / VIEW_POSITION_END, now);
-        forward_view_since(vs->view, before == 0 ? m->news.from : before, now,
-                           &on.news);
+        forward_view_since(vs->view, before.revision, before.routes_revision,
+                           now, &on.news);
         tell_peers(vs, &on, m->sender_addr, now);
         view_news_clear(&on.news);
     }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -58,6 +58,7 @@
     bool watching;
     bool reading;
     bool read_stale;     /* the read under way may return something old */
+    bool read_before;    /* the first read has ended */
     bool read_wanted;    /* everything has to be read */
     uint64_t read_after; /* but not before, us */
     struct backoff read_backoff;
@@ -250,6 +251,7 @@
     struct view_news news;
 
     task->reading = false;
+    task->read_before = true;
     if (st->kind != ERR_NONE) {
         LOG_WARN("%s", st->message);
         want_read(task, backoff_next(&task->read_backoff, &task->random));
@@ -273,7 +275,7 @@
 {
     task->read_wanted = false;
     task->reading = true;
-    task->read_stale = forward_view_revision(task->view) == 0;
+    task->read_stale = !task->read_before;
     if (task->read_stale) {
         store_client_range_stale(task->store, task->directory.prefix, true,
                                  on_range, task);
@@ -294,7 +296,7 @@
 static bool
 should_watch(const struct view_task *task, uint64_t now)
 {
-    return !task->leaving && forward_view_revision(task->view) > 0 &&
+    return !task->leaving && task->read_before &&
            freshness_should_watch(&task->freshness,
                                   view_sync_position(task->sync, now), now);
 }
@@ -365,9 +367,15 @@
     if (task->read_wanted && !task->reading && now >= task->read_after) {
         read_all(task);
     }
-    if (!task->watching && !task->reading && should_watch(task, now)) {
-        start_watch(task, now);
+    if (task->watching || task->reading || task->read_wanted ||
+        !should_watch(task, now)) {
+        return;
+    }
+    if (forward_view_revision(task->view) == 0) {
+        read_all(task);
+        return;
     }
+    start_watch(task, now);
 }
 
 /* A suspended host's steady clock stands still too, so that only the boot
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -5,8 +5,8 @@
 
 #include <msgpack.h>
 
-#define MESSAGE_FIELDS 13
-#define ROUTE_FIELDS 8
+#define MESSAGE_FIELDS 14
+#define ROUTE_FIELDS 7
 #define TARGET_FIELDS 12
 #define FIXARRAY_MIN 0x90
 #define FIXARRAY_MAX 0x9f
@@ -38,7 +38,6 @@
     msgpack_pack_array(pk, ROUTE_FIELDS);
     put_number(pk, r->addr);
     put_number(pk, r->port);
-    put_number(pk, r->revision);
     put_bool(pk, r->removed);
     put_number(pk, r->timeout_ms);
     put_number(pk, r->aim_ms);
@@ -84,6 +83,7 @@
     put_number(pk, m->position);
     put_number(pk, news->from);
     put_number(pk, news->to);
+    put_number(pk, news->routes_from);
     put_number(pk, news->routes_revision);
     put_number(pk, (news->routes_whole ? 1U : 0U) |
                        (news->targets_whole ? 2U : 0U));
@@ -214,13 +214,12 @@
     memset(route, 0, sizeof(*route));
     route->addr = (uint32_t)take_number(&f, UINT32_MAX);
     route->port = (uint16_t)take_number(&f, UINT16_MAX);
-    route->revision = take_number(&f, UINT64_MAX);
     route->removed = take_number(&f, 1) == 1;
     route->timeout_ms = (uint32_t)take_number(&f, UINT32_MAX);
     route->aim_ms = (uint32_t)take_number(&f, UINT32_MAX);
     route->priority = (uint8_t)take_number(&f, UINT8_MAX);
     take_shares(&f, route);
-    r->failed = r->failed || f.failed || route->revision == 0;
+    r->failed = r->failed || f.failed;
 }
 
 static void
@@ -294,6 +293,7 @@
     m->position = (uint32_t)take_number(r, VIEW_POSITION_END);
     m->news.from = take_number(r, UINT64_MAX);
     m->news.to = take_number(r, UINT64_MAX);
+    m->news.routes_from = take_number(r, UINT64_MAX);
     m->news.routes_revision = take_number(r, UINT64_MAX);
     whole = take_number(r, 3);
     m->news.routes_whole = (whole & 1) != 0;
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -20,7 +20,9 @@
     size_t removed_target_count;
     uint64_t revision;
     uint64_t routes_revision;
-    uint64_t forgotten; /* highest revision of a removal no longer kept */
+    GArray *lists;      /* revisions of the lists of routes held so far */
+    uint64_t forgotten; /* highest revision of a target's removal that is no
+                         * longer kept */
     uint64_t generation;
 };
 
@@ -72,6 +74,7 @@
     view->cookies = g_hash_table_new(g_direct_hash, g_direct_equal);
     view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                            service_free);
+    view->lists = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     list_init(&view->removed_routes);
     list_init(&view->removed_targets);
     list_init(&view->lapsed);
@@ -88,6 +91,7 @@
     g_hash_table_destroy(view->cookies);
     g_hash_table_destroy(view->targets);
     g_hash_table_destroy(view->services);
+    g_array_free(view->lists, TRUE);
     free(view);
 }
 
@@ -97,6 +101,12 @@
     return view->revision;
 }
 
+uint64_t
+forward_view_routes_revision(const struct forward_view *view)
+{
+    return view->routes_revision;
+}
+
 size_t
 forward_view_route_count(const struct forward_view *view)
 {
@@ -207,14 +217,6 @@
     return true;
 }
 
-static void
-forget(struct forward_view *view, uint64_t revision)
-{
-    if (revision > view->forgotten) {
-        view->forgotten = revision;
-    }
-}
-
 static void
 set_route(struct forward_view *view, struct forward_route *route,
           const struct route_record *record, uint64_t now)
@@ -245,27 +247,23 @@
     return route;
 }
 
-/* Takes one route. In a whole list its revision is that of the list, unless
- * nothing about it has changed. */
+/* Takes one route of a list, which changes it or not. */
 static void
 apply_route(struct forward_view *view, const struct route_record *record,
             uint64_t list_revision, uint64_t now)
 {
     struct forward_route *route = find_route(view, record->addr, record->port);
-    struct route_record next = *record;
 
     if (route == NULL) {
-        route = add_route(view, record);
-    }
-    route->seen = view->generation;
-    if (next.revision == 0) {
-        next.revision = list_revision;
-        if (route->record.revision != 0 && same_route(&route->record, &next)) {
+        if (record->removed) {
             return;
         }
+        route = add_route(view, record);
     }
-    if (next.revision > route->record.revision) {
-        set_route(view, route, &next, now);
+    route->seen = view->generation;
+    if (route->revision == 0 || !same_route(&route->record, record)) {
+        set_route(view, route, record, now);
+        route->revision = list_revision;
     }
 }
 
@@ -282,22 +280,62 @@
         struct forward_route *route = value;
         struct route_record gone = route->record;
 
-        if (route->seen == view->generation || gone.removed ||
-            gone.revision > revision) {
+        if (route->seen == view->generation || gone.removed) {
             continue;
         }
         gone.removed = true;
-        gone.revision = revision;
         set_route(view, route, &gone, now);
+        route->revision = revision;
     }
 }
 
+/* Notes the list that is held now. Changes can be told against it as long as
+ * it is remembered. */
+static void
+note_list(struct forward_view *view, uint64_t revision)
+{
+    view->routes_revision = revision;
+    if (view->lists->len == ROUTE_LISTS_MAX) {
+        g_array_remove_index(view->lists, 0);
+    }
+    g_array_append_val(view->lists, revision);
+}
+
+/* Changes can no longer be told against lists older than "revision". */
+static void
+forget_lists(struct forward_view *view, uint64_t revision)
+{
+    while (view->lists->len > 0 &&
+           g_array_index(view->lists, uint64_t, 0) < revision) {
+        g_array_remove_index(view->lists, 0);
+    }
+}
+
+static bool
+had_list(const struct forward_view *view, uint64_t revision)
+{
+    for (guint i = 0; i < view->lists->len; i++) {
+        if (g_array_index(view->lists, uint64_t, i) == revision) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the routes of "news" are a later list, or changes to the one held.
+ */
+static bool
+routes_are_news(const struct forward_view *view, const struct view_news *news)
+{
+    return news->routes_revision > view->routes_revision &&
+           (news->routes_whole || news->routes_from == view->routes_revision);
+}
+
 static void
 apply_routes(struct forward_view *view, const struct view_news *news,
              uint64_t now)
 {
-    if (news->routes_whole && news->routes_revision <= view->routes_revision &&
-        view->routes_revision != 0) {
+    if (!routes_are_news(view, news)) {
         return;
     }
     for (guint i = 0; i < news->routes->len; i++) {
@@ -307,9 +345,7 @@
     if (news->routes_whole) {
         remove_unlisted_routes(view, news->routes_revision, now);
     }
-    if (news->routes_revision > view->routes_revision) {
-        view->routes_revision = news->routes_revision;
-    }
+    note_list(view, news->routes_revision);
 }
 
 static struct forward_service *
@@ -429,7 +465,12 @@
            const struct target_record *record, uint64_t now)
 {
     if (record->removed) {
-        target_went(view, target, record->revision, now);
+        if (target->record.removed) {
+            target->record.revision = record->revision;
+        }
+        else {
+            target_went(view, target, record->revision, now);
+        }
         return;
     }
     if (record->created != target->record.created &&
@@ -502,7 +543,7 @@
             view->removed_routes.next, struct forward_route, removed_link);
         uint64_t key = route_key(route->record.addr, route->record.port);
 
-        forget(view, route->record.revision);
+        forget_lists(view, route->revision);
         list_remove(&route->removed_link);
         view->removed_route_count--;
         g_hash_table_remove(view->routes, &key);
@@ -517,7 +558,9 @@
             view->removed_targets.next, struct forward_target, removed_link);
         gpointer key = GUINT_TO_POINTER(target->cookie);
 
-        forget(view, target->record.revision);
+        if (target->record.revision > view->forgotten) {
+            view->forgotten = target->record.revision;
+        }
         list_remove(&target->removed_link);
         view->removed_target_count--;
         if (g_hash_table_lookup(view->cookies, key) == target) {
@@ -531,14 +574,16 @@
 forward_view_apply(struct forward_view *view, const struct view_news *news,
                    uint64_t now)
 {
-    bool whole = news->routes_whole && news->targets_whole;
-
-    if (!whole && news->from > view->revision) {
+    if (!news->targets_whole && news->from > view->revision) {
         return false;
     }
     if (news->to <= view->revision && view->revision != 0) {
         return true;
     }
+    if (news->routes_revision > view->routes_revision &&
+        !routes_are_news(view, news)) {
+        return false;
+    }
     view->generation++;
     apply_routes(view, news, now);
     apply_targets(view, news, now);
@@ -567,8 +612,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct forward_route *route = value;
 
-        if (route->record.revision > from &&
-            !(news->routes_whole && route->record.removed)) {
+        if (news->routes_whole ? !route->record.removed
+                               : route->revision > from) {
             g_array_append_val(news->routes, route->record);
         }
     }
@@ -597,17 +642,20 @@
 
 void
 forward_view_since(const struct forward_view *view, uint64_t from,
-                   uint64_t now, struct view_news *news)
+                   uint64_t routes_from, uint64_t now, struct view_news *news)
 {
     bool whole = from == 0 || from < view->forgotten;
 
     news->from = whole ? 0 : from;
     news->to = view->revision;
-    news->routes_whole = whole;
     news->targets_whole = whole;
     news->routes_revision = view->routes_revision;
-    add_routes_since(view, news->from, news);
     add_targets_since(view, news->from, now, news);
+    if (routes_from < view->routes_revision) {
+        news->routes_whole = !had_list(view, routes_from);
+        news->routes_from = routes_from;
+        add_routes_since(view, routes_from, news);
+    }
 }
 
 void
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -10,13 +10,14 @@
 #include "state/target-signs.h"
 #include "state/view-news.h"
 
-/* The routes and targets in force at a forwarder. Every record has the store's
- * revision at its last change, and only a higher one replaces it, so records
- * may arrive in any order and from anybody. Removed ones are kept for some
- * time: a peer has to learn of them, and a packet may still name them. */
+/* The routes and targets in force at a forwarder. A target is replaced only by
+ * a later revision of its entry, and the list of routes by a later list, so
+ * news may arrive in any order and from anybody. What was removed is kept for
+ * some time: a peer has to learn of it, and a packet may still name it. */
 
 #define FORWARD_REMOVED_MAX 4096 /* removed records kept of each kind */
 #define ROUTE_PAST_MAX 4         /* services that a route had before */
+#define ROUTE_LISTS_MAX 64       /* lists since which changes can be told */
 
 struct forward_service {
     const char *name;   /* interned */
@@ -31,7 +32,8 @@
 struct forward_route {
     struct list removed_link;
     struct route_record record;
-    uint64_t seen; /* generation of the last whole list */
+    uint64_t revision; /* of the list that last changed it */
+    uint64_t seen;     /* generation of the last whole list */
     struct route_past past[ROUTE_PAST_MAX];
     size_t past_next;
 };
@@ -74,17 +76,22 @@
 void forward_view_destroy(struct forward_view *view);
 
 /* Takes what is newer. Returns false when "news" starts behind what is held,
- * so that something in between may be missing; nothing is taken then. */
+ * or changes another list of routes, so that something in between may be
+ * missing; nothing is taken then. */
 bool forward_view_apply(struct forward_view *view,
                         const struct view_news *news, uint64_t now);
-/* Fills "news" with everything that changed after the revision "from". */
+/* Fills "news" for one who is complete up to the revision "from" and holds the
+ * list of routes of the revision "routes_from". */
 void forward_view_since(const struct forward_view *view, uint64_t from,
-                        uint64_t now, struct view_news *news);
+                        uint64_t routes_from, uint64_t now,
+                        struct view_news *news);
 /* Lets go of lapsed targets whose time is over. */
 void forward_view_tick(struct forward_view *view, uint64_t now);
 
 /* The store's revision up to which everything is known; 0: nothing is. */
 uint64_t forward_view_revision(const struct forward_view *view);
+/* That of the list of routes; 0: none. */
+uint64_t forward_view_routes_revision(const struct forward_view *view);
 /* Routes are known, and targets. */
 bool forward_view_usable(const struct forward_view *view);
 size_t forward_view_route_count(const struct forward_view *view);
--- a/src/state/view-news.h
+++ b/src/state/view-news.h
@@ -7,8 +7,10 @@
 
 #include "state/resource.h"
 
-/* Changes of what a forwarder holds: routes and targets, each with the store's
- * revision at its last change. Read from the store, or told by a peer. Names
+/* Changes of what a forwarder holds, read from the store or told by a peer.
+ * Each target has the store's revision at its last change. Routes come as one
+ * list, so only the list has one: what changed in it is told against another
+ * list, named by its revision. Names
  * of services and failure domains are interned (g_intern_string()), so equal
  * ones are the same pointer. */
 
@@ -23,7 +25,6 @@
 struct route_record {
     uint32_t addr; /* where callers reach it: IPv4, host byte order */
     uint16_t port;
-    uint64_t revision; /* 0: that of the whole list of routes */
     bool removed;
     uint32_t timeout_ms;
     uint32_t aim_ms;
@@ -50,10 +51,11 @@
 struct view_news {
     uint64_t from; /* for one who is complete up to here, */
     uint64_t to;   /* complete up to here afterwards */
-    /* The list holds all that there is: what is not on it is gone. */
+    /* All that there is: what is not named is gone. */
     bool routes_whole;
     bool targets_whole;
-    uint64_t routes_revision; /* of the newest list of routes; 0: none */
+    uint64_t routes_from; /* unless whole: the list that "routes" changes */
+    uint64_t routes_revision; /* of the newest list; 0: none */
     GArray *routes;           /* struct route_record */
     GArray *targets;          /* struct target_record */
 };
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -428,6 +428,29 @@
     operation_attempt(op);
 }
 
+/* Notes the revision up to which the answer is whole: that of the first page.
+ * A stale page holds what was there some time before the revision that comes
+ * with it, so it is whole up to the newest of its own entries at least; pages
+ * may be stale by different times, so the least of them counts. */
+static void
+note_page(struct operation *op, size_t first, uint64_t revision)
+{
+    uint64_t newest = 0;
+
+    if (!op->stale) {
+        op->revision = op->revision == 0 ? revision : op->revision;
+        return;
+    }
+    for (size_t i = first; i < op->entries.count; i++) {
+        uint64_t entry = op->entries.items[i].mod_revision;
+
+        newest = entry > newest ? entry : newest;
+    }
+    if (first == 0 || newest < op->revision) {
+        op->revision = newest;
+    }
+}
+
 static void
 handle_range_answer(struct operation *op,
                     const struct http_call_answer *answer)
@@ -450,9 +473,7 @@
         return;
     }
     backoff_reset(&op->sc->backoff);
-    if (op->revision == 0) {
-        op->revision = range.revision;
-    }
+    note_page(op, had, range.revision);
     if (range.more && op->entries.count > had) {
         read_next_page(op);
         return;
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -83,7 +83,8 @@
 void store_client_range(struct store_client *sc, const char *key, bool prefix,
                         store_range_cb cb, void *ctx);
 
-/* The same, but the answer may be some seconds old. */
+/* The same, but the answer may be some seconds old. The revision is one up to
+ * which it is whole, 0 for an empty one. */
 void store_client_range_stale(struct store_client *sc, const char *key,
                               bool prefix, store_range_cb cb, void *ctx);
 
