coordination: silent targets are found by several balancers together

A request that comes again is a miss; three without an answer in between, own or reported by peers, and the target is taken for silent: its waiting flows are reset so that callers can try another. A repeat now counts from when the kernel had it, a large change is announced and pulled once, and encoded once.

--- a/src/coordination/passive-health.c
+++ b/src/coordination/passive-health.c
@@ -6,14 +6,16 @@
 
 /* Time in which the count of requests falls to 1/e. */
 #define LOAD_DECAY_US (2.0 * (double)USEC_PER_SEC)
-/* Misses in a row, without an answer since, from which on it is avoided. One
- * may be a lost datagram. */
-#define MISSES_MIN 2
-/* Avoided for this long after the last miss, and longer the more there are. */
+/* Misses from which on new flows go elsewhere. */
+#define AVOID_MISSES 2
+/* For this long after the last miss, times the misses beyond the first of
+ * these, up to so many. */
 #define AVOID_US (1 * USEC_PER_SEC)
 #define AVOID_STEPS_MAX 4
-/* A flow is let through in this interval while it is avoided. */
+/* A flow is let through in this interval once the time is over. */
 #define TRIAL_INTERVAL_US (1 * USEC_PER_SEC)
+/* Misses that lie further apart have nothing to do with each other. */
+#define MISS_MEMORY_US (5 * USEC_PER_SEC)
 
 double
 passive_health_load(const struct target_signs *signs, uint64_t now)
@@ -34,39 +36,69 @@
 passive_health_answered(struct target_signs *signs, uint64_t now)
 {
     signs->misses = 0;
+    signs->unreported = 0;
     signs->avoid_until = 0;
+    signs->silent = false;
     signs->answered_at = now;
 }
 
-void
-passive_health_missed(struct target_signs *signs, uint64_t sent_at,
-                      uint64_t now)
+static bool
+add_misses(struct target_signs *signs, unsigned misses, uint64_t sent_at,
+           uint64_t now)
 {
     unsigned steps;
 
-    if (signs->answered_at > sent_at) {
-        /* Others have had answers since: it was this one packet. */
-        return;
+    if (signs->misses == 0 || now - signs->missed_at > MISS_MEMORY_US) {
+        signs->misses = 0;
+        signs->missed_since = sent_at;
     }
-    signs->misses++;
+    signs->misses += misses;
     signs->missed_at = now;
-    if (signs->misses >= MISSES_MIN) {
-        steps = signs->misses - MISSES_MIN + 1;
+    if (sent_at < signs->missed_since) {
+        signs->missed_since = sent_at;
+    }
+    if (signs->misses >= AVOID_MISSES) {
+        steps = signs->misses - AVOID_MISSES + 1;
         steps = steps > AVOID_STEPS_MAX ? AVOID_STEPS_MAX : steps;
         signs->avoid_until = now + steps * AVOID_US;
     }
+    if (signs->silent || signs->misses < PASSIVE_HEALTH_SILENT_MISSES) {
+        return false;
+    }
+    signs->silent = true;
+    return true;
 }
 
 bool
-passive_health_avoid(const struct target_signs *signs, uint64_t now)
+passive_health_missed(struct target_signs *signs, uint64_t sent_at,
+                      uint64_t arrived, uint64_t now)
 {
-    if (signs->misses < MISSES_MIN) {
+    if (signs->answered_at > sent_at ||
+        arrived < sent_at + PASSIVE_HEALTH_MISS_MIN_US) {
         return false;
     }
-    if (now < signs->avoid_until) {
-        return true;
+    signs->unreported++;
+    return add_misses(signs, 1, sent_at, now);
+}
+
+bool
+passive_health_reported(struct target_signs *signs, unsigned misses,
+                        uint64_t sent_at, uint64_t now)
+{
+    if (signs->answered_at > sent_at) {
+        return false;
+    }
+    return add_misses(signs, misses, sent_at, now);
+}
+
+bool
+passive_health_avoid(const struct target_signs *signs, uint64_t now)
+{
+    if (signs->misses < AVOID_MISSES) {
+        return false;
     }
-    return signs->trial_at + TRIAL_INTERVAL_US > now;
+    return now < signs->avoid_until ||
+           now < signs->trial_at + TRIAL_INTERVAL_US;
 }
 
 void
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -11,13 +11,23 @@
 enum view_message_kind {
     VIEW_NEWS = 1, /* what changed, and when the store confirmed it */
     VIEW_PULL,     /* please send what changed after "news.from" */
+    VIEW_SIGNS,    /* targets that do not answer */
     VIEW_MESSAGE_KIND_END,
 };
 
+#define VIEW_SIGNS_MAX 64 /* of one message */
+
 /* Where a balancer stands in the order of who watches the store: 0 is first,
  * VIEW_POSITION_END comes after the last. */
 #define VIEW_POSITION_END 65536U
 
+/* A target that does not answer the sender's callers. */
+struct sign_record {
+    uint32_t cookie;
+    uint32_t misses;      /* noticed since the last report */
+    uint64_t sent_age_us; /* since the first of them was sent */
+};
+
 struct view_message {
     enum view_message_kind kind;
     uint32_t sender_addr; /* of its gossip endpoint */
@@ -27,4 +37,6 @@
     uint64_t age_us;   /* since the store confirmed the news */
     uint32_t position; /* of the balancer that asked the store */
     struct view_news news;
+    size_t sign_count;
+    struct sign_record signs[VIEW_SIGNS_MAX];
 };
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -10,7 +10,11 @@
 #define PEERS_MAX 32
 /* A member heard within this time has a connection with us. */
 #define HEARD_RECENTLY_US (2500 * USEC_PER_MSEC)
+/* An answer to a pull may take so long before another peer is asked. */
 #define PULL_INTERVAL_US (100 * USEC_PER_MSEC)
+/* News of more records are only announced: who lacks them pulls them once,
+ * instead of getting them from each peer. */
+#define PUSH_RECORDS_MAX 32
 /* Confirmations closer to the last one are not passed on. */
 #define PASS_ON_STEP_US (50 * USEC_PER_MSEC)
 /* Salt of the rendezvous order of watchers. */
@@ -26,6 +30,7 @@
     struct random *random;
     struct view_sync_callbacks cb;
     uint64_t next_pull;
+    bool behind; /* a peer knows more, as far as we have heard */
 };
 
 struct view_sync *
@@ -176,20 +181,45 @@
 
 /* Tells the peers, but for the one that told us. */
 static void
-tell_peers(struct view_sync *vs, struct view_message *m, uint32_t from_addr,
-           uint64_t now)
+tell_peers(const struct view_sync *vs, struct view_message *m,
+           uint32_t from_addr, uint64_t now)
 {
     const struct member *peers[PEERS_MAX];
+    const struct member_info *infos[PEERS_MAX];
     bool small = fleet_is_small(vs);
     size_t count = collect_peers(vs, small, now, peers);
+    size_t told = 0;
 
     m->pass_on = !small;
     for (size_t i = 0; i < count; i++) {
         if (peers[i]->info.addr != from_addr) {
-            vs->cb.send(vs->cb.ctx, peers[i]->info.addr, peers[i]->info.port,
-                        m);
+            infos[told] = &peers[i]->info;
+            told++;
         }
     }
+    if (told > 0) {
+        vs->cb.send(vs->cb.ctx, infos, told, m);
+    }
+}
+
+/* Tells the peers what has changed since "before", or that something has. */
+static void
+tell_news(const struct view_sync *vs, struct view_message *m,
+          const struct known *before, uint32_t from_addr, uint64_t now)
+{
+    struct view_news *news = &m->news;
+
+    forward_view_since(vs->view, before->revision, before->routes_revision,
+                       now, news);
+    if (news->routes->len + news->targets->len > PUSH_RECORDS_MAX) {
+        g_array_set_size(news->routes, 0);
+        g_array_set_size(news->targets, 0);
+        news->routes_whole = false;
+        news->targets_whole = false;
+        news->from = news->to;
+        news->routes_from = news->routes_revision;
+    }
+    tell_peers(vs, m, from_addr, now);
 }
 
 /* Takes news that the store gave "age_us" ago, and its confirmation. Returns
@@ -228,22 +258,23 @@
     }
     message_init(vs, &m, VIEW_NEWS);
     message_confirm(vs, &m, view_sync_position(vs, at), at);
-    forward_view_since(vs->view, before.revision, before.routes_revision, at,
-                       &m.news);
-    tell_peers(vs, &m, 0, at);
+    tell_news(vs, &m, &before, 0, at);
     view_news_clear(&m.news);
     return true;
 }
 
 static void
-send_pull(struct view_sync *vs, uint32_t addr, uint16_t port)
+send_pull(struct view_sync *vs, uint32_t addr, uint16_t port, uint64_t now)
 {
+    const struct member_info peer = {.addr = addr, .port = port};
+    const struct member_info *peers[] = {&peer};
     struct view_message m;
 
+    vs->next_pull = now + PULL_INTERVAL_US;
     message_init(vs, &m, VIEW_PULL);
     m.news.from = forward_view_revision(vs->view);
     m.news.routes_revision = forward_view_routes_revision(vs->view);
-    vs->cb.send(vs->cb.ctx, addr, port, &m);
+    vs->cb.send(vs->cb.ctx, peers, 1, &m);
     view_news_clear(&m.news);
 }
 
@@ -251,6 +282,9 @@
 answer_pull(struct view_sync *vs, const struct view_message *pull,
             uint64_t now)
 {
+    const struct member_info peer = {.addr = pull->sender_addr,
+                                     .port = pull->sender_port};
+    const struct member_info *peers[] = {&peer};
     struct view_message m;
 
     if (forward_view_revision(vs->view) == 0) {
@@ -261,7 +295,7 @@
     message_confirm(vs, &m, 1.0, now);
     forward_view_since(vs->view, pull->news.from, pull->news.routes_revision,
                        now, &m.news);
-    vs->cb.send(vs->cb.ctx, pull->sender_addr, pull->sender_port, &m);
+    vs->cb.send(vs->cb.ctx, peers, 1, &m);
     view_news_clear(&m.news);
 }
 
@@ -278,9 +312,13 @@
         return;
     }
     if (!take(vs, &m->news, m->confirmed, at, now)) {
-        send_pull(vs, m->sender_addr, m->sender_port);
+        vs->behind = true;
+        if (now >= vs->next_pull) {
+            send_pull(vs, m->sender_addr, m->sender_port, now);
+        }
         return;
     }
+    vs->behind = false;
     if (m->confirmed && (double)m->position < own) {
         freshness_heard(vs->freshness, at);
     }
@@ -291,46 +329,86 @@
 
         message_init(vs, &on, VIEW_NEWS);
         message_confirm(vs, &on, (double)m->position / VIEW_POSITION_END, now);
-        forward_view_since(vs->view, before.revision, before.routes_revision,
-                           now, &on.news);
-        tell_peers(vs, &on, m->sender_addr, now);
+        tell_news(vs, &on, &before, m->sender_addr, now);
         view_news_clear(&on.news);
     }
 }
 
+/* What a peer has noticed is not passed on: each tells of its own misses. */
+static void
+on_signs(struct view_sync *vs, const struct view_message *m, uint64_t now)
+{
+    for (size_t i = 0; i < m->sign_count; i++) {
+        const struct sign_record *sign = &m->signs[i];
+
+        if (sign->sent_age_us < now) {
+            vs->cb.reported(vs->cb.ctx, sign->cookie, sign->misses,
+                            now - sign->sent_age_us);
+        }
+    }
+}
+
+void
+view_sync_report(struct view_sync *vs, const struct sign_record *signs,
+                 size_t count, uint64_t now)
+{
+    struct view_message m;
+
+    message_init(vs, &m, VIEW_SIGNS);
+    for (size_t i = 0; i < count; i += VIEW_SIGNS_MAX) {
+        size_t left = count - i;
+
+        m.sign_count = left < VIEW_SIGNS_MAX ? left : VIEW_SIGNS_MAX;
+        memcpy(m.signs, &signs[i], m.sign_count * sizeof(*signs));
+        tell_peers(vs, &m, 0, now);
+    }
+    view_news_clear(&m.news);
+}
+
 void
 view_sync_receive(struct view_sync *vs, const struct view_message *m,
                   uint64_t now)
 {
-    if (m->kind == VIEW_NEWS) {
+    switch (m->kind) {
+    case VIEW_NEWS:
         on_news(vs, m, now);
-    }
-    else {
+        break;
+    case VIEW_PULL:
         answer_pull(vs, m, now);
+        break;
+    case VIEW_SIGNS:
+        on_signs(vs, m, now);
+        break;
+    default:
+        break;
     }
 }
 
-/* Asks a live member for what it knows. */
+/* Asks a live member for what it knows: one with whom there is a connection,
+ * if there are any. */
 void
 view_sync_ask(struct view_sync *vs, uint64_t now)
 {
     const struct member *peers[PEERS_MAX];
-    size_t count = collect_peers(vs, true, now, peers);
+    size_t count = collect_peers(vs, false, now, peers);
     uint32_t drawn;
 
+    if (count == 0) {
+        count = collect_peers(vs, true, now, peers);
+    }
     if (count == 0) {
         return;
     }
     drawn = random_below(vs->random, (uint32_t)count);
-    send_pull(vs, peers[drawn]->info.addr, peers[drawn]->info.port);
+    send_pull(vs, peers[drawn]->info.addr, peers[drawn]->info.port, now);
 }
 
 /* Asks when the news are late. */
 void
 view_sync_tick(struct view_sync *vs, uint64_t now)
 {
-    if (now >= vs->next_pull && freshness_should_pull(vs->freshness, now)) {
-        vs->next_pull = now + PULL_INTERVAL_US;
+    if (now >= vs->next_pull &&
+        (vs->behind || freshness_should_pull(vs->freshness, now))) {
         view_sync_ask(vs, now);
     }
 }
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -19,10 +19,15 @@
 struct view_sync;
 
 struct view_sync_callbacks {
-    void (*send)(void *ctx, uint32_t addr, uint16_t port,
-                 const struct view_message *m);
+    /* Sends one message to some peers; it is encoded once. */
+    void (*send)(void *ctx, const struct member_info *const *peers,
+                 size_t count, const struct view_message *m);
     /* The view has changed, or was confirmed. */
     void (*changed)(void *ctx);
+    /* A peer has noticed misses of a target that it first sent to at
+     * "sent_at". */
+    void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
+                     uint64_t sent_at);
     void *ctx;
 };
 
@@ -41,6 +46,9 @@
                               uint64_t at);
 void view_sync_receive(struct view_sync *vs, const struct view_message *m,
                        uint64_t now);
+/* Tells the peers of targets that do not answer. */
+void view_sync_report(struct view_sync *vs, const struct sign_record *signs,
+                      size_t count, uint64_t now);
 /* Asks some peer for what it has that is newer. */
 void view_sync_ask(struct view_sync *vs, uint64_t now);
 void view_sync_tick(struct view_sync *vs, uint64_t now);
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -25,7 +25,7 @@
     static const char *const resets[] = {
         [FORWARD_RESET_NO_ROUTE] = "{cause=\"no_route\"}",
         [FORWARD_RESET_NO_TARGET] = "{cause=\"no_target\"}",
-        [FORWARD_RESET_TARGET_GONE] = "{cause=\"target_gone\"}",
+        [FORWARD_RESET_TARGET_SILENT] = "{cause=\"target_silent\"}",
     };
 
     add(text, "packets_received_total", "", c->received);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -19,10 +19,6 @@
  * their target. */
 #define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
 #define EXPIRE_INTERVAL_S 1
-/* Times that a caller has sent the same data to a target whose entry is gone,
- * from which on its flow is reset. */
-#define GONE_REPEATS 1
-
 /* Packets that wait for the first view. A start takes some ten milliseconds;
  * a caller sends its packet again after 200 ms. */
 #define EARLY_PACKETS_MAX 256
@@ -59,6 +55,7 @@
     uint8_t *data;
     size_t size;
     uint64_t now;
+    uint64_t arrived; /* when the kernel had it, us */
 };
 
 static void
@@ -67,15 +64,15 @@
     task->counters.drops[why]++;
 }
 
-/* Tells the caller at once that its flow is over. Of an opening this says that
- * nothing was run. */
+/* Tells the sender of a packet at once that its flow is over. Of an opening
+ * this says that nothing was run. */
 static void
-reset(struct forward_task *task, const struct inbound_packet *in,
+reset(struct forward_task *task, const struct flow_packet *packet,
       enum forward_reset why)
 {
-    const struct endpoint caller = {in->packet.src_addr, task->return_port};
+    const struct endpoint caller = {packet->src_addr, task->return_port};
     uint8_t out[FLOW_PACKET_MAX];
-    size_t size = task->format->make_reset(&in->packet, out);
+    size_t size = task->format->make_reset(packet, out);
 
     task->counters.resets[why]++;
     udp_socket_send(task->socket, &caller, out, size);
@@ -107,10 +104,73 @@
     };
 }
 
-/* A copy of an opening: those that got the earlier ones did not answer in
+/* Ends an open flow whose target is taken for silent: its caller can try
+ * another. */
+static void
+reset_flow(struct forward_task *task, struct recent_flow *flow)
+{
+    const struct flow_packet packet = {
+        .src_addr = flow->key.caller_addr,
+        .src_port = flow->key.caller_port,
+        .dst_addr = flow->key.route_addr,
+        .dst_port = flow->key.route_port,
+        .ack = flow->ack,
+    };
+
+    flow->waiting = false;
+    reset(task, &packet, FORWARD_RESET_TARGET_SILENT);
+}
+
+/* Ends the flows that have waited for an answer of a silent target for so long
+ * that their callers have sent again. */
+static void
+reset_flows_of(struct forward_task *task, const struct forward_target *target)
+{
+    log_fields(LOG_LEVEL_WARN, LOG_MODULE,
+               LOG_FIELDS({"target", target->record.id}), "target_silent");
+    for (struct recent_flow *flow = recent_flows_first(task->flows);
+         flow != NULL; flow = recent_flows_next(task->flows, flow)) {
+        if (flow->cookie == target->cookie && flow->open && flow->waiting &&
+            flow->repeats > 0) {
+            reset_flow(task, flow);
+        }
+    }
+}
+
+/* What arrived at "arrived" is what was passed on at "sent_at" once more. */
+static void
+note_miss(struct forward_task *task, struct forward_target *target,
+          uint64_t sent_at, uint64_t arrived)
+{
+    bool silent = passive_health_missed(&target->signs, sent_at, arrived,
+                                        clock_monotonic_us());
+
+    if (target->signs.unreported > 0) {
+        task->cb.target_missed(task->cb.ctx, target);
+    }
+    if (silent) {
+        reset_flows_of(task, target);
+    }
+}
+
+void
+forward_task_reported(struct forward_task *task, uint32_t cookie,
+                      unsigned misses, uint64_t sent_at)
+{
+    struct forward_target *target = forward_view_target(task->view, cookie);
+
+    if (target != NULL &&
+        passive_health_reported(&target->signs, misses, sent_at,
+                                clock_monotonic_us())) {
+        reset_flows_of(task, target);
+    }
+}
+
+/* A copy of an opening: the target that got the one before did not answer in
  * time. */
 static void
-note_misses(struct forward_task *task, struct recent_flow *flow, uint64_t now)
+note_opening_missed(struct forward_task *task, struct recent_flow *flow,
+                    uint64_t arrived)
 {
     struct forward_target *target;
 
@@ -120,7 +180,7 @@
     target =
         forward_view_target(task->view, flow->tried[flow->tried_count - 1]);
     if (target != NULL) {
-        passive_health_missed(&target->signs, flow->sent_at, now);
+        note_miss(task, target, flow->sent_at, arrived);
     }
 }
 
@@ -154,7 +214,7 @@
     }
     else {
         task->counters.opening_copies++;
-        note_misses(task, flow, in->now);
+        note_opening_missed(task, flow, in->arrived);
     }
     return flow;
 }
@@ -171,7 +231,7 @@
     const char *service;
 
     if (route == NULL) {
-        reset(task, in, FORWARD_RESET_NO_ROUTE);
+        reset(task, &in->packet, FORWARD_RESET_NO_ROUTE);
         return;
     }
     flow = touch_opening(task, in);
@@ -183,7 +243,7 @@
     request.tried_count = flow->tried_count;
     target = placement_choose(&request, &task->random);
     if (target == NULL) {
-        reset(task, in, FORWARD_RESET_NO_TARGET);
+        reset(task, &in->packet, FORWARD_RESET_NO_TARGET);
         return;
     }
     if (passive_health_avoid(&target->signs, in->now)) {
@@ -195,10 +255,49 @@
     send_to_target(task, in, target);
 }
 
+static void
+note_answer(struct recent_flow *flow, struct forward_target *target,
+            uint32_t ack, uint64_t now)
+{
+    flow->ack = ack;
+    flow->repeats = 0;
+    flow->waiting = false;
+    passive_health_answered(&target->signs, now);
+}
+
+static void
+note_request(struct forward_task *task, struct recent_flow *flow,
+             struct forward_target *target, uint32_t seq_end, uint64_t now)
+{
+    task->counters.requests++;
+    flow->seq_end = seq_end;
+    flow->sent_at = now;
+    flow->waiting = true;
+    flow->repeats = 0;
+    passive_health_sent(&target->signs, now);
+}
+
+/* The same data again. Each request counts as a miss once. */
+static void
+note_repeat(struct forward_task *task, struct recent_flow *flow,
+            struct forward_target *target, uint64_t arrived)
+{
+    task->counters.repeats++;
+    if (!flow->waiting) {
+        return;
+    }
+    if (flow->repeats < UINT8_MAX) {
+        flow->repeats++;
+    }
+    if (flow->repeats == 1) {
+        note_miss(task, target, flow->sent_at, arrived);
+    }
+}
+
 /* Learns from a packet of an open flow. The caller's first packet shows that
  * the target answered the opening, a higher acknowledgement that it answered
  * since, and data that comes again that it has not. */
-static void
+static struct recent_flow *
 observe(struct forward_task *task, const struct inbound_packet *in,
         struct forward_target *target)
 {
@@ -206,47 +305,26 @@
     struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
     const struct flow_packet *packet = &in->packet;
     uint32_t seq_end = packet->seq + packet->length;
-    bool first = !flow->open || flow->cookie != target->cookie;
 
-    if (first) {
+    if (!flow->open || flow->cookie != target->cookie) {
         flow->open = true;
         flow->cookie = target->cookie;
-        flow->ack = packet->ack;
         flow->seq_end = packet->seq;
-        flow->repeats = 0;
+        note_answer(flow, target, packet->ack, in->now);
     }
-    if (first || (int32_t)(packet->ack - flow->ack) > 0) {
-        flow->ack = packet->ack;
-        flow->repeats = 0;
-        passive_health_answered(&target->signs, in->now);
+    else if ((int32_t)(packet->ack - flow->ack) > 0) {
+        note_answer(flow, target, packet->ack, in->now);
     }
     if (packet->length == 0) {
-        return;
+        return flow;
     }
     if ((int32_t)(seq_end - flow->seq_end) > 0) {
-        flow->seq_end = seq_end;
-        task->counters.requests++;
-        passive_health_sent(&target->signs, in->now);
+        note_request(task, flow, target, seq_end, in->now);
     }
     else {
-        task->counters.repeats++;
-        flow->repeats =
-            flow->repeats == UINT8_MAX ? UINT8_MAX : flow->repeats + 1;
+        note_repeat(task, flow, target, in->arrived);
     }
-}
-
-/* Whether the flow's target is gone for good: its entry is, and the caller
- * has had no answer. A target whose entry is gone may still be reachable, so
- * packets are passed on until then. */
-static bool
-target_is_lost(struct forward_task *task, const struct inbound_packet *in,
-               const struct forward_target *target)
-{
-    struct recent_flow_key key = flow_key(&in->packet);
-    const struct recent_flow *flow = recent_flows_find(task->flows, &key);
-
-    return target->presence == TARGET_GONE && flow != NULL &&
-           flow->repeats >= GONE_REPEATS;
+    return flow;
 }
 
 /* The history of a route's services is known back to the start of this
@@ -270,6 +348,7 @@
     const struct forward_route *route =
         forward_view_route(task->view, packet->dst_addr, packet->dst_port);
     struct forward_target *target;
+    struct recent_flow *flow;
 
     if (route == NULL) {
         /* An open flow is not ended on the word of an old view. */
@@ -278,7 +357,7 @@
             drop(task, FORWARD_DROP_NO_ROUTE);
             return;
         }
-        reset(task, in, FORWARD_RESET_NO_ROUTE);
+        reset(task, &in->packet, FORWARD_RESET_NO_ROUTE);
         return;
     }
     target = packet->cookie == 0
@@ -293,18 +372,20 @@
         drop(task, FORWARD_DROP_FORGED);
         return;
     }
-    observe(task, in, target);
-    if (target_is_lost(task, in, target)) {
-        reset(task, in, FORWARD_RESET_TARGET_GONE);
+    flow = observe(task, in, target);
+    if (target->signs.silent && flow->waiting && flow->repeats > 0) {
+        reset_flow(task, flow);
         return;
     }
     send_to_target(task, in, target);
 }
 
 static void
-handle_packet(struct forward_task *task, const uint8_t *data, size_t size)
+handle_packet(struct forward_task *task, const uint8_t *data, size_t size,
+              uint64_t arrived)
 {
-    struct inbound_packet in = {.size = size, .now = clock_monotonic_us()};
+    struct inbound_packet in = {
+        .size = size, .now = clock_monotonic_us(), .arrived = arrived};
     uint8_t copy[FLOW_PACKET_MAX];
 
     if (size > sizeof(copy) || !task->format->parse(data, size, &in.packet)) {
@@ -352,7 +433,7 @@
         list_remove(&early->link);
         task->early_count--;
         if (handle && now - early->arrived <= EARLY_AGE_US) {
-            handle_packet(task, early->data, early->size);
+            handle_packet(task, early->data, early->size, early->arrived);
         }
         else {
             drop(task, FORWARD_DROP_NO_VIEW);
@@ -375,7 +456,7 @@
 
     task->counters.received++;
     if (forward_view_usable(task->view)) {
-        handle_packet(task, data, size);
+        handle_packet(task, data, size, clock_monotonic_us() - queued_us);
     }
     else {
         keep_early(task, data, size);
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -20,6 +20,8 @@
     void (*unknown_target)(void *ctx);
     /* Whether the view is new enough to say that a route does not exist. */
     bool (*view_is_fresh)(void *ctx);
+    /* A target has misses that the peers do not know of. */
+    void (*target_missed)(void *ctx, struct forward_target *target);
     void *ctx;
 };
 
@@ -37,7 +39,7 @@
 enum forward_reset {
     FORWARD_RESET_NO_ROUTE,
     FORWARD_RESET_NO_TARGET,
-    FORWARD_RESET_TARGET_GONE,
+    FORWARD_RESET_TARGET_SILENT,
     FORWARD_RESET_COUNT,
 };
 
@@ -62,6 +64,9 @@
                                       struct status *st);
 void forward_task_destroy(struct forward_task *task);
 
+/* A peer noticed that a target does not answer. */
+void forward_task_reported(struct forward_task *task, uint32_t cookie,
+                           unsigned misses, uint64_t sent_at);
 /* The view can be used now: handles the packets that came before. */
 void forward_task_view_ready(struct forward_task *task);
 
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -75,6 +75,24 @@
     view_task_refresh(f->view);
 }
 
+static void
+on_reported(void *ctx, uint32_t cookie, unsigned misses, uint64_t sent_at)
+{
+    struct forwarder *f = ctx;
+
+    if (f->forward != NULL) {
+        forward_task_reported(f->forward, cookie, misses, sent_at);
+    }
+}
+
+static void
+on_target_missed(void *ctx, struct forward_target *target)
+{
+    struct forwarder *f = ctx;
+
+    view_task_report(f->view, target);
+}
+
 static bool
 on_view_is_fresh(void *ctx)
 {
@@ -200,7 +218,10 @@
 {
     const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
                                          .view_is_fresh = on_view_is_fresh,
+                                         .target_missed = on_target_missed,
                                          .ctx = f};
+    const struct view_task_callbacks view_cb = {
+        .changed = on_view_changed, .reported = on_reported, .ctx = f};
     char address[ADDRESS_TEXT_SIZE];
     const struct http_server_options options = {
         .address = address,
@@ -212,7 +233,7 @@
 
     address_format(f->settings.ready.addr, address);
     f->view = view_task_new(f->zmq_ctx, f->base, &f->settings,
-                            &f->adapter->directory, on_view_changed, f, st);
+                            &f->adapter->directory, &view_cb, st);
     if (f->view == NULL) {
         return false;
     }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -33,16 +33,19 @@
 /* How much older than a watch's wait an answer may be before the store counts
  * as having been away. */
 #define AWAY_MARGIN_US (1 * USEC_PER_SEC)
+/* Misses are collected for so long before the peers are told. */
+#define REPORT_DELAY_US (20 * USEC_PER_MSEC)
 #define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
 
 struct view_task {
     struct forward_settings settings;
     struct directory directory;
-    void (*changed)(void *ctx);
-    void *ctx;
+    struct view_task_callbacks cb;
 
     struct event_base *base;
     struct event *tick;
+    struct event *report;
+    GPtrArray *unreported; /* cookies of targets with news for the peers */
     uint64_t last_tick;
     uint64_t boot_lead; /* of the boot clock over the steady one */
 
@@ -83,10 +86,11 @@
 }
 
 static void
-send_view(void *ctx, uint32_t addr, uint16_t port,
+send_view(void *ctx, const struct member_info *const *peers, size_t count,
           const struct view_message *m)
 {
     struct view_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
     size_t size;
     uint8_t *data = view_encode(m, &size);
 
@@ -95,8 +99,10 @@
                  m->news.to);
         return;
     }
-    gossip_endpoint_send(task->gossip, addr, port, data, size,
-                         clock_monotonic_us());
+    for (size_t i = 0; i < count; i++) {
+        gossip_endpoint_send(task->gossip, peers[i]->addr, peers[i]->port,
+                             data, size, now);
+    }
     free(data);
 }
 
@@ -178,7 +184,15 @@
 {
     struct view_task *task = ctx;
 
-    task->changed(task->ctx);
+    task->cb.changed(task->cb.ctx);
+}
+
+static void
+on_sync_reported(void *ctx, uint32_t cookie, unsigned misses, uint64_t sent_at)
+{
+    struct view_task *task = ctx;
+
+    task->cb.reported(task->cb.ctx, cookie, misses, sent_at);
 }
 
 static uint64_t
@@ -489,6 +503,37 @@
                         task->freshness.limits.watch_wait_us + AWAY_MARGIN_US);
 }
 
+/* Tells the peers which targets have not answered since the last report. */
+static void
+on_report(evutil_socket_t fd, short what, void *arg)
+{
+    struct view_task *task = arg;
+    uint64_t now = clock_monotonic_us();
+    GArray *signs = g_array_new(FALSE, FALSE, sizeof(struct sign_record));
+
+    for (guint i = 0; i < task->unreported->len; i++) {
+        uint32_t cookie =
+            GPOINTER_TO_UINT(g_ptr_array_index(task->unreported, i));
+        struct forward_target *target =
+            forward_view_target(task->view, cookie);
+
+        if (target != NULL && target->signs.unreported > 0) {
+            const struct sign_record sign = {
+                .cookie = cookie,
+                .misses = target->signs.unreported,
+                .sent_age_us = now - target->signs.missed_since,
+            };
+
+            target->signs.unreported = 0;
+            g_array_append_val(signs, sign);
+        }
+    }
+    g_ptr_array_set_size(task->unreported, 0);
+    view_sync_report(task->sync, (const struct sign_record *)signs->data,
+                     signs->len, now);
+    g_array_free(signs, TRUE);
+}
+
 static bool
 open_view(struct view_task *task, struct status *st)
 {
@@ -500,6 +545,7 @@
     const struct view_sync_callbacks sync_cb = {
         .send = send_view,
         .changed = on_sync_changed,
+        .reported = on_sync_reported,
         .ctx = task,
     };
 
@@ -510,7 +556,10 @@
                                    &task->absence, &task->random, &sync_cb);
     }
     task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
-    if (task->view == NULL || task->sync == NULL || task->tick == NULL) {
+    task->report = event_new(task->base, -1, 0, on_report, task);
+    task->unreported = g_ptr_array_new();
+    if (task->view == NULL || task->sync == NULL || task->tick == NULL ||
+        task->report == NULL) {
         status_set(st, ERR_NO_MEMORY, "view: out of memory");
         return false;
     }
@@ -522,8 +571,8 @@
 struct view_task *
 view_task_new(void *zmq_ctx, struct event_base *base,
               const struct forward_settings *settings,
-              const struct directory *directory, void (*changed)(void *ctx),
-              void *ctx, struct status *st)
+              const struct directory *directory,
+              const struct view_task_callbacks *cb, struct status *st)
 {
     const struct timeval interval = {.tv_usec = TICK_US};
     struct view_task *task = calloc(1, sizeof(*task));
@@ -535,8 +584,7 @@
     }
     task->settings = *settings;
     task->directory = *directory;
-    task->changed = changed;
-    task->ctx = ctx;
+    task->cb = *cb;
     task->base = base;
     task->last_tick = now;
     task->boot_lead = clock_boot_us() - now;
@@ -562,6 +610,10 @@
     if (task->tick != NULL) {
         event_free(task->tick);
     }
+    if (task->report != NULL) {
+        event_free(task->report);
+        g_ptr_array_free(task->unreported, TRUE);
+    }
     store_client_destroy(task->store);
     view_sync_destroy(task->sync);
     forward_view_destroy(task->view);
@@ -608,6 +660,19 @@
     }
 }
 
+void
+view_task_report(struct view_task *task, struct forward_target *target)
+{
+    const struct timeval delay = {.tv_usec = REPORT_DELAY_US};
+
+    if (target->signs.unreported == 1) {
+        g_ptr_array_add(task->unreported, GUINT_TO_POINTER(target->cookie));
+    }
+    if (!event_pending(task->report, EV_TIMEOUT, NULL)) {
+        event_add(task->report, &delay);
+    }
+}
+
 void
 view_task_leave(struct view_task *task)
 {
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -24,11 +24,19 @@
     bool (*add_entry)(struct view_news *news, const struct store_entry *entry);
 };
 
-/* "changed" is called when the view has changed or was confirmed. */
+struct view_task_callbacks {
+    /* The view has changed, or was confirmed. */
+    void (*changed)(void *ctx);
+    /* A peer noticed that a target does not answer. */
+    void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
+                     uint64_t sent_at);
+    void *ctx;
+};
+
 struct view_task *view_task_new(void *zmq_ctx, struct event_base *base,
                                 const struct forward_settings *settings,
                                 const struct directory *directory,
-                                void (*changed)(void *ctx), void *ctx,
+                                const struct view_task_callbacks *cb,
                                 struct status *st);
 void view_task_destroy(struct view_task *task);
 
@@ -41,6 +49,9 @@
 /* A packet named a target that is not known: perhaps the view is behind. Asks
  * a peer, within a rate. */
 void view_task_refresh(struct view_task *task);
+/* A target has misses that the peers have not been told of; they are told
+ * soon, with those of other targets. */
+void view_task_report(struct view_task *task, struct forward_target *target);
 /* Begins the planned stop: tells the peers, and leaves the store to them. */
 void view_task_leave(struct view_task *task);
 
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -5,7 +5,8 @@
 
 #include <msgpack.h>
 
-#define MESSAGE_FIELDS 14
+#define MESSAGE_FIELDS 15
+#define SIGN_FIELDS 3
 #define ROUTE_FIELDS 7
 #define TARGET_FIELDS 12
 #define FIXARRAY_MIN 0x90
@@ -95,6 +96,12 @@
     for (guint i = 0; i < news->targets->len; i++) {
         put_target(pk, &g_array_index(news->targets, struct target_record, i));
     }
+    msgpack_pack_array(pk, SIGN_FIELDS * m->sign_count);
+    for (size_t i = 0; i < m->sign_count; i++) {
+        put_number(pk, m->signs[i].cookie);
+        put_number(pk, m->signs[i].misses);
+        put_number(pk, m->signs[i].sent_age_us);
+    }
 }
 
 uint8_t *
@@ -275,6 +282,24 @@
     r->failed = r->failed || routes.failed || targets.failed;
 }
 
+static void
+take_signs(struct reader *r, struct view_message *m)
+{
+    struct reader f = take_array(r);
+
+    if (f.left % SIGN_FIELDS != 0 || f.left / SIGN_FIELDS > VIEW_SIGNS_MAX) {
+        r->failed = true;
+        return;
+    }
+    m->sign_count = f.left / SIGN_FIELDS;
+    for (size_t i = 0; i < m->sign_count; i++) {
+        m->signs[i].cookie = (uint32_t)take_number(&f, UINT32_MAX);
+        m->signs[i].misses = (uint32_t)take_number(&f, UINT32_MAX);
+        m->signs[i].sent_age_us = take_number(&f, UINT64_MAX);
+    }
+    r->failed = r->failed || f.failed;
+}
+
 static bool
 take_message(struct reader *r, struct view_message *m)
 {
@@ -299,6 +324,7 @@
     m->news.routes_whole = (whole & 1) != 0;
     m->news.targets_whole = (whole & 2) != 0;
     take_records(r, &m->news);
+    take_signs(r, m);
     return !r->failed && m->kind != 0;
 }
 
--- a/src/state/recent-flows.c
+++ b/src/state/recent-flows.c
@@ -102,3 +102,17 @@
         recent_flows_remove(flows, oldest(flows));
     }
 }
+
+struct recent_flow *
+recent_flows_first(struct recent_flows *flows)
+{
+    return list_empty(&flows->order) ? NULL : oldest(flows);
+}
+
+struct recent_flow *
+recent_flows_next(struct recent_flows *flows, const struct recent_flow *flow)
+{
+    return flow->link.next == &flows->order
+               ? NULL
+               : container_of(flow->link.next, struct recent_flow, link);
+}
--- a/src/state/recent-flows.h
+++ b/src/state/recent-flows.h
@@ -49,4 +49,8 @@
 void recent_flows_remove(struct recent_flows *flows, struct recent_flow *flow);
 /* Drops those not seen since "since". */
 void recent_flows_expire(struct recent_flows *flows, uint64_t since);
+/* All flows, least recently seen first; NULL ends them. */
+struct recent_flow *recent_flows_first(struct recent_flows *flows);
+struct recent_flow *recent_flows_next(struct recent_flows *flows,
+                                      const struct recent_flow *flow);
 size_t recent_flows_count(const struct recent_flows *flows);
--- a/src/state/target-signs.h
+++ b/src/state/target-signs.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
-/* What a forwarder has seen of a target in the packets of its callers. */
+/* What a forwarder has seen of a target in the packets of its callers, and
+ * heard of it from other forwarders. */
 struct target_signs {
-    double load;          /* decayed count of requests sent to it */
-    uint64_t load_at;     /* when "load" was right, us */
-    unsigned misses;      /* openings without an answer since the last one */
-    uint64_t missed_at;   /* last of them, us */
-    uint64_t answered_at; /* last sign of life, us; 0: none */
-    uint64_t avoid_until; /* no new flow before, us; 0: none */
-    uint64_t trial_at;    /* last flow given to it while avoided, us */
+    double load;           /* decayed count of requests sent to it */
+    uint64_t load_at;      /* when "load" was right, us */
+    unsigned misses;       /* requests without an answer since the last one */
+    uint64_t missed_since; /* when the first of them was sent, us */
+    uint64_t missed_at;    /* when the last of them was noticed, us */
+    uint64_t answered_at;  /* last sign of life, us; 0: none */
+    uint64_t avoid_until;  /* no new flow before, us */
+    uint64_t trial_at;     /* last flow given to it while avoided, us */
+    bool silent;           /* taken for dead, frozen or cut off */
+    unsigned unreported;   /* misses that the peers have not been told of */
 };
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -12,7 +12,8 @@
 #include "transport/zmq-watch.h"
 
 #define ENDPOINT_TEXT_SIZE 64
-#define MESSAGE_SIZE_MAX 65536 /* bytes; a larger one ends its connection */
+#define MESSAGE_SIZE_MAX                                                      \
+    (1 << 20) /* bytes; a larger one ends its connection */
 #define SEND_QUEUE_MESSAGES 1000
 #define RECEIVE_QUEUE_MESSAGES 1000
 #define HEARTBEAT_INTERVAL_MS 3000 /* ZMTP heartbeats, for silent links */
