--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -14,6 +14,7 @@
 #include "coordination/membership.h"
 #include "coordination/target-absence.h"
 #include "coordination/view-freshness.h"
+#include "coordination/view-reader.h"
 #include "coordination/view-sync.h"
 #include "protocol/gossip-codec.h"
 #include "protocol/view-codec.h"
@@ -28,8 +29,8 @@
 #define STORE_CALL_TIMEOUT_US (1 * USEC_PER_SEC)
 /* An answer to a watch may come so much later than it was due. */
 #define STORE_WATCH_SLACK_US (1 * USEC_PER_SEC)
-#define STORE_BACKOFF_MIN_US (100 * USEC_PER_MSEC)
-#define STORE_BACKOFF_MAX_US (2 * USEC_PER_SEC)
+/* The reader (coordination/view-reader.c) backs off; the client need not. */
+#define STORE_CLIENT_BACKOFF_US (1 * USEC_PER_MSEC)
 /* How much older than a watch's wait an answer may be before the store counts
  * as having been away. */
 #define AWAY_MARGIN_US (1 * USEC_PER_SEC)
@@ -58,13 +59,8 @@
     struct target_absence absence;
     struct view_sync *sync;
     struct store_client *store;
-    bool watching;
-    bool reading;
-    bool read_stale;     /* the read under way may return something old */
-    bool read_before;    /* the first read has ended */
-    bool read_wanted;    /* everything has to be read */
-    uint64_t read_after; /* but not before, us */
-    struct backoff read_backoff;
+    struct view_reader *reader;
+    bool reading_stale;
     uint64_t next_refresh;
     bool leaving;
 };
@@ -249,48 +245,38 @@
     }
 }
 
-static void
-want_read(struct view_task *task, uint64_t delay_us)
-{
-    task->read_wanted = true;
-    task->read_after = clock_monotonic_us() + delay_us;
-}
-
 static void
 on_range(void *ctx, const struct status *st, uint64_t revision,
          const struct store_entry *entries, size_t count)
 {
     struct view_task *task = ctx;
-    uint64_t now = clock_monotonic_us();
     struct view_news news;
 
-    task->reading = false;
-    task->read_before = true;
-    if (st->kind != ERR_NONE) {
+    view_news_init(&news);
+    if (st->kind == ERR_NONE) {
+        LOG_INFO("read %zu entries at revision %" PRIu64 "%s", count, revision,
+                 task->reading_stale ? ", perhaps old" : "");
+        decode_entries(task, &news, entries, count);
+        news.to = revision;
+        news.targets_whole = true;
+    }
+    else {
         LOG_WARN("%s", st->message);
-        want_read(task, backoff_next(&task->read_backoff, &task->random));
-        return;
     }
-    backoff_reset(&task->read_backoff);
-    view_news_init(&news);
-    decode_entries(task, &news, entries, count);
-    news.to = revision;
-    news.targets_whole = true;
-    LOG_INFO("read %zu entries at revision %" PRIu64 "%s", count, revision,
-             task->read_stale ? ", perhaps old" : "");
-    view_sync_store_answered(task->sync, &news, !task->read_stale, now);
+    view_reader_on_read(task->reader,
+                        st->kind == ERR_NONE ? VIEW_READER_ANSWERED
+                                             : VIEW_READER_FAILED,
+                        &news, clock_monotonic_us());
     view_news_clear(&news);
 }
 
-/* Reads everything. At the start an answer that is some seconds old will do:
- * it is a tenth of the price, and what is newer follows from the peers. */
 static void
-read_all(struct view_task *task)
+read_store(void *ctx, bool stale)
 {
-    task->read_wanted = false;
-    task->reading = true;
-    task->read_stale = !task->read_before;
-    if (task->read_stale) {
+    struct view_task *task = ctx;
+
+    task->reading_stale = stale;
+    if (stale) {
         store_client_range_stale(task->store, task->directory.prefix, true,
                                  on_range, task);
     }
@@ -300,96 +286,57 @@
     }
 }
 
-static void
-stop_watch(struct view_task *task)
-{
-    store_client_watch_stop(task->store);
-    task->watching = false;
-}
-
-static bool
-should_watch(const struct view_task *task, uint64_t now)
-{
-    return !task->leaving && task->read_before &&
-           freshness_should_watch(&task->freshness,
-                                  view_sync_position(task->sync, now), now);
-}
-
-static void on_watch(void *ctx, const struct status *st, uint64_t revision,
-                     const struct store_entry *entries, size_t count);
-
-static void
-start_watch(struct view_task *task, uint64_t now)
-{
-    if (!task->watching) {
-        LOG_INFO("watching the store from revision %" PRIu64,
-                 forward_view_revision(task->view));
-    }
-    task->watching = true;
-    store_client_set_watch_wait(task->store,
-                                freshness_watch_wait(&task->freshness, now));
-    store_client_watch(task->store, task->directory.prefix,
-                       forward_view_revision(task->view) + 1, on_watch, task);
-}
-
-static void
-on_watch_failed(struct view_task *task, const struct status *st)
+static enum view_reader_end
+watch_end(enum error_kind kind)
 {
-    LOG_WARN("%s", st->message);
-    task->watching = false;
-    if (st->kind == ERR_NOT_FOUND) {
-        /* The history from our revision on is gone. */
-        want_read(task, 0);
+    if (kind == ERR_NONE) {
+        return VIEW_READER_ANSWERED;
     }
+    return kind == ERR_NOT_FOUND ? VIEW_READER_COMPACTED : VIEW_READER_FAILED;
 }
 
+/* Ends the watch, unless the reader has begun the next one. */
 static void
 on_watch(void *ctx, const struct status *st, uint64_t revision,
          const struct store_entry *entries, size_t count)
 {
     struct view_task *task = ctx;
-    uint64_t now = clock_monotonic_us();
     struct view_news news;
-    bool complete;
 
-    if (st->kind != ERR_NONE) {
-        on_watch_failed(task, st);
-        return;
-    }
     view_news_init(&news);
-    decode_entries(task, &news, entries, count);
-    /* Peers may have told us more since the watch began, never less. */
-    news.from = 0;
-    news.to = revision;
-    complete = view_sync_store_answered(task->sync, &news, true, now);
-    view_news_clear(&news);
-    if (!complete) {
-        want_read(task, 0);
+    if (st->kind == ERR_NONE) {
+        decode_entries(task, &news, entries, count);
+        /* Peers may have told us more since the watch began, never less. */
+        news.from = 0;
+        news.to = revision;
     }
-    if (complete && should_watch(task, now)) {
-        start_watch(task, now);
-        return;
+    else {
+        LOG_WARN("%s", st->message);
+    }
+    view_reader_on_watch(task->reader, watch_end(st->kind), &news,
+                         clock_monotonic_us());
+    view_news_clear(&news);
+    if (!view_reader_is_watching(task->reader)) {
+        store_client_watch_stop(task->store);
     }
-    LOG_INFO("no longer watching the store");
-    stop_watch(task);
 }
 
-/* Asks the store when it is this balancer's turn. */
 static void
-tick_store(struct view_task *task, uint64_t now)
+watch_store(void *ctx, uint64_t after, uint64_t wait_us)
 {
-    if (task->read_wanted && !task->reading && now >= task->read_after) {
-        read_all(task);
-    }
-    if (task->watching || task->reading || task->read_wanted ||
-        !should_watch(task, now)) {
-        return;
-    }
-    if (forward_view_revision(task->view) == 0) {
-        read_all(task);
-        return;
-    }
-    start_watch(task, now);
+    struct view_task *task = ctx;
+
+    store_client_set_watch_wait(task->store, wait_us);
+    store_client_watch(task->store, task->directory.prefix, after + 1,
+                       on_watch, task);
+}
+
+static void
+stop_watch(void *ctx)
+{
+    struct view_task *task = ctx;
+
+    store_client_watch_stop(task->store);
 }
 
 /* A suspended host's steady clock stands still too, so that only the boot
@@ -415,6 +362,7 @@
 {
     struct view_task *task = arg;
     uint64_t now = clock_monotonic_us();
+    bool watching = view_reader_is_watching(task->reader);
 
     check_pause(task, now);
     if (!task->leaving) {
@@ -422,8 +370,12 @@
     }
     view_sync_tick(task->sync, now);
     forward_view_tick(task->view, now);
-    tick_store(task, now);
+    view_reader_tick(task->reader, now);
     gossip_endpoint_close_idle(task->gossip, now);
+    if (!watching && view_reader_is_watching(task->reader)) {
+        LOG_INFO("watching the store from revision %" PRIu64,
+                 forward_view_revision(task->view));
+    }
 }
 
 static void
@@ -486,8 +438,8 @@
     store_client_options_default(&options);
     options.call_timeout_us = STORE_CALL_TIMEOUT_US;
     options.watch_silence_us = STORE_WATCH_SLACK_US;
-    options.backoff_min_us = STORE_BACKOFF_MIN_US;
-    options.backoff_max_us = STORE_BACKOFF_MAX_US;
+    options.backoff_min_us = STORE_CLIENT_BACKOFF_US;
+    options.backoff_max_us = STORE_CLIENT_BACKOFF_US;
     options.attempts = 1;
     store_client_set_options(task->store, &options);
     store_client_set_dialect(task->store, task->directory.dialect);
@@ -548,6 +500,12 @@
         .reported = on_sync_reported,
         .ctx = task,
     };
+    const struct view_reader_callbacks reader_cb = {
+        .read = read_store,
+        .watch = watch_store,
+        .stop_watch = stop_watch,
+        .ctx = task,
+    };
 
     set_bounds(task);
     task->view = forward_view_new(&view_cb);
@@ -555,10 +513,14 @@
         task->sync = view_sync_new(task->view, task->members, &task->freshness,
                                    &task->absence, &task->random, &sync_cb);
     }
+    if (task->sync != NULL) {
+        task->reader = view_reader_new(task->view, &task->freshness,
+                                       task->sync, &task->random, &reader_cb);
+    }
     task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
     task->report = event_new(task->base, -1, 0, on_report, task);
     task->unreported = g_ptr_array_new();
-    if (task->view == NULL || task->sync == NULL || task->tick == NULL ||
+    if (task->view == NULL || task->reader == NULL || task->tick == NULL ||
         task->report == NULL) {
         status_set(st, ERR_NO_MEMORY, "view: out of memory");
         return false;
@@ -589,15 +551,13 @@
     task->last_tick = now;
     task->boot_lead = clock_boot_us() - now;
     random_seed(&task->random, randombytes_random());
-    backoff_init(&task->read_backoff, STORE_BACKOFF_MIN_US,
-                 STORE_BACKOFF_MAX_US);
     if (!open_gossip(task, zmq_ctx, st) || !open_store(task, st) ||
         !open_view(task, st)) {
         view_task_destroy(task);
         return NULL;
     }
     event_add(task->tick, &interval);
-    read_all(task);
+    view_reader_start(task->reader);
     return task;
 }
 
@@ -615,6 +575,7 @@
         g_ptr_array_free(task->unreported, TRUE);
     }
     store_client_destroy(task->store);
+    view_reader_destroy(task->reader);
     view_sync_destroy(task->sync);
     forward_view_destroy(task->view);
     membership_destroy(task->members);
@@ -677,7 +638,7 @@
 view_task_leave(struct view_task *task)
 {
     task->leaving = true;
-    stop_watch(task);
+    view_reader_leave(task->reader);
     membership_leave(task->members, clock_monotonic_us());
 }
 
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -22,7 +22,7 @@
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 2000
 #define LINKS_MAX 128
-#define LINK_IDLE_US (30 * USEC_PER_SEC)
+#define LINK_IDLE_US (5 * USEC_PER_SEC)
 
 /* A connection for sending to one peer. */
 struct gossip_link {
--- /dev/null
+++ b/tests/unit/test-platform-records.c
@@ -0,0 +1,263 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "platform/records.h"
+
+#define SEED 20261203
+#define MUTATIONS 20000
+
+static struct view_news news;
+
+static int
+setup(void **state)
+{
+    view_news_init(&news);
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    view_news_clear(&news);
+    return 0;
+}
+
+static bool
+add(const char *key, const char *value)
+{
+    const struct store_entry entry = {
+        .key = key,
+        .mod_revision = 7,
+        .create_revision = 5,
+        .value = value,
+        .value_len = value == NULL ? 0 : strlen(value),
+    };
+
+    return platform_add_entry(&news, &entry);
+}
+
+static const char config[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+    "\"kind\":\"unsafe\",\"timeoutMs\":600,\"targetLatencyMs\":120,"
+    "\"priority\":1,\"service\":\"huvo11a\",\"maxAttempts\":2},"
+    "{\"name\":\"r-2\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
+    "\"split\":[{\"service\":\"huvo11a\",\"weight\":90},"
+    "{\"service\":\"wuno96b\",\"weight\":10}]}],"
+    "\"services\":[],\"limits\":{\"idleTimeoutMs\":15000}}";
+
+static const char entry[] =
+    "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","
+    "\"zone\":\"upper-hill\",\"version\":\"v1\",\"slots\":2,"
+    "\"state\":\"ready\",\"coldLeftMs\":1500,\"sequence\":4}";
+
+static void
+test_config(void **state)
+{
+    const struct route_record *r;
+
+    assert_true(add("op/config", config));
+    assert_true(news.routes_whole);
+    assert_int_equal(news.routes_revision, 7);
+    assert_int_equal(news.routes->len, 2);
+    r = &g_array_index(news.routes, struct route_record, 0);
+    assert_int_equal(r->addr, 0xc6120001);
+    assert_int_equal(r->port, 8080);
+    assert_int_equal(r->timeout_ms, 600);
+    assert_int_equal(r->aim_ms, 120);
+    assert_int_equal(r->priority, 1);
+    assert_int_equal(r->share_count, 1);
+    assert_string_equal(r->shares[0].service, "huvo11a");
+    r = &g_array_index(news.routes, struct route_record, 1);
+    assert_int_equal(r->share_count, 2);
+    assert_int_equal(r->shares[1].weight, 10);
+}
+
+/* A later list in one answer takes the place of an earlier one. */
+static void
+test_last_config_counts(void **state)
+{
+    assert_true(add("op/config", config));
+    assert_true(add("op/config", "{\"routes\":[]}"));
+    assert_true(news.routes_whole);
+    assert_int_equal(news.routes->len, 0);
+}
+
+static void
+test_target(void **state)
+{
+    static const uint8_t tag[] = {0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
+    static const uint8_t long_tag[] = {0, 0, 0, 0x4d, 0x9c, 0x7e, 0x32, 0x5c};
+    const struct target_record *t;
+
+    assert_true(add("servers/i-7f3a91c2", entry));
+    assert_true(add("servers/i-4d9c7e325c", entry));
+    t = &g_array_index(news.targets, struct target_record, 0);
+    assert_string_equal(t->id, "i-7f3a91c2");
+    assert_memory_equal(t->tag, tag, sizeof(tag));
+    assert_int_equal(t->addr, 0x0a800009);
+    assert_int_equal(t->port, 8080);
+    assert_int_equal(t->slots, 2);
+    assert_int_equal(t->cold_ms, 1500);
+    assert_int_equal(t->created, 5);
+    assert_int_equal(t->revision, 7);
+    assert_false(t->draining || t->removed);
+    assert_string_equal(t->domain, "upper-hill");
+    t = &g_array_index(news.targets, struct target_record, 1);
+    assert_memory_equal(t->tag, long_tag, sizeof(long_tag));
+}
+
+/* What cannot be read names no target, and spoils nothing else. */
+static void
+test_bad_targets(void **state)
+{
+    static const struct {
+        const char *key;
+        const char *value;
+        bool read;
+        bool removed;
+        bool draining;
+    } cases[] = {
+        {"servers/i-1", NULL, true, true, false},
+        {"servers/i-1", "", false, true, false},
+        {"servers/i-1", "not json", false, true, false},
+        {"servers/i-1", "[]", false, true, false},
+        {"servers/i-1", "{}", false, true, false},
+        {"servers/i-1", "{\"service\":\"s\",\"address\":\"10.0.0.1:80\"}",
+         true, false, true},
+        {"servers/i-1",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+         "\"state\":\"draining\"}",
+         true, false, true},
+        {"servers/i-1",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+         "\"state\":\"resting\"}",
+         true, false, true},
+        {"servers/i-1", "{\"service\":\"s\",\"address\":\"10.0.0.1:0\"}",
+         false, true, false},
+        {"servers/i-1", "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\"}",
+         false, true, false},
+        {"servers/i-1", "{\"service\":\"s\",\"address\":\"host:80\"}", false,
+         true, false},
+        {"servers/i-1", "{\"service\":7,\"address\":\"10.0.0.1:80\"}", false,
+         true, false},
+        {"servers/i-1",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":\"x\"}",
+         false, true, false},
+        {"servers/i-1",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":-1}", false,
+         true, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct target_record *t;
+
+        g_array_set_size(news.targets, 0);
+        assert_int_equal(add(cases[i].key, cases[i].value), cases[i].read);
+        assert_int_equal(news.targets->len, 1);
+        t = &g_array_index(news.targets, struct target_record, 0);
+        assert_int_equal(t->removed, cases[i].removed);
+        assert_int_equal(t->draining, cases[i].draining);
+        assert_non_null(t->service);
+    }
+}
+
+static void
+test_other_keys(void **state)
+{
+    static const char *const keys[] = {"op/other", "mine/x", "server/x", ""};
+
+    for (size_t i = 0; i < sizeof(keys) / sizeof(*keys); i++) {
+        assert_true(add(keys[i], entry));
+    }
+    assert_false(add("servers/", entry));
+    assert_int_equal(news.targets->len, 0);
+    assert_false(news.routes_whole);
+}
+
+/* A route that cannot be read is left out; a list that cannot changes
+ * nothing. */
+static void
+test_bad_config(void **state)
+{
+    static const struct {
+        const char *value;
+        bool read;
+        bool whole;
+        guint routes;
+    } cases[] = {
+        {"{", false, false, 0},
+        {"{\"routes\":{}}", false, false, 0},
+        {"{}", false, false, 0},
+        {"{\"routes\":[1]}", false, true, 0},
+        {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\"}]}", false,
+         true, 0},
+        {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"80\","
+         "\"service\":\"s\"}]}",
+         false, true, 0},
+        {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/0/\","
+         "\"service\":\"s\"}]}",
+         false, true, 0},
+        {"{\"routes\":[{\"host\":\"nowhere\",\"prefix\":\"/80/\","
+         "\"service\":\"s\"},{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+         "\"service\":\"s\"}]}",
+         false, true, 1},
+        {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+         "\"split\":[]}]}",
+         false, true, 0},
+        {"{\"routes\":[]}", true, true, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        teardown(state);
+        setup(state);
+        assert_int_equal(add("op/config", cases[i].value), cases[i].read);
+        assert_int_equal(news.routes_whole, cases[i].whole);
+        assert_int_equal(news.routes->len, cases[i].routes);
+    }
+}
+
+static void
+test_mutations(void **state)
+{
+    char copy[sizeof(config)];
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (int i = 0; i < MUTATIONS; i++) {
+        const char *from = i % 2 == 0 ? config : entry;
+        size_t len = strlen(from);
+
+        memcpy(copy, from, len + 1);
+        for (uint32_t n = 1 + random_below(&random, 3); n > 0; n--) {
+            copy[random_below(&random, (uint32_t)len)] =
+                (char)(1 + random_below(&random, 255));
+        }
+        add(i % 2 == 0 ? "op/config" : "servers/i-7f3a91c2", copy);
+        teardown(state);
+        setup(state);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_config, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_last_config_counts, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_target, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_bad_targets, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_other_keys, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_bad_config, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test-platform-settings.c
@@ -0,0 +1,138 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "platform/boot-settings.h"
+
+static const char whole[] =
+    "{\"nodeName\":\"front-a-1\",\"zone\":\"a\",\"unheard\":[1],"
+    "\"listen\":{\"datagramAddr\":\"10.1.0.10:8172\","
+    "\"ready\":\"10.1.0.10:8167\",\"control\":\"10.1.0.10:8166\"},"
+    "\"internalPorts\":[7720,7735],"
+    "\"seeds\":[\"10.1.0.10:8166\",\"10.2.0.40:8166\"],"
+    "\"bounds\":{\"drainMs\":3000,\"graceS\":6,\"configApplyMs\":2500,"
+    "\"maxFlowS\":60},\"platform\":{\"address\":\"10.200.1.7:8169\"}}";
+
+static char path[] = "/tmp/test-platform-settings-XXXXXX";
+
+static int
+setup(void **state)
+{
+    int fd = mkstemp(path);
+
+    if (fd >= 0) {
+        close(fd);
+    }
+    return fd < 0;
+}
+
+static int
+teardown(void **state)
+{
+    unlink(path);
+    return 0;
+}
+
+static bool
+load(const char *text, struct forward_settings *settings, struct status *st)
+{
+    FILE *f = fopen(path, "w");
+
+    assert_non_null(f);
+    fputs(text, f);
+    fclose(f);
+    return platform_settings_load(path, settings, st);
+}
+
+static void
+test_whole(void **state)
+{
+    struct forward_settings s;
+    struct status st;
+
+    assert_true(load(whole, &s, &st));
+    assert_string_equal(s.host, "front-a-1");
+    assert_string_equal(s.domain, "a");
+    assert_int_equal(s.packets.addr, 0x0a01000a);
+    assert_int_equal(s.packets.port, 8172);
+    assert_int_equal(s.ready.port, 8167);
+    assert_int_equal(s.gossip.addr, 0x0a01000a);
+    assert_int_equal(s.gossip.port, 7720);
+    assert_int_equal(s.store.port, 8169);
+    assert_int_equal(s.seed_count, 2);
+    assert_int_equal(s.seeds[1].addr, 0x0a020028);
+    assert_int_equal(s.seeds[1].port, 7720);
+    assert_int_equal(s.change_bound_us, 2500 * USEC_PER_MSEC);
+    assert_int_equal(s.grace_us, 6 * USEC_PER_SEC);
+    assert_int_equal(s.flow_max_us, 60 * USEC_PER_SEC);
+}
+
+/* Each fault is refused with the field's name. */
+static void
+test_faults(void **state)
+{
+    static const struct {
+        const char *from;
+        const char *to;
+        const char *named;
+    } cases[] = {
+        {"\"nodeName\":\"front-a-1\"", "\"nodeName\":7", "nodeName"},
+        {"\"zone\":\"a\"", "\"zone\":\"\"", "zone"},
+        {"10.1.0.10:8172", "10.1.0.10", "datagramAddr"},
+        {"10.1.0.10:8167", "10.1.0.10:0", "ready"},
+        {"10.200.1.7:8169", "store:8169", "address"},
+        {"[7720,7735]", "[]", "internalPorts"},
+        {"[7720,7735]", "[77200]", "internalPorts"},
+        {"10.2.0.40:8166", "10.2.0.40:", "seeds"},
+        {"\"drainMs\":3000", "\"drainMs\":0", "drainMs"},
+        {"\"configApplyMs\":2500", "\"configApplyMs\":\"soon\"",
+         "configApplyMs"},
+        {"\"graceS\":6", "\"graceS\":-6", "graceS"},
+        {"\"maxFlowS\":60", "\"maxFlowS\":1e9", "maxFlowS"},
+        {"{\"nodeName\"", "{\"nodeName", "line"},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[2 * sizeof(whole)];
+        const char *at = strstr(whole, cases[i].from);
+        struct forward_settings s;
+        struct status st;
+
+        assert_non_null(at);
+        snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - whole), whole,
+                 cases[i].to, at + strlen(cases[i].from));
+        assert_false(load(text, &s, &st));
+        assert_int_equal(st.kind, ERR_SETTINGS);
+        assert_non_null(strstr(st.message, cases[i].named));
+    }
+}
+
+static void
+test_no_file(void **state)
+{
+    struct forward_settings s;
+    struct status st;
+
+    assert_false(platform_settings_load("/nonexistent/x", &s, &st));
+    assert_int_equal(st.kind, ERR_SETTINGS);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_whole),
+        cmocka_unit_test(test_faults),
+        cmocka_unit_test(test_no_file),
+    };
+
+    return cmocka_run_group_tests(tests, setup, teardown);
+}
--- /dev/null
+++ b/tests/unit/test-view-codec.c
@@ -0,0 +1,202 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "protocol/view-codec.h"
+
+#define SEED 20261203
+#define MUTATIONS 20000
+
+static struct view_message message;
+
+static int
+setup(void **state)
+{
+    struct route_record route = {
+        .addr = 0xc6120001,
+        .port = 8080,
+        .timeout_ms = 600,
+        .aim_ms = 120,
+        .priority = 1,
+        .share_count = 2,
+        .shares = {{g_intern_string("s"), 90}, {g_intern_string("t"), 10}},
+    };
+    struct target_record target = {
+        .id = "i-0123456789",
+        .service = g_intern_string("s"),
+        .domain = g_intern_string("a"),
+        .tag = {0, 0, 0, 1, 2, 3, 4, 5},
+        .addr = 0x0a010203,
+        .port = 8081,
+        .slots = 2,
+        .draining = true,
+        .cold_ms = 1500,
+        .created = 40,
+        .revision = 50,
+    };
+
+    memset(&message, 0, sizeof(message));
+    message.kind = VIEW_NEWS;
+    message.sender_addr = 0x0a010101;
+    message.sender_port = 7720;
+    message.pass_on = true;
+    message.confirmed = true;
+    message.age_us = 1234;
+    message.position = 77;
+    view_news_init(&message.news);
+    message.news.from = 40;
+    message.news.to = 50;
+    message.news.routes_from = 30;
+    message.news.routes_revision = 45;
+    message.news.targets_whole = true;
+    g_array_append_val(message.news.routes, route);
+    route.port = 8081;
+    route.removed = true;
+    g_array_append_val(message.news.routes, route);
+    g_array_append_val(message.news.targets, target);
+    message.sign_count = 1;
+    message.signs[0] = (struct sign_record){7, 2, 250000};
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    view_news_clear(&message.news);
+    return 0;
+}
+
+static bool
+decode(const uint8_t *data, size_t size, struct view_message *m)
+{
+    memset(m, 0, sizeof(*m));
+    view_news_init(&m->news);
+    return view_decode(m, data, size);
+}
+
+static void
+assert_same_records(const struct view_news *a, const struct view_news *b)
+{
+    assert_int_equal(a->routes->len, b->routes->len);
+    for (guint i = 0; i < a->routes->len; i++) {
+        assert_memory_equal(&g_array_index(a->routes, struct route_record, i),
+                            &g_array_index(b->routes, struct route_record, i),
+                            sizeof(struct route_record));
+    }
+    assert_int_equal(a->targets->len, b->targets->len);
+    for (guint i = 0; i < a->targets->len; i++) {
+        assert_memory_equal(
+            &g_array_index(a->targets, struct target_record, i),
+            &g_array_index(b->targets, struct target_record, i),
+            sizeof(struct target_record));
+    }
+}
+
+static void
+test_round_trip(void **state)
+{
+    struct view_message m;
+    size_t size;
+    uint8_t *data = view_encode(&message, &size);
+
+    assert_non_null(data);
+    assert_true(view_is_message(data, size));
+    assert_true(decode(data, size, &m));
+    assert_int_equal(m.kind, message.kind);
+    assert_int_equal(m.sender_addr, message.sender_addr);
+    assert_int_equal(m.sender_port, message.sender_port);
+    assert_true(m.pass_on && m.confirmed);
+    assert_int_equal(m.age_us, message.age_us);
+    assert_int_equal(m.position, message.position);
+    assert_int_equal(m.news.from, message.news.from);
+    assert_int_equal(m.news.to, message.news.to);
+    assert_int_equal(m.news.routes_from, message.news.routes_from);
+    assert_int_equal(m.news.routes_revision, message.news.routes_revision);
+    assert_false(m.news.routes_whole);
+    assert_true(m.news.targets_whole);
+    assert_same_records(&m.news, &message.news);
+    assert_int_equal(m.sign_count, 1);
+    assert_memory_equal(m.signs, message.signs, sizeof(*m.signs));
+    view_news_clear(&m.news);
+    free(data);
+}
+
+static void
+test_torn(void **state)
+{
+    struct view_message m;
+    size_t size;
+    uint8_t *data = view_encode(&message, &size);
+
+    for (size_t i = 0; i < size; i++) {
+        assert_false(decode(data, i, &m));
+        view_news_clear(&m.news);
+    }
+    free(data);
+}
+
+/* Random changes are refused or give a message within its bounds. */
+static void
+test_mutations(void **state)
+{
+    struct random random;
+    size_t size;
+    uint8_t *data = view_encode(&message, &size);
+    uint8_t *copy = malloc(size);
+
+    random_seed(&random, SEED);
+    for (int i = 0; i < MUTATIONS; i++) {
+        struct view_message m;
+
+        memcpy(copy, data, size);
+        for (uint32_t n = 1 + random_below(&random, 4); n > 0; n--) {
+            copy[random_below(&random, (uint32_t)size)] =
+                (uint8_t)random_next(&random);
+        }
+        if (decode(copy, size, &m)) {
+            assert_true(m.kind > 0 && m.kind < VIEW_MESSAGE_KIND_END);
+            assert_true(m.sign_count <= VIEW_SIGNS_MAX);
+            for (guint j = 0; j < m.news.routes->len; j++) {
+                assert_true(
+                    g_array_index(m.news.routes, struct route_record, j)
+                        .share_count <= ROUTE_SHARES_MAX);
+            }
+        }
+        view_news_clear(&m.news);
+    }
+    free(copy);
+    free(data);
+}
+
+/* A message that a peer would refuse for its length is not made. */
+static void
+test_too_long(void **state)
+{
+    struct target_record target =
+        g_array_index(message.news.targets, struct target_record, 0);
+    size_t size;
+
+    for (int i = 0; i < 40000; i++) {
+        g_array_append_val(message.news.targets, target);
+    }
+    assert_null(view_encode(&message, &size));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_round_trip, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_torn, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_too_long, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
