--- /dev/null
+++ b/tests/e2e/forward-lib.sh
@@ -0,0 +1,185 @@
+# Shared by the process tests of flow forwarding: forwarders, the platform's
+# store, targets and callers on loopback.
+#
+# shellcheck shell=bash disable=SC2034
+source ./lib.sh
+
+FLOW_PORT=7172 # of callers' packets, at forwarders and callers alike
+READY_PORT=7167
+FLOW_GOSSIP_PORT=7720
+FLOW_ROUTE=198.18.0.1
+CHANGE_BOUND_MS=3000
+DRAIN_BOUND_MS=3000
+GRACE_S=6
+CONFIG_VERSION=0
+CONFIG_ROUTES=""
+FORWARDERS=()
+
+# Usage: forward_init NUMBER BUILD-DIRECTORY
+forward_init() {
+    e2e_init "$1" "$2"
+    FLOW_JOURNAL="$WORK/flows"
+    : >"$FLOW_JOURNAL"
+}
+
+forwarder_addr() {
+    echo "$NET.$((10 + $1))"
+}
+
+# Each forwarder reaches the store by an address of its own.
+store_addr() {
+    echo "$NET.$((200 + $1))"
+}
+
+start_platform() {
+    local i args=()
+    for i in 0 1 2 3 4 5 6 7; do
+        args+=(--listen "$(store_addr "$i"):$STORE_PORT")
+    done
+    start platform "$BUILD/tests/standins/standin-platform" "${args[@]}"
+    wait_until 5 curl -sf "http://$(store_addr 0):$STORE_PORT/control/stats"
+}
+
+# Gives the store an order. Usage: platform JSON
+platform() {
+    curl -sf -X POST -d "$1" "http://$(store_addr 0):$STORE_PORT/control/order" \
+        >/dev/null || fail "the store does not take $1"
+}
+
+platform_stat() {
+    curl -sf "http://$(store_addr 0):$STORE_PORT/control/stats" | jq -r ".$1"
+}
+
+# Usage: put KEY VALUE
+put() {
+    platform "$(jq -nc --arg k "$1" --arg v "$2" '{put: $k, value: $v}')"
+}
+
+# Usage: add_route PORT SERVICE
+add_route() {
+    CONFIG_ROUTES+="{\"name\":\"r-$1\",\"host\":\"$FLOW_ROUTE\",\"prefix\":\"/$1/\",\"kind\":\"safe\",\"timeoutMs\":500,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"$2\"},"
+}
+
+write_config() {
+    CONFIG_VERSION=$((CONFIG_VERSION + 1))
+    put op/config "{\"version\":$CONFIG_VERSION,\"routes\":[${CONFIG_ROUTES%,}],\"services\":[],\"limits\":{\"idleTimeoutMs\":15000}}"
+}
+
+flow_target_addr() {
+    echo "$NET.$((150 + $1)):$TARGET_PORT"
+}
+
+# Usage: register NUMBER ID SERVICE DOMAIN [STATE]
+register() {
+    put "servers/$2" "{\"service\":\"$3\",\"address\":\"$(flow_target_addr "$1")\",\"zone\":\"$4\",\"version\":\"v1\",\"slots\":2,\"state\":\"${5:-ready}\",\"coldLeftMs\":0,\"sequence\":1}"
+}
+
+unregister() {
+    platform "{\"delete\":\"servers/$1\"}"
+}
+
+# Starts a target and registers it. Usage: start_flow_target NUMBER ID SERVICE
+# DOMAIN
+start_flow_target() {
+    start "$2" "$BUILD/tests/standins/standin-flow-target" \
+        --listen "$(flow_target_addr "$1")" --id "$2" --service "$3" \
+        --journal "$FLOW_JOURNAL" --caller-port "$FLOW_PORT" --work-ms 5
+    register "$1" "$2" "$3" "$4"
+}
+
+# Usage: write_boot NUMBER DOMAIN
+write_boot() {
+    local addr
+    addr=$(forwarder_addr "$1")
+    cat >"$WORK/boot-$1.json" <<BOOT
+{"nodeName": "host-$1", "zone": "$2",
+ "listen": {"datagramAddr": "$addr:$FLOW_PORT", "ready": "$addr:$READY_PORT",
+            "control": "$addr:7166"},
+ "internalPorts": [$FLOW_GOSSIP_PORT, 7735],
+ "seeds": ["$(forwarder_addr 1):7166", "$(forwarder_addr 2):7166"],
+ "bounds": {"configApplyMs": $CHANGE_BOUND_MS, "drainMs": $DRAIN_BOUND_MS,
+            "graceS": $GRACE_S, "maxFlowS": 60},
+ "platform": {"address": "$(store_addr "$1"):$STORE_PORT"}}
+BOOT
+}
+
+# Usage: start_forwarder NUMBER [DOMAIN]
+start_forwarder() {
+    [ -n "${2:-}" ] && write_boot "$1" "$2"
+    PIMENTOHAVEN_BOOT="$WORK/boot-$1.json" \
+        start "host-$1" "$BUILD/src/pimentohaven" forward
+}
+
+# Usage: ready_status NUMBER
+ready_status() {
+    curl -s -o /dev/null -w '%{http_code}' -m 2 \
+        "http://$(forwarder_addr "$1"):$READY_PORT/api/readiness"
+}
+
+is_ready() {
+    [ "$(ready_status "$1")" = 200 ]
+}
+
+# Usage: metric NUMBER NAME
+metric() {
+    curl -s -m 2 "http://$(forwarder_addr "$1"):$READY_PORT/metrics" |
+        awk -v name="pimentohaven_$2" '$1 == name {print $2}'
+}
+
+# Three forwarders in two failure domains, two services of three targets.
+start_forwarding() {
+    local i
+    start_platform
+    add_route 80 live
+    add_route 81 export
+    write_config
+    for i in 1 2 3; do
+        start_flow_target "$i" "i-000000000$i" live "zone-$((i % 2))"
+        start_flow_target "$((i + 3))" "i-000000000$((i + 3))" export \
+            "zone-$((i % 2))"
+    done
+    for i in 1 2 3; do
+        start_forwarder "$i" "zone-$((i % 2))"
+        FORWARDERS+=("$i")
+    done
+    for i in 1 2 3; do
+        wait_until 10 is_ready "$i" || fail "host-$i is not ready"
+    done
+}
+
+# Starts callers under a name; their results go to NAME.log.
+# Usage: start_callers NAME NUMBER PORT SERVICE [OPTION...]
+start_callers() {
+    local name=$1 number=$2 port=$3 service=$4 i args=()
+    shift 4
+    for i in "${FORWARDERS[@]}"; do
+        args+=(--via "$(forwarder_addr "$i"):$FLOW_PORT")
+    done
+    start "$name" "$BUILD/tests/standins/standin-flow-caller" \
+        --bind "$NET.$((100 + number)):$FLOW_PORT" \
+        --route "$FLOW_ROUTE:$port" --service "$service" --label "$name" \
+        --seed "$SEED" "${args[@]}" "$@"
+}
+
+# Waits for callers to end. Usage: callers_end NAME SECONDS
+callers_end() {
+    wait_gone "$1" "$2" || fail "the callers $1 did not end"
+}
+
+# Usage: result NAME WHAT
+result() {
+    awk -v what="$2" '$1 == what {print $2}' "$WORK/$1.log"
+}
+
+# How often something stands in the targets' journal. Usage: noted WHAT
+# [SERVICE [ID]]
+noted() {
+    awk -v what="$1" -v service="${2:-}" -v id="${3:-}" \
+        '$2 == what && (service == "" || $3 == service) &&
+         (id == "" || $4 == id)' "$FLOW_JOURNAL" | wc -l
+}
+
+# Of each request that ran more than once, its name.
+ran_twice() {
+    awk '$2 == "run" {print $5}' "$FLOW_JOURNAL" | sort | uniq -d
+}
--- /dev/null
+++ b/tests/standins/standin-flow-target.c
@@ -0,0 +1,284 @@
+/* A target that speaks packets of flows: it answers each request with its
+ * service, its id and the request's own text, and notes in a journal what it
+ * ran. Each start takes a new id from the command line. */
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "flow-wire.h"
+#include "standin-common.h"
+
+#define WORK_MS_MAX 10000
+
+struct flow {
+    uint64_t key[2];
+    uint32_t expected;       /* of the caller's next byte */
+    uint32_t seq;            /* of our next byte */
+    struct wire_packet last; /* our last answer */
+    bool answered;
+    bool ended;
+};
+
+struct answer {
+    struct event *timer;
+    struct flow *flow;
+    uint64_t key[2];
+};
+
+static char *listen_text;
+static char *id;
+static char *service;
+static char *journal_path;
+static int caller_port;
+static int work_ms;
+
+static const GOptionEntry options[] = {
+    {"listen", 0, 0, G_OPTION_ARG_STRING, &listen_text, "Address", "A:PORT"},
+    {"id", 0, 0, G_OPTION_ARG_STRING, &id, "Its id", "ID"},
+    {"service", 0, 0, G_OPTION_ARG_STRING, &service, "Its service", "NAME"},
+    {"journal", 0, 0, G_OPTION_ARG_FILENAME, &journal_path, "Runs", "FILE"},
+    {"caller-port", 0, 0, G_OPTION_ARG_INT, &caller_port,
+     "Port at which callers receive", "PORT"},
+    {"work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms, "Time of a request", "MS"},
+    {NULL},
+};
+
+static int sock;
+static uint64_t tag;
+static FILE *journal;
+static GHashTable *flows; /* key -> struct flow */
+static uint32_t next_seq = 1000;
+static struct event_base *base;
+
+static void
+note(const char *what, const char *text)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    fprintf(journal, "%lld %s %s %s %s\n",
+            (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000, what, service,
+            id, text);
+    fflush(journal);
+}
+
+static guint
+key_hash(gconstpointer key)
+{
+    const uint64_t *k = key;
+
+    return (guint)(k[0] * 31 + k[1] * 17);
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, 2 * sizeof(uint64_t)) == 0;
+}
+
+static void
+make_key(const struct wire_packet *p, uint64_t key[2])
+{
+    key[0] = (uint64_t)p->src << 32 | p->dst;
+    key[1] = (uint64_t)p->sport << 16 | p->dport;
+}
+
+static void
+send_packet(const struct wire_packet *p)
+{
+    uint8_t out[WIRE_PACKET_MAX];
+    size_t size = wire_write(p, out);
+
+    wire_send(sock, p->dst, (uint16_t)caller_port, out, size);
+}
+
+/* A packet back to the sender of "p". */
+static struct wire_packet
+reply_to(const struct wire_packet *p, uint8_t flags)
+{
+    return (struct wire_packet){.src = p->dst,
+                                .sport = p->dport,
+                                .dst = p->src,
+                                .dport = p->sport,
+                                .echo = p->echo,
+                                .flags = flags};
+}
+
+static void
+on_opening(const struct wire_packet *p)
+{
+    struct flow *flow = g_new0(struct flow, 1);
+    struct wire_packet out = reply_to(p, WIRE_SYN | WIRE_ACK);
+
+    make_key(p, flow->key);
+    if (g_hash_table_contains(flows, flow->key)) {
+        g_free(flow);
+        return;
+    }
+    flow->expected = p->seq + 1;
+    flow->seq = next_seq;
+    next_seq += 100000;
+    g_hash_table_insert(flows, flow->key, flow);
+    out.seq = flow->seq;
+    out.ack = flow->expected;
+    flow->seq++;
+    note("open", "-");
+    send_packet(&out);
+}
+
+static void
+on_done(evutil_socket_t fd, short what, void *ctx)
+{
+    struct answer *answer = ctx;
+    struct flow *flow = g_hash_table_lookup(flows, answer->key);
+
+    if (flow != NULL) {
+        flow->answered = true;
+        send_packet(&flow->last);
+    }
+    event_free(answer->timer);
+    g_free(answer);
+}
+
+static void
+run(struct flow *flow, const struct wire_packet *p)
+{
+    struct answer *answer = g_new0(struct answer, 1);
+    const struct timeval delay = {work_ms / 1000, (work_ms % 1000) * 1000};
+    char text[WIRE_DATA_MAX + 1];
+
+    memcpy(text, p->data, p->len);
+    text[p->len] = '\0';
+    note("run", text);
+    flow->expected += p->len;
+    flow->answered = false;
+    flow->last = reply_to(p, WIRE_ACK);
+    flow->last.seq = flow->seq;
+    flow->last.ack = flow->expected;
+    flow->last.len = (uint16_t)snprintf((char *)flow->last.data, WIRE_DATA_MAX,
+                                        "%s %s %s", service, id, text);
+    flow->seq += flow->last.len;
+    memcpy(answer->key, flow->key, sizeof(answer->key));
+    answer->timer = event_new(base, -1, 0, on_done, answer);
+    event_add(answer->timer, &delay);
+}
+
+static void
+on_packet(const struct wire_packet *p)
+{
+    uint64_t key[2];
+    struct wire_packet out;
+    struct flow *flow;
+
+    if ((p->flags & WIRE_SYN) != 0) {
+        on_opening(p);
+        return;
+    }
+    make_key(p, key);
+    flow = g_hash_table_lookup(flows, key);
+    if ((p->flags & WIRE_RST) != 0) {
+        g_hash_table_remove(flows, key);
+        return;
+    }
+    if (flow != NULL && flow->ended && p->len == 0) {
+        return;
+    }
+    if (flow == NULL || flow->ended) {
+        out = reply_to(p, WIRE_RST);
+        out.seq = p->ack;
+        note("unknown-flow", "-");
+        send_packet(&out);
+        return;
+    }
+    if (p->len > 0 && p->seq == flow->expected) {
+        run(flow, p);
+    }
+    else if (p->len > 0 && flow->answered) {
+        send_packet(&flow->last);
+    }
+    if ((p->flags & WIRE_FIN) != 0) {
+        out = reply_to(p, WIRE_FIN | WIRE_ACK);
+        out.seq = flow->seq;
+        out.ack = p->seq + p->len + 1;
+        send_packet(&out);
+        flow->ended = true;
+    }
+}
+
+static void
+on_readable(evutil_socket_t fd, short what, void *ctx)
+{
+    uint8_t data[WIRE_TAG + WIRE_PACKET_MAX];
+    ssize_t size;
+
+    while ((size = recv(sock, data, sizeof(data), 0)) > 0) {
+        struct wire_packet p;
+        uint64_t to = 0;
+
+        for (int i = 0; i < WIRE_TAG && i < size; i++) {
+            to = to << 8 | data[i];
+        }
+        if (size < WIRE_TAG ||
+            !wire_read(data + WIRE_TAG, (size_t)size - WIRE_TAG, &p)) {
+            note("malformed", "-");
+        }
+        else if (to != 0 && to != tag) {
+            note("other-target", "-");
+        }
+        else {
+            on_packet(&p);
+        }
+    }
+}
+
+static void
+read_tag(void)
+{
+    const char *digits = strrchr(id, '-');
+
+    for (const char *c = digits == NULL ? id : digits + 1; *c != '\0'; c++) {
+        if (isxdigit((unsigned char)*c)) {
+            tag = tag << 4 | (uint64_t)g_ascii_xdigit_value(*c);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    GOptionContext *context = g_option_context_new("- a target of flows");
+    struct standin_endpoint ep;
+    struct event *readable;
+
+    g_option_context_add_main_entries(context, options, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, NULL) ||
+        listen_text == NULL || id == NULL || service == NULL ||
+        journal_path == NULL || work_ms < 0 || work_ms > WORK_MS_MAX ||
+        !standin_endpoint_parse(listen_text, &ep)) {
+        fprintf(stderr, "bad arguments, see --help\n");
+        return 2;
+    }
+    g_option_context_free(context);
+    read_tag();
+    journal = fopen(journal_path, "a");
+    if (journal == NULL) {
+        perror(journal_path);
+        return 1;
+    }
+    flows = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
+    base = standin_base_new();
+    sock = wire_socket(ep.address, ep.port);
+    readable = event_new(base, sock, EV_READ | EV_PERSIST, on_readable, NULL);
+    event_add(readable, NULL);
+    event_base_dispatch(base);
+    event_free(readable);
+    fclose(journal);
+    return 0;
+}
