--- a/src/client/client.c
+++ b/src/client/client.c
@@ -48,8 +48,8 @@
     void *ctx;
 };
 
-static void on_datagram(void *ctx, const struct endpoint *from,
-                        const uint8_t *data, size_t size, uint64_t queued_us);
+static void on_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
+                        size_t size, uint64_t queued_us);
 
 static uint64_t
 timeout_or_default(uint32_t ms, uint32_t default_ms)
@@ -439,8 +439,8 @@
 /* A Reset in reply to a request is not acted upon: whoever sent it knows
  * nothing of the request, while another balancer may be serving it. */
 static void
-on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
-            size_t size, uint64_t queued_us)
+on_datagram(void *ctx, const struct endpoint *from, uint8_t *data, size_t size,
+            uint64_t queued_us)
 {
     struct client *client = ctx;
     struct packet p;
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -230,8 +230,8 @@
 }
 
 static void
-on_service_datagram(void *ctx, const struct endpoint *from,
-                    const uint8_t *data, size_t size, uint64_t queued_us)
+on_service_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
+                    size_t size, uint64_t queued_us)
 {
     struct service_port *port = ctx;
     uint64_t now = turn(port->task);
@@ -241,7 +241,7 @@
 }
 
 static void
-on_relay_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
+on_relay_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
                   size_t size, uint64_t queued_us)
 {
     struct data_task *task = ctx;
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -84,13 +84,9 @@
 {
     const struct endpoint to = {target->record.addr, target->record.port};
 
-    if (udp_socket_send_parts(task->socket, &to, target->record.tag,
-                              TARGET_TAG_SIZE, in->data, in->size)) {
-        task->counters.passed_on++;
-    }
-    else {
-        drop(task, FORWARD_DROP_NOT_SENT);
-    }
+    udp_socket_queue(task->socket, &to, target->record.tag, TARGET_TAG_SIZE,
+                     in->data, in->size);
+    task->counters.passed_on++;
 }
 
 static struct recent_flow_key
@@ -380,26 +376,24 @@
     send_to_target(task, in, target);
 }
 
+/* "data" has to stay until the socket's queue is flushed. */
 static void
-handle_packet(struct forward_task *task, const uint8_t *data, size_t size,
-              uint64_t arrived)
+handle_packet(struct forward_task *task, uint8_t *data, size_t size,
+              uint64_t arrived, uint64_t now)
 {
     struct inbound_packet in = {
-        .size = size, .now = clock_monotonic_us(), .arrived = arrived};
-    uint8_t copy[FLOW_PACKET_MAX];
+        .data = data, .size = size, .now = now, .arrived = arrived};
 
-    if (size > sizeof(copy) || !task->format->parse(data, size, &in.packet)) {
+    if (size > FLOW_PACKET_MAX ||
+        !task->format->parse(data, size, &in.packet)) {
         drop(task, FORWARD_DROP_MALFORMED);
-        return;
     }
-    if ((in.packet.flags & FLOW_SYN) != 0) {
-        memcpy(copy, data, size);
-        in.data = copy;
+    else if ((in.packet.flags & FLOW_SYN) != 0) {
         handle_opening(task, &in);
-        return;
     }
-    in.data = (uint8_t *)data;
-    handle_open_flow(task, &in);
+    else {
+        handle_open_flow(task, &in);
+    }
 }
 
 static void
@@ -433,7 +427,8 @@
         list_remove(&early->link);
         task->early_count--;
         if (handle && now - early->arrived <= EARLY_AGE_US) {
-            handle_packet(task, early->data, early->size, early->arrived);
+            handle_packet(task, early->data, early->size, early->arrived, now);
+            udp_socket_flush(task->socket);
         }
         else {
             drop(task, FORWARD_DROP_NO_VIEW);
@@ -449,14 +444,15 @@
 }
 
 static void
-on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
-            size_t size, uint64_t queued_us)
+on_datagram(void *ctx, const struct endpoint *from, uint8_t *data, size_t size,
+            uint64_t queued_us)
 {
     struct forward_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
 
     task->counters.received++;
     if (forward_view_usable(task->view)) {
-        handle_packet(task, data, size, clock_monotonic_us() - queued_us);
+        handle_packet(task, data, size, now - queued_us, now);
     }
     else {
         keep_early(task, data, size);
@@ -535,7 +531,9 @@
 }
 
 const struct forward_counters *
-forward_task_counters(const struct forward_task *task)
+forward_task_counters(struct forward_task *task)
 {
+    task->counters.drops[FORWARD_DROP_NOT_SENT] =
+        udp_socket_unsent(task->socket);
     return &task->counters;
 }
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -71,4 +71,4 @@
 void forward_task_view_ready(struct forward_task *task);
 
 const struct forward_counters *
-forward_task_counters(const struct forward_task *task);
+forward_task_counters(struct forward_task *task);
--- a/src/transport/udp-socket.c
+++ b/src/transport/udp-socket.c
@@ -26,8 +26,20 @@
     uint8_t data[UDP_BATCH_DATAGRAMS][UDP_DATAGRAM_SIZE];
 };
 
+#define UDP_PARTS 2 /* of a datagram that is put together */
+
+/* Datagrams to be sent at the end of a batch. */
+struct udp_queue {
+    unsigned count;
+    struct mmsghdr headers[UDP_BATCH_DATAGRAMS];
+    struct iovec parts[UDP_BATCH_DATAGRAMS][UDP_PARTS];
+    struct sockaddr_in to[UDP_BATCH_DATAGRAMS];
+};
+
 struct udp_socket {
     int fd;
+    uint64_t unsent; /* datagrams that the kernel did not take */
+    struct udp_queue queue;
     struct event *readable;
     struct udp_batch *batch;
     bool owns_batch;
@@ -122,7 +134,8 @@
     }
 }
 
-/* Receives one batch and returns how many datagrams it held. */
+/* Receives one batch, sends what its handling has queued, and returns how many
+ * datagrams it held. */
 static int
 receive_batch(struct udp_socket *sock)
 {
@@ -147,6 +160,7 @@
         sock->cb(sock->ctx, &from, batch->data[i], batch->headers[i].msg_len,
                  queued);
     }
+    udp_socket_flush(sock);
     return count;
 }
 
@@ -246,23 +260,53 @@
     return sent == (ssize_t)size;
 }
 
-bool
-udp_socket_send_parts(struct udp_socket *sock, const struct endpoint *to,
-                      const uint8_t *head, size_t head_size,
-                      const uint8_t *data, size_t size)
+/* Sends what is queued with as few calls as can be. What the kernel does not
+ * take is lost, as on a network, and counted. */
+void
+udp_socket_flush(struct udp_socket *sock)
 {
-    struct sockaddr_in sin = to_sockaddr(to);
-    struct iovec parts[] = {
-        {.iov_base = (void *)head, .iov_len = head_size},
-        {.iov_base = (void *)data, .iov_len = size},
-    };
-    const struct msghdr message = {
-        .msg_name = &sin,
-        .msg_namelen = sizeof(sin),
+    struct udp_queue *queue = &sock->queue;
+    unsigned done = 0;
+
+    while (done < queue->count) {
+        int sent = sendmmsg(sock->fd, &queue->headers[done],
+                            queue->count - done, MSG_DONTWAIT);
+
+        if (sent <= 0) {
+            sock->unsent++;
+            sent = 1;
+        }
+        done += (unsigned)sent;
+    }
+    queue->count = 0;
+}
+
+void
+udp_socket_queue(struct udp_socket *sock, const struct endpoint *to,
+                 const uint8_t *head, size_t head_size, const uint8_t *data,
+                 size_t size)
+{
+    struct udp_queue *queue = &sock->queue;
+    struct iovec *parts = queue->parts[queue->count];
+    struct msghdr *hdr = &queue->headers[queue->count].msg_hdr;
+
+    parts[0] = (struct iovec){(void *)head, head_size};
+    parts[1] = (struct iovec){(void *)data, size};
+    queue->to[queue->count] = to_sockaddr(to);
+    *hdr = (struct msghdr){
+        .msg_name = &queue->to[queue->count],
+        .msg_namelen = sizeof(queue->to[0]),
         .msg_iov = parts,
-        .msg_iovlen = 2,
+        .msg_iovlen = UDP_PARTS,
     };
+    queue->count++;
+    if (queue->count == UDP_BATCH_DATAGRAMS) {
+        udp_socket_flush(sock);
+    }
+}
 
-    return sendmsg(sock->fd, &message, MSG_DONTWAIT) ==
-           (ssize_t)(head_size + size);
+uint64_t
+udp_socket_unsent(const struct udp_socket *sock)
+{
+    return sock->unsent;
 }
--- a/tools/bench-path.c
+++ b/tools/bench-path.c
@@ -192,7 +192,7 @@
 static struct lane *lanes;
 
 static void
-on_datagram(void *ctx, const struct endpoint *from, const uint8_t *data,
+on_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
             size_t size, uint64_t queued_us)
 {
     struct bench *b = ctx;
