--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -25,6 +25,9 @@
 /* After the start the exchanges follow each other more closely. */
 #define SYNC_FIRST_US (2 * USEC_PER_SEC)
 #define SEED_CHECK_US (600 * USEC_PER_SEC) /* in case we are an island */
+/* Members are heard of one after the other, at the start of a fleet above all.
+ * Choosing neighbours anew each time would open a connection for each. */
+#define NEIGHBORS_INTERVAL_US (500 * USEC_PER_MSEC)
 #define PROBE_HELPERS 3
 #define RUMORS_PER_MESSAGE 6
 #define RUMOR_FACTOR 3 /* times log2 of the domain's size */
@@ -59,6 +62,7 @@
     size_t replaced_seed; /* once the table is full, in turn */
     unsigned self_rumors; /* times our own refutation is still to be sent */
     bool neighbors_stale;
+    uint64_t next_choice; /* of neighbours, not before */
     bool joined; /* some peer sent its members */
     uint64_t started;
     uint64_t last_tick;
@@ -88,6 +92,7 @@
     ms->started = now;
     ms->last_tick = now;
     ms->last_heard = now;
+    ms->next_choice = now + NEIGHBORS_INTERVAL_US;
     ms->sync_interval = SYNC_FIRST_US;
     ms->next_sync =
         now + SYNC_FIRST_US / 2 + random_below(random, SYNC_FIRST_US);
@@ -742,8 +747,9 @@
 
     check_pause(ms, now);
     tick_states(ms, now);
-    if (ms->neighbors_stale) {
+    if (ms->neighbors_stale && now >= ms->next_choice) {
         ms->neighbors_stale = false;
+        ms->next_choice = now + NEIGHBORS_INTERVAL_US;
         neighbors_choose(&ms->table, ms->self_hash);
     }
     count = collect_neighbors(ms, neighbors);
