--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,8 @@
 #include "base/log.h"
 
+#include <poll.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -15,6 +17,8 @@
 
 static enum log_level min_level = LOG_LEVEL_INFO;
 static enum log_format line_format = LOG_FORMAT_TEXT;
+static bool never_wait;
+static _Atomic uint64_t lines_lost;
 
 static const char *const level_names[] = {
     [LOG_LEVEL_DEBUG] = "debug",
@@ -146,6 +150,34 @@
     }
 }
 
+/* Waits for the reader unless it must not. */
+static bool
+line_write(const struct line *line)
+{
+    struct pollfd output = {.fd = STDERR_FILENO, .events = POLLOUT};
+
+    /* The mode of the descriptor is shared with other processes, so it is
+     * asked instead of being set not to block. A pipe that takes anything
+     * takes a line: they are shorter than PIPE_BUF. */
+    if (never_wait &&
+        (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)) {
+        return false;
+    }
+    return write(STDERR_FILENO, line->data, line->len) >= 0;
+}
+
+void
+log_never_wait(void)
+{
+    never_wait = true;
+}
+
+uint64_t
+log_lines_lost(void)
+{
+    return atomic_load(&lines_lost);
+}
+
 void
 log_fields(enum log_level level, const char *module,
            const struct log_field *fields, const char *fmt, ...)
@@ -169,8 +201,8 @@
     }
     line.data[line.len] = '\n';
     line.len++;
-    if (write(STDERR_FILENO, line.data, line.len) < 0) {
-        /* There is nowhere left to report to. */
-        return;
+    if (!line_write(&line)) {
+        /* There is nowhere left to report to; metrics tell of it. */
+        atomic_fetch_add(&lines_lost, 1);
     }
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stdint.h>
 
 enum log_level {
     LOG_LEVEL_DEBUG,
@@ -24,6 +25,10 @@
 /* Sets the least level written and the format. Called once, before the tasks
  * start. */
 void log_init(enum log_level level, enum log_format format);
+/* From now on a line that cannot be written at once is lost and counted: a
+ * reader that has stopped must not stop the process. */
+void log_never_wait(void);
+uint64_t log_lines_lost(void);
 bool log_level_from_name(const char *name, enum log_level *level);
 
 /* Writes one line to stderr with a single write, so that lines of several
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+#include "base/log.h"
+
 static void
 add(GString *text, const char *name, const char *label, uint64_t value)
 {
@@ -12,22 +14,17 @@
 }
 
 static void
-add_packets(GString *text, const struct forward_counters *c)
+add_cause(GString *text, const char *name, const char *cause, uint64_t value)
 {
-    static const char *const drops[] = {
-        [FORWARD_DROP_MALFORMED] = "{cause=\"malformed\"}",
-        [FORWARD_DROP_NO_ROUTE] = "{cause=\"no_route\"}",
-        [FORWARD_DROP_NO_VIEW] = "{cause=\"no_view\"}",
-        [FORWARD_DROP_UNKNOWN] = "{cause=\"unknown_target\"}",
-        [FORWARD_DROP_FORGED] = "{cause=\"forged\"}",
-        [FORWARD_DROP_NOT_SENT] = "{cause=\"not_sent\"}",
-    };
-    static const char *const resets[] = {
-        [FORWARD_RESET_NO_ROUTE] = "{cause=\"no_route\"}",
-        [FORWARD_RESET_NO_TARGET] = "{cause=\"no_target\"}",
-        [FORWARD_RESET_TARGET_SILENT] = "{cause=\"target_silent\"}",
-    };
+    char *label = g_strdup_printf("{cause=\"%s\"}", cause);
+
+    add(text, name, label, value);
+    g_free(label);
+}
 
+static void
+add_packets(GString *text, const struct forward_counters *c)
+{
     add(text, "packets_received_total", "", c->received);
     add(text, "packets_passed_on_total", "", c->passed_on);
     add(text, "openings_total", "", c->openings);
@@ -35,11 +32,14 @@
     add(text, "requests_total", "", c->requests);
     add(text, "request_repeats_total", "", c->repeats);
     for (int i = 0; i < FORWARD_DROP_COUNT; i++) {
-        add(text, "packets_dropped_total", drops[i], c->drops[i]);
+        add_cause(text, "packets_dropped_total",
+                  forward_drop_name((enum forward_drop)i), c->drops[i]);
     }
     for (int i = 0; i < FORWARD_RESET_COUNT; i++) {
-        add(text, "flows_reset_total", resets[i], c->resets[i]);
+        add_cause(text, "flows_reset_total",
+                  forward_reset_name((enum forward_reset)i), c->resets[i]);
     }
+    add(text, "log_lines_lost_total", "", log_lines_lost());
 }
 
 static void
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "coordination/flow-placement.h"
 #include "coordination/passive-health.h"
+#include "daemon/forward-log.h"
 #include "state/recent-flows.h"
 
 /* Flows whose packets are told apart from retransmissions. */
@@ -38,6 +39,7 @@
     struct forward_callbacks cb;
     const char *domain; /* interned */
     uint64_t flow_max_us;
+    uint64_t change_bound_us;
     uint64_t started;
     uint16_t return_port; /* at which callers receive packets */
     struct udp_socket *socket;
@@ -47,6 +49,7 @@
     size_t early_count;
     struct random random;
     struct forward_counters counters;
+    struct forward_log log;
 };
 
 /* One packet on its way through. */
@@ -58,10 +61,50 @@
     uint64_t arrived; /* when the kernel had it, us */
 };
 
+static const char *const drop_names[] = {
+    [FORWARD_DROP_MALFORMED] = "malformed",
+    [FORWARD_DROP_NO_ROUTE] = "no_route",
+    [FORWARD_DROP_NO_VIEW] = "no_view",
+    [FORWARD_DROP_UNKNOWN] = "unknown_target",
+    [FORWARD_DROP_FORGED] = "forged",
+    [FORWARD_DROP_NOT_SENT] = "not_sent",
+};
+
+static const char *const reset_names[] = {
+    [FORWARD_RESET_NO_ROUTE] = "no_route",
+    [FORWARD_RESET_NO_TARGET] = "no_target",
+    [FORWARD_RESET_TARGET_SILENT] = "target_silent",
+};
+
+const char *
+forward_drop_name(enum forward_drop drop)
+{
+    return drop_names[drop];
+}
+
+const char *
+forward_reset_name(enum forward_reset reset)
+{
+    return reset_names[reset];
+}
+
+static struct forward_log_inputs
+log_inputs(const struct forward_task *task)
+{
+    return (struct forward_log_inputs){
+        .revision = forward_view_revision(task->view),
+        .age_us = task->cb.view_age_us(task->cb.ctx)};
+}
+
 static void
-drop(struct forward_task *task, enum forward_drop why)
+drop(struct forward_task *task, const struct inbound_packet *in,
+     enum forward_drop why)
 {
+    const struct forward_log_inputs inputs = log_inputs(task);
+
     task->counters.drops[why]++;
+    forward_log_dropped(&task->log, &in->packet, drop_names[why], &inputs,
+                        in->now);
 }
 
 /* Tells the sender of a packet at once that its flow is over. Of an opening
@@ -71,11 +114,14 @@
       enum forward_reset why)
 {
     const struct endpoint caller = {packet->src_addr, task->return_port};
+    const struct forward_log_inputs inputs = log_inputs(task);
     uint8_t out[FLOW_PACKET_MAX];
     size_t size = task->format->make_reset(packet, out);
 
     task->counters.resets[why]++;
     udp_socket_send(task->socket, &caller, out, size);
+    forward_log_reset(&task->log, packet, reset_names[why], &inputs,
+                      clock_monotonic_us());
 }
 
 static void
@@ -224,6 +270,7 @@
                                         .now = in->now};
     struct recent_flow *flow;
     struct forward_target *target;
+    struct forward_log_inputs inputs;
     const char *service;
 
     if (route == NULL) {
@@ -245,6 +292,10 @@
     if (passive_health_avoid(&target->signs, in->now)) {
         passive_health_tried(&target->signs, in->now);
     }
+    inputs = log_inputs(task);
+    forward_log_placed(&task->log, &in->packet, target,
+                       passive_health_load(&target->signs, in->now), &inputs,
+                       in->now);
     passive_health_sent(&target->signs, in->now);
     note_tried(flow, target->cookie, in->now);
     task->format->set_cookie(in->data, target->cookie);
@@ -349,8 +400,8 @@
     if (route == NULL) {
         /* An open flow is not ended on the word of an old view. */
         if ((packet->flags & FLOW_RST) != 0 ||
-            !task->cb.view_is_fresh(task->cb.ctx)) {
-            drop(task, FORWARD_DROP_NO_ROUTE);
+            task->cb.view_age_us(task->cb.ctx) > task->change_bound_us) {
+            drop(task, in, FORWARD_DROP_NO_ROUTE);
             return;
         }
         reset(task, &in->packet, FORWARD_RESET_NO_ROUTE);
@@ -360,12 +411,12 @@
                  ? NULL
                  : forward_view_target(task->view, packet->cookie);
     if (target == NULL) {
-        drop(task, FORWARD_DROP_UNKNOWN);
+        drop(task, in, FORWARD_DROP_UNKNOWN);
         task->cb.unknown_target(task->cb.ctx);
         return;
     }
     if (is_forged(task, route, target, in->now)) {
-        drop(task, FORWARD_DROP_FORGED);
+        drop(task, in, FORWARD_DROP_FORGED);
         return;
     }
     flow = observe(task, in, target);
@@ -386,7 +437,7 @@
 
     if (size > FLOW_PACKET_MAX ||
         !task->format->parse(data, size, &in.packet)) {
-        drop(task, FORWARD_DROP_MALFORMED);
+        task->counters.drops[FORWARD_DROP_MALFORMED]++;
     }
     else if ((in.packet.flags & FLOW_SYN) != 0) {
         handle_opening(task, &in);
@@ -402,7 +453,7 @@
     struct early_packet *early;
 
     if (task->early_count == EARLY_PACKETS_MAX || size > FLOW_PACKET_MAX) {
-        drop(task, FORWARD_DROP_NO_VIEW);
+        task->counters.drops[FORWARD_DROP_NO_VIEW]++;
         return;
     }
     early = g_malloc(sizeof(*early) + size);
@@ -431,7 +482,7 @@
             udp_socket_flush(task->socket);
         }
         else {
-            drop(task, FORWARD_DROP_NO_VIEW);
+            task->counters.drops[FORWARD_DROP_NO_VIEW]++;
         }
         g_free(early);
     }
@@ -466,6 +517,7 @@
     uint64_t now = clock_monotonic_us();
 
     recent_flows_expire(task->flows, now - RECENT_FLOW_IDLE_US);
+    forward_log_tick(&task->log);
 }
 
 static bool
@@ -504,6 +556,8 @@
     task->cb = *cb;
     task->domain = g_intern_string(settings->domain);
     task->flow_max_us = settings->flow_max_us;
+    task->change_bound_us = settings->change_bound_us;
+    forward_log_init(&task->log);
     list_init(&task->early);
     task->started = clock_monotonic_us();
     task->return_port = settings->packets.port;
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -18,8 +18,9 @@
 struct forward_callbacks {
     /* A packet named a target that is not known. */
     void (*unknown_target)(void *ctx);
-    /* Whether the view is new enough to say that a route does not exist. */
-    bool (*view_is_fresh)(void *ctx);
+    /* Age of the view, us; UINT64_MAX: not known. An old one does not say that
+     * a route no longer exists. */
+    uint64_t (*view_age_us)(void *ctx);
     /* A target has misses that the peers do not know of. */
     void (*target_missed)(void *ctx, struct forward_target *target);
     void *ctx;
@@ -54,6 +55,10 @@
     uint64_t resets[FORWARD_RESET_COUNT];
 };
 
+/* Names in metrics and logs. */
+const char *forward_drop_name(enum forward_drop drop);
+const char *forward_reset_name(enum forward_reset reset);
+
 /* The view is the caller's. Returns NULL with "st" set when the port cannot be
  * bound. */
 struct forward_task *forward_task_new(struct event_base *base,
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -93,12 +93,12 @@
     view_task_report(f->view, target);
 }
 
-static bool
-on_view_is_fresh(void *ctx)
+static uint64_t
+on_view_age(void *ctx)
 {
     struct forwarder *f = ctx;
 
-    return view_task_is_fresh(f->view);
+    return view_task_age_us(f->view);
 }
 
 static void
@@ -217,7 +217,7 @@
 open_tasks(struct forwarder *f, struct status *st)
 {
     const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
-                                         .view_is_fresh = on_view_is_fresh,
+                                         .view_age_us = on_view_age,
                                          .target_missed = on_target_missed,
                                          .ctx = f};
     const struct view_task_callbacks view_cb = {
@@ -322,6 +322,7 @@
         return EXIT_FAILURE;
     }
     log_init(LOG_LEVEL_INFO, LOG_FORMAT_JSON);
+    log_never_wait();
     if (open_all(&f, &st)) {
         LOG_INFO("host %s in failure domain %s is up", f.settings.host,
                  f.settings.domain);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -590,11 +590,10 @@
     return task->view;
 }
 
-bool
-view_task_is_fresh(struct view_task *task)
+uint64_t
+view_task_age_us(struct view_task *task)
 {
-    return freshness_age(&task->freshness, clock_monotonic_us()) <=
-           task->settings.change_bound_us;
+    return freshness_age(&task->freshness, clock_monotonic_us());
 }
 
 void
@@ -655,5 +654,5 @@
                                     MEMBER_ALIVE, true) +
                  member_table_count(membership_table(task->members),
                                     MEMBER_ALIVE, false);
-    c->view_age_us = freshness_age(&task->freshness, clock_monotonic_us());
+    c->view_age_us = view_task_age_us(task);
 }
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -41,8 +41,8 @@
 void view_task_destroy(struct view_task *task);
 
 struct forward_view *view_task_view(struct view_task *task);
-/* Whether the store has confirmed the view within the bound on changes. */
-bool view_task_is_fresh(struct view_task *task);
+/* Time since the store confirmed the view, us; UINT64_MAX: not known. */
+uint64_t view_task_age_us(struct view_task *task);
 /* Settings have changed: takes the seeds and the bounds over. */
 void view_task_reload(struct view_task *task,
                       const struct forward_settings *settings);
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -48,10 +48,10 @@
 {
 }
 
-static bool
-always_fresh(void *ctx)
+static uint64_t
+always_new(void *ctx)
 {
-    return true;
+    return 0;
 }
 
 static void
@@ -222,7 +222,7 @@
         .flow_max_us = 60 * USEC_PER_SEC,
     };
     const struct forward_callbacks cb = {.unknown_target = ignore_unknown,
-                                         .view_is_fresh = always_fresh,
+                                         .view_age_us = always_new,
                                          .target_missed = ignore_missed};
     struct event_base *base = event_base_new();
     struct forward_view *view = make_view(targets, routes);
