--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 	ninja -C $(BUILD)
 
 demo: setup build
+	./tests/e2e/demo-forward $(BUILD)
 	./tests/e2e/demo $(BUILD)
 
 test: build
