forward: a balancer that starts without store and peers refuses openings at once

After 150 ms without a view they are reset; they have not run. Packets of open flows are dropped as before.

--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -23,7 +23,9 @@
 #define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
 #define EXPIRE_INTERVAL_S 1
 /* Packets that wait for the first view. A start takes some ten milliseconds;
- * a caller sends its packet again after 200 ms. */
+ * one that takes longer has no store and no peer, and then nobody knows when
+ * there will be a view: openings are refused at once. A caller sends its
+ * packet again after 200 ms. */
 #define EARLY_PACKETS_MAX 256
 #define EARLY_AGE_US (150 * USEC_PER_MSEC)
 
@@ -49,6 +51,8 @@
     struct recent_flows *flows;
     struct list early; /* struct early_packet, oldest first */
     size_t early_count;
+    struct event *early_over; /* the time to wait for the first view is */
+    bool waited;              /* that has happened */
     struct random random;
     struct forward_counters counters;
     struct forward_log log;
@@ -75,6 +79,7 @@
 static const char *const reset_names[] = {
     [FORWARD_RESET_NO_ROUTE] = "no_route",
     [FORWARD_RESET_NO_TARGET] = "no_target",
+    [FORWARD_RESET_NO_VIEW] = "no_view",
     [FORWARD_RESET_TARGET_SILENT] = "target_silent",
 };
 
@@ -508,13 +513,30 @@
     }
 }
 
+/* Nothing is known that could serve a packet. Of an open flow nothing can be
+ * said; an opening has not run. */
+static void
+refuse_without_view(struct forward_task *task, const uint8_t *data,
+                    size_t size)
+{
+    struct flow_packet packet;
+
+    if (task->format->parse(data, size, &packet) &&
+        (packet.flags & FLOW_SYN) != 0) {
+        reset(task, &packet, FORWARD_RESET_NO_VIEW);
+        return;
+    }
+    task->counters.drops[FORWARD_DROP_NO_VIEW]++;
+}
+
 static void
 keep_early(struct forward_task *task, const uint8_t *data, size_t size)
 {
     struct early_packet *early;
 
-    if (task->early_count == EARLY_PACKETS_MAX || size > FLOW_PACKET_MAX) {
-        task->counters.drops[FORWARD_DROP_NO_VIEW]++;
+    if (task->waited || task->early_count == EARLY_PACKETS_MAX ||
+        size > FLOW_PACKET_MAX) {
+        refuse_without_view(task, data, size);
         return;
     }
     early = g_malloc(sizeof(*early) + size);
@@ -525,10 +547,10 @@
     task->early_count++;
 }
 
-/* Handles the packets that came before the view, or lets go of those whose
- * callers have sent them again by now. */
+/* Handles the packets that came before the view, or refuses them when there is
+ * none. */
 static void
-take_early(struct forward_task *task, bool handle)
+take_early(struct forward_task *task, bool has_view)
 {
     uint64_t now = clock_monotonic_us();
 
@@ -538,17 +560,26 @@
 
         list_remove(&early->link);
         task->early_count--;
-        if (handle && now - early->arrived <= EARLY_AGE_US) {
+        if (has_view) {
             handle_packet(task, early->data, early->size, early->arrived, now);
             udp_socket_flush(task->socket);
         }
         else {
-            task->counters.drops[FORWARD_DROP_NO_VIEW]++;
+            refuse_without_view(task, early->data, early->size);
         }
         g_free(early);
     }
 }
 
+static void
+on_early_over(evutil_socket_t fd, short what, void *arg)
+{
+    struct forward_task *task = arg;
+
+    task->waited = true;
+    take_early(task, false);
+}
+
 void
 forward_task_view_ready(struct forward_task *task)
 {
@@ -586,14 +617,18 @@
           const struct forward_settings *settings, struct status *st)
 {
     const struct timeval interval = {.tv_sec = EXPIRE_INTERVAL_S};
+    const struct timeval early = {.tv_usec = EARLY_AGE_US};
 
     task->flows = recent_flows_new(RECENT_FLOWS_MAX);
     task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
-    if (task->flows == NULL || task->expire == NULL) {
+    task->early_over = event_new(base, -1, 0, on_early_over, task);
+    if (task->flows == NULL || task->expire == NULL ||
+        task->early_over == NULL) {
         status_set(st, ERR_NO_MEMORY, "forward: out of memory");
         return false;
     }
     event_add(task->expire, &interval);
+    event_add(task->early_over, &early);
     task->socket =
         udp_socket_new(base, NULL, &settings->packets, on_datagram, task, st);
     return task->socket != NULL;
@@ -636,7 +671,12 @@
     if (task == NULL) {
         return;
     }
-    take_early(task, false);
+    if (task->socket != NULL) {
+        take_early(task, false);
+    }
+    if (task->early_over != NULL) {
+        event_free(task->early_over);
+    }
     udp_socket_destroy(task->socket);
     if (task->expire != NULL) {
         event_free(task->expire);
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -40,6 +40,7 @@
 enum forward_reset {
     FORWARD_RESET_NO_ROUTE,
     FORWARD_RESET_NO_TARGET,
+    FORWARD_RESET_NO_VIEW, /* started without store and peers */
     FORWARD_RESET_TARGET_SILENT,
     FORWARD_RESET_COUNT,
 };
