protocol: lengths in a view message are checked before it is unpacked

Found by test-view-codec under the address sanitizer: the library makes room for an array's elements before it reads them, 256 GB for a torn length.

--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -328,6 +328,105 @@
     return !r->failed && m->kind != 0;
 }
 
+/* msgpack format bytes, as in its specification. */
+#define POSITIVE_FIXINT_MAX 0x7f
+#define FIXSTR_MIN 0xa0
+#define FIXSTR_MAX 0xbf
+#define FORMAT_BIN8 0xc4
+#define FORMAT_UINT8 0xcc
+#define FORMAT_UINT64 0xcf
+#define FORMAT_STR8 0xd9
+#define FORMAT_ARRAY16 0xdc
+#define FORMAT_ARRAY32 0xdd
+
+static uint64_t
+load_number(const uint8_t *data, size_t size)
+{
+    uint64_t number = 0;
+
+    for (size_t i = 0; i < size; i++) {
+        number = number << 8 | data[i];
+    }
+    return number;
+}
+
+/* Takes the format byte apart: how many bytes of a length or a number follow
+ * it, and whether elements or bytes follow that. Returns false for formats
+ * that no message has. */
+static bool
+read_format(uint8_t format, size_t *header, uint64_t *elements,
+            uint64_t *bytes)
+{
+    *header = 0;
+    *elements = 0;
+    *bytes = 0;
+    if (format <= POSITIVE_FIXINT_MAX) {
+        return true;
+    }
+    if (format >= FIXARRAY_MIN && format <= FIXARRAY_MAX) {
+        *elements = format - FIXARRAY_MIN;
+        return true;
+    }
+    if (format >= FIXSTR_MIN && format <= FIXSTR_MAX) {
+        *bytes = format - FIXSTR_MIN;
+        return true;
+    }
+    if (format >= FORMAT_UINT8 && format <= FORMAT_UINT64) {
+        *bytes = 1U << (format - FORMAT_UINT8);
+        return true;
+    }
+    if (format == FORMAT_BIN8 || format == FORMAT_STR8) {
+        *header = 1;
+        return true;
+    }
+    if (format == FORMAT_ARRAY16 || format == FORMAT_ARRAY32) {
+        *header = format == FORMAT_ARRAY16 ? 2 : 4;
+        return true;
+    }
+    return false;
+}
+
+/* Whether every length in a message is one that its bytes can hold: the
+ * library makes room for an array's elements before it reads them. */
+static bool
+lengths_are_sound(const uint8_t *data, size_t size)
+{
+    uint64_t pending = 1; /* objects still to come */
+    size_t at = 0;
+
+    while (pending > 0) {
+        size_t header;
+        uint64_t elements;
+        uint64_t bytes;
+        uint8_t format;
+
+        if (at == size || !read_format(data[at], &header, &elements, &bytes)) {
+            return false;
+        }
+        format = data[at];
+        at++;
+        if (header > size - at) {
+            return false;
+        }
+        if (header > 0 && (format == FORMAT_BIN8 || format == FORMAT_STR8)) {
+            bytes = load_number(data + at, header);
+        }
+        else if (header > 0) {
+            elements = load_number(data + at, header);
+        }
+        at += header;
+        pending += elements - 1;
+        if (bytes > size - at || pending > size - at) {
+            return false;
+        }
+        at += bytes;
+        if (pending > size - at) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 view_is_message(const uint8_t *data, size_t size)
 {
@@ -345,7 +444,7 @@
     size_t offset = 0;
     bool sound = false;
 
-    if (!view_is_message(data, size)) {
+    if (!view_is_message(data, size) || !lengths_are_sound(data, size)) {
         return false;
     }
     msgpack_unpacked_init(&unpacked);
