--- a/tests/unit/fake-server.c
+++ b/tests/unit/fake-server.c
@@ -119,8 +119,8 @@
 }
 
 static void
-on_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
-            size_t size, uint64_t queued_us)
+on_datagram(void *ctx, const struct endpoint *from, uint8_t *data, size_t size,
+            uint64_t queued_us)
 {
     handle(ctx, from, false, data, size);
 }
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -320,6 +320,14 @@
     return x < y ? -1 : x > y;
 }
 
+static double
+quantile_ms(const GArray *sorted, double q)
+{
+    size_t at = (size_t)((double)sorted->len * q);
+
+    return (double)g_array_index(sorted, uint64_t, at) / (double)MS;
+}
+
 struct outcome {
     double p50_ms;
     double p99_ms;
@@ -381,10 +389,8 @@
     }
     g_array_sort(p.times, compare_times);
     total = (double)(p.times->len + p.refused);
-    outcome.p50_ms =
-        (double)g_array_index(p.times, uint64_t, p.times->len / 2) / MS;
-    outcome.p99_ms =
-        (double)g_array_index(p.times, uint64_t, p.times->len * 99 / 100) / MS;
+    outcome.p50_ms = quantile_ms(p.times, 0.5);
+    outcome.p99_ms = quantile_ms(p.times, 0.99);
     outcome.in_aim = p.in_aim / total;
     outcome.refused = p.refused / total;
     for (int f = 0; f < PLAY_FORWARDERS; f++) {
--- a/tools/bench-path.c
+++ b/tools/bench-path.c
@@ -192,8 +192,8 @@
 static struct lane *lanes;
 
 static void
-on_datagram(void *ctx, const struct endpoint *from, uint8_t *data,
-            size_t size, uint64_t queued_us)
+on_datagram(void *ctx, const struct endpoint *from, uint8_t *data, size_t size,
+            uint64_t queued_us)
 {
     struct bench *b = ctx;
     struct packet answer;
