--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -4,6 +4,7 @@
  * of targets, routes and flows. */
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,8 @@
 #define ROUTE_ADDR 0xc6120001U
 #define PACKET_SIZE 231 /* bytes, 200 of data */
 #define RESULT_COUNT 2
+#define VIEW_TARGETS 150000
+#define VIEW_ROUTES 10000
 
 static const struct {
     size_t targets;
@@ -256,6 +259,35 @@
     return BURST * BURSTS / spent;
 }
 
+/* Memory of a view, and how long a peer's change and a whole answer take. */
+static void
+print_view_costs(void)
+{
+    size_t before = mallinfo2().uordblks;
+    struct forward_view *few = make_view(1, 1);
+    size_t base = mallinfo2().uordblks;
+    struct forward_view *targets = make_view(VIEW_TARGETS, 1);
+    size_t with_targets = mallinfo2().uordblks;
+    struct forward_view *routes = make_view(1, VIEW_ROUTES);
+    size_t with_routes = mallinfo2().uordblks;
+    struct view_news news;
+    double start;
+
+    printf("memory: %.0f bytes a target, %.0f a route\n",
+           (double)(with_targets - base - (base - before)) / VIEW_TARGETS,
+           (double)(with_routes - with_targets - (base - before)) /
+               VIEW_ROUTES);
+    view_news_init(&news);
+    start = thread_seconds();
+    forward_view_since(targets, 1, 1, clock_monotonic_us(), &news);
+    printf("what changed of %d targets: %.1f ms\n", VIEW_TARGETS,
+           (thread_seconds() - start) * 1000.0);
+    view_news_clear(&news);
+    forward_view_destroy(few);
+    forward_view_destroy(targets);
+    forward_view_destroy(routes);
+}
+
 static int
 compare(const void *a, const void *b)
 {
@@ -298,6 +330,7 @@
                rates[1][ROUNDS / 2],
                rates[1][ROUNDS / 2] / rates[0][ROUNDS / 2]);
     }
+    print_view_costs();
     close(sender);
     close(sink_fd);
     return 0;
