--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -155,15 +155,22 @@
     return object->via.u64;
 }
 
-/* Takes a text of less than ID_SIZE bytes. */
+/* Takes a text of less than ID_SIZE bytes. The library gives an empty one no
+ * pointer. */
 static void
 take_text(struct reader *r, char out[ID_SIZE])
 {
     const msgpack_object *object = take(r, MSGPACK_OBJECT_STR);
 
     out[0] = '\0';
-    if (object == NULL || object->via.str.size >= ID_SIZE ||
-        memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
+    if (object == NULL || object->via.str.size >= ID_SIZE) {
+        r->failed = true;
+        return;
+    }
+    if (object->via.str.size == 0) {
+        return;
+    }
+    if (memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
         r->failed = true;
         return;
     }
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -174,6 +174,43 @@
     free(data);
 }
 
+/* An empty id, service or failure domain, which the library gives no pointer;
+ * found by fuzz-view. */
+static void
+test_empty_texts(void **state)
+{
+    static const struct {
+        bool id;
+        bool service;
+        bool domain;
+        bool sound;
+    } cases[] = {
+        {true, false, false, false},
+        {false, true, false, false},
+        {false, false, true, true},
+    };
+    struct target_record *target =
+        &g_array_index(message.news.targets, struct target_record, 0);
+    const struct target_record whole = *target;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct view_message m;
+        size_t size;
+        uint8_t *data;
+
+        *target = whole;
+        if (cases[i].id) {
+            target->id[0] = '\0';
+        }
+        target->service = cases[i].service ? NULL : whole.service;
+        target->domain = cases[i].domain ? NULL : whole.domain;
+        data = view_encode(&message, &size);
+        assert_int_equal(decode(data, size, &m), cases[i].sound);
+        view_news_clear(&m.news);
+        free(data);
+    }
+}
+
 /* A message that a peer would refuse for its length is not made. */
 static void
 test_too_long(void **state)
@@ -195,6 +232,7 @@
         cmocka_unit_test_setup_teardown(test_round_trip, setup, teardown),
         cmocka_unit_test_setup_teardown(test_torn, setup, teardown),
         cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_empty_texts, setup, teardown),
         cmocka_unit_test_setup_teardown(test_too_long, setup, teardown),
     };
 
