--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -7,6 +7,7 @@
 
 /* Up to this many members are told directly, without passing on. */
 #define DIRECT_MEMBERS_MAX 16
+/* Told at a time: twice the neighbours of a balancer, and some that join. */
 #define PEERS_MAX 32
 /* A member heard within this time has a connection with us. */
 #define HEARD_RECENTLY_US (2500 * USEC_PER_MSEC)
@@ -59,9 +60,8 @@
 }
 
 /* Place of the own failure domain among those with a live member, by
- * rendezvous score. "count" gets their number. Members of one domain stand
- * together in the table only by chance, so a domain counts by its member that
- * comes first in the table. */
+ * rendezvous score; "count" gets the number of domains. The table lists
+ * members, so a domain counts once, by the first of its members. */
 static size_t
 domain_rank(const struct view_sync *vs, size_t *count)
 {
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -36,6 +36,8 @@
 #define AWAY_MARGIN_US (1 * USEC_PER_SEC)
 /* Misses are collected for so long before the peers are told. */
 #define REPORT_DELAY_US (20 * USEC_PER_MSEC)
+/* Between two questions to peers about targets that packets name and the view
+ * lacks; an answer takes some milliseconds. */
 #define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
 
 struct view_task {
--- a/src/state/recent-flows.h
+++ b/src/state/recent-flows.h
@@ -10,7 +10,9 @@
  * needs it to find its target; it tells copies and retransmissions from new
  * packets. */
 
-#define RECENT_TRIED_MAX 4 /* targets given to the copies of one opening */
+/* Targets given to the copies of one opening: three, and that of an opening
+ * from another port that was refused. */
+#define RECENT_TRIED_MAX 4
 
 struct recent_flow_key {
     uint32_t caller_addr;
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -22,6 +22,8 @@
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 2000
 #define LINKS_MAX 128
+/* Neighbours exchange heartbeats each second; other links are seldom needed
+ * again. */
 #define LINK_IDLE_US (5 * USEC_PER_SEC)
 
 /* A connection for sending to one peer. */
