coordination: news go along a pruned tree, and large ones no longer wait for a pull

Cause: each balancer of a larger fleet pushed each change over all links of the heartbeats' graph, in both directions, so it arrived 8 times at 24 balancers and about 14 times at 300. News of more than 32 records were only announced, and who pulled them did not pass them on: 60 changes at once took 1,720 ms at 80 balancers.

Now the receivers prune links that bring news too late (epidemic broadcast trees); pruned links carry an announcement each 200 ms, and a pull grafts them again. What came by a pull is passed on.

Ruled out: pushing over the own seven links only (still seven copies); announcing everything (a round trip more on each hop).

--- a/src/coordination/member-table.h
+++ b/src/coordination/member-table.h
@@ -29,6 +29,7 @@
     uint64_t behind;   /* since when it lacks something, us; 0: it does not */
     bool local;        /* of the own failure domain */
     bool neighbor;     /* gets heartbeats from us */
+    bool pruned;       /* has our news from others: gets announcements only */
     unsigned rumors;   /* times still to be passed on */
     uint64_t next_ping;
     uint64_t ping_nonce; /* outstanding heartbeat; 0: none */
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -9,6 +9,9 @@
 #define DIRECT_MEMBERS_MAX 16
 /* Told at a time: twice the neighbours of a balancer, and some that join. */
 #define PEERS_MAX 32
+/* Between two announcements to the peers that get no records. One that lost
+ * its way to the news is late by this and a pull. */
+#define ANNOUNCE_INTERVAL_US (200 * USEC_PER_MSEC)
 /* A member heard within this time has a connection with us. */
 #define HEARD_RECENTLY_US (2500 * USEC_PER_MSEC)
 /* An answer to a pull may take so long before another peer is asked. */
@@ -30,6 +33,10 @@
     struct target_absence *absence;
     struct random *random;
     struct view_sync_callbacks cb;
+
+    double position; /* of the balancer that confirmed the view last */
+    bool announcing; /* there is something to announce */
+    uint64_t next_announce;
     uint64_t next_pull;
     bool behind; /* a peer knows more, as far as we have heard */
 };
@@ -50,6 +57,8 @@
     vs->absence = absence;
     vs->random = random;
     vs->cb = *cb;
+
+    vs->position = 1.0;
     return vs;
 }
 
@@ -133,8 +142,8 @@
     view_news_init(&m->news);
 }
 
-/* Fills in when the store last answered. "position" is that of the balancer
- * that asked it. */
+/* Fills in when the store last answered, and to whom: "position" is that of
+ * the balancer that asked it. */
 static void
 message_confirm(const struct view_sync *vs, struct view_message *m,
                 double position, uint64_t now)
@@ -179,47 +188,122 @@
     return membership_table(vs->members)->count <= DIRECT_MEMBERS_MAX;
 }
 
-/* Tells the peers, but for the one that told us. */
 static void
-tell_peers(const struct view_sync *vs, struct view_message *m,
-           uint32_t from_addr, uint64_t now)
+send_to(const struct view_sync *vs, const struct member *const *peers,
+        size_t count, const struct view_message *m)
 {
-    const struct member *peers[PEERS_MAX];
     const struct member_info *infos[PEERS_MAX];
-    bool small = fleet_is_small(vs);
-    size_t count = collect_peers(vs, small, now, peers);
-    size_t told = 0;
 
-    m->pass_on = !small;
     for (size_t i = 0; i < count; i++) {
-        if (peers[i]->info.addr != from_addr) {
-            infos[told] = &peers[i]->info;
-            told++;
+        infos[i] = &peers[i]->info;
+    }
+    if (count > 0) {
+        vs->cb.send(vs->cb.ctx, infos, count, m);
+    }
+}
+
+static void
+set_pruned(const struct view_sync *vs, uint32_t addr, uint16_t port,
+           bool pruned)
+{
+    list_for_each (it, &membership_table(vs->members)->all) {
+        struct member *m = container_of(it, struct member, link);
+
+        if (m->info.addr == addr && m->info.port == port) {
+            m->pruned = pruned;
         }
     }
-    if (told > 0) {
-        vs->cb.send(vs->cb.ctx, infos, told, m);
+}
+
+/* Collects the members whom this balancer passes news on to in a larger fleet:
+ * its neighbours that do not get them sooner from another, or those that do.
+ * The neighbours of all balancers form a connected graph. */
+static size_t
+collect_receivers(const struct view_sync *vs, bool pruned,
+                  const struct member *peers[PEERS_MAX])
+{
+    size_t count = 0;
+
+    list_for_each (it, &membership_table(vs->members)->all) {
+        const struct member *m = container_of(it, struct member, link);
+
+        if (m->info.state == MEMBER_ALIVE && m->neighbor &&
+            m->pruned == pruned && count < PEERS_MAX) {
+            peers[count] = m;
+            count++;
+        }
     }
+    return count;
 }
 
-/* Tells the peers what has changed since "before", or that something has. */
 static void
-tell_news(const struct view_sync *vs, struct view_message *m,
+leave_out(const struct member *peers[PEERS_MAX], size_t *count, uint32_t addr)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (peers[i]->info.addr == addr) {
+            (*count)--;
+            peers[i] = peers[*count];
+            return;
+        }
+    }
+}
+
+/* Leaves out the records: the receiver only learns that there are some. */
+static void
+strip_records(struct view_news *news)
+{
+    g_array_set_size(news->routes, 0);
+    g_array_set_size(news->targets, 0);
+    news->routes_whole = false;
+    news->targets_whole = false;
+    news->from = news->to;
+    news->routes_from = news->routes_revision;
+}
+
+/* Tells the peers what has changed since "before", but for the one that told
+ * us. In a small fleet all are told; in a larger one the news go along a
+ * tree, which the receivers form by pruning the links that bring them too
+ * late, and the pruned links carry announcements that repair it (Leitao,
+ * Pereira and Rodrigues, "Epidemic Broadcast Trees", 2007). */
+static void
+tell_news(struct view_sync *vs, struct view_message *m,
           const struct known *before, uint32_t from_addr, uint64_t now)
 {
-    struct view_news *news = &m->news;
+    const struct member *peers[PEERS_MAX];
+    bool small = fleet_is_small(vs);
+    size_t count = small ? collect_peers(vs, true, now, peers)
+                         : collect_receivers(vs, false, peers);
 
     forward_view_since(vs->view, before->revision, before->routes_revision,
-                       now, news);
-    if (news->routes->len + news->targets->len > PUSH_RECORDS_MAX) {
-        g_array_set_size(news->routes, 0);
-        g_array_set_size(news->targets, 0);
-        news->routes_whole = false;
-        news->targets_whole = false;
-        news->from = news->to;
-        news->routes_from = news->routes_revision;
+                       now, &m->news);
+    if (m->news.routes->len + m->news.targets->len > PUSH_RECORDS_MAX) {
+        m->kind = VIEW_ANNOUNCE;
+        strip_records(&m->news);
     }
-    tell_peers(vs, m, from_addr, now);
+    m->pass_on = !small;
+    vs->announcing = !small;
+    leave_out(peers, &count, from_addr);
+    send_to(vs, peers, count, m);
+}
+
+/* Tells the neighbours that get no records how far this balancer is. */
+static void
+announce(struct view_sync *vs, uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    size_t count = collect_receivers(vs, true, peers);
+    struct view_message m;
+
+    vs->announcing = false;
+    vs->next_announce = now + ANNOUNCE_INTERVAL_US;
+    message_init(vs, &m, VIEW_ANNOUNCE);
+    message_confirm(vs, &m, vs->position, now);
+    m.pass_on = true;
+    m.news.to = forward_view_revision(vs->view);
+    m.news.routes_revision = forward_view_routes_revision(vs->view);
+    strip_records(&m.news);
+    send_to(vs, peers, count, &m);
+    view_news_clear(&m.news);
 }
 
 /* Takes news that the store gave "age_us" ago, and its confirmation. Returns
@@ -256,28 +340,37 @@
     if (!confirms) {
         return true;
     }
+    vs->position = view_sync_position(vs, at);
     message_init(vs, &m, VIEW_NEWS);
-    message_confirm(vs, &m, view_sync_position(vs, at), at);
+    message_confirm(vs, &m, vs->position, at);
     tell_news(vs, &m, &before, 0, at);
     view_news_clear(&m.news);
     return true;
 }
 
+/* Sends a message without news to one peer. */
 static void
-send_pull(struct view_sync *vs, uint32_t addr, uint16_t port, uint64_t now)
+send_short(struct view_sync *vs, enum view_message_kind kind, uint32_t addr,
+           uint16_t port)
 {
     const struct member_info peer = {.addr = addr, .port = port};
     const struct member_info *peers[] = {&peer};
     struct view_message m;
 
-    vs->next_pull = now + PULL_INTERVAL_US;
-    message_init(vs, &m, VIEW_PULL);
+    message_init(vs, &m, kind);
     m.news.from = forward_view_revision(vs->view);
     m.news.routes_revision = forward_view_routes_revision(vs->view);
     vs->cb.send(vs->cb.ctx, peers, 1, &m);
     view_news_clear(&m.news);
 }
 
+static void
+send_pull(struct view_sync *vs, uint32_t addr, uint16_t port, uint64_t now)
+{
+    vs->next_pull = now + PULL_INTERVAL_US;
+    send_short(vs, VIEW_PULL, addr, port);
+}
+
 static void
 answer_pull(struct view_sync *vs, const struct view_message *pull,
             uint64_t now)
@@ -287,6 +380,7 @@
     const struct member_info *peers[] = {&peer};
     struct view_message m;
 
+    set_pruned(vs, pull->sender_addr, pull->sender_port, false);
     if (forward_view_revision(vs->view) == 0) {
         return;
     }
@@ -299,6 +393,24 @@
     view_news_clear(&m.news);
 }
 
+static void
+pass_on(struct view_sync *vs, const struct view_message *m,
+        const struct known *before, uint64_t now)
+{
+    struct view_message on;
+
+    if (m->confirmed) {
+        vs->position = (double)m->position / VIEW_POSITION_END;
+    }
+    if (!m->pass_on && fleet_is_small(vs)) {
+        return;
+    }
+    message_init(vs, &on, VIEW_NEWS);
+    message_confirm(vs, &on, vs->position, now);
+    tell_news(vs, &on, before, m->sender_addr, now);
+    view_news_clear(&on.news);
+}
+
 static void
 on_news(struct view_sync *vs, const struct view_message *m, uint64_t now)
 {
@@ -324,13 +436,11 @@
     }
     newer = forward_view_revision(vs->view) > before.revision ||
             (m->confirmed && at > confirmed + PASS_ON_STEP_US);
-    if (m->pass_on && newer) {
-        struct view_message on;
-
-        message_init(vs, &on, VIEW_NEWS);
-        message_confirm(vs, &on, (double)m->position / VIEW_POSITION_END, now);
-        tell_news(vs, &on, &before, m->sender_addr, now);
-        view_news_clear(&on.news);
+    if (newer) {
+        pass_on(vs, m, &before, now);
+    }
+    else if (m->kind == VIEW_NEWS && m->pass_on) {
+        send_short(vs, VIEW_PRUNE, m->sender_addr, m->sender_port);
     }
 }
 
@@ -352,6 +462,8 @@
 view_sync_report(struct view_sync *vs, const struct sign_record *signs,
                  size_t count, uint64_t now)
 {
+    const struct member *peers[PEERS_MAX];
+    size_t peer_count = collect_peers(vs, fleet_is_small(vs), now, peers);
     struct view_message m;
 
     message_init(vs, &m, VIEW_SIGNS);
@@ -360,7 +472,7 @@
 
         m.sign_count = left < VIEW_SIGNS_MAX ? left : VIEW_SIGNS_MAX;
         memcpy(m.signs, &signs[i], m.sign_count * sizeof(*signs));
-        tell_peers(vs, &m, 0, now);
+        send_to(vs, peers, peer_count, &m);
     }
     view_news_clear(&m.news);
 }
@@ -371,8 +483,12 @@
 {
     switch (m->kind) {
     case VIEW_NEWS:
+    case VIEW_ANNOUNCE:
         on_news(vs, m, now);
         break;
+    case VIEW_PRUNE:
+        set_pruned(vs, m->sender_addr, m->sender_port, true);
+        break;
     case VIEW_PULL:
         answer_pull(vs, m, now);
         break;
@@ -403,10 +519,13 @@
     send_pull(vs, peers[drawn]->info.addr, peers[drawn]->info.port, now);
 }
 
-/* Asks when the news are late. */
+/* Announces what was not pushed, and asks when the news are late. */
 void
 view_sync_tick(struct view_sync *vs, uint64_t now)
 {
+    if (vs->announcing && now >= vs->next_announce) {
+        announce(vs, now);
+    }
     if (now >= vs->next_pull &&
         (vs->behind || freshness_should_pull(vs->freshness, now))) {
         view_sync_ask(vs, now);
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -14,7 +14,7 @@
 #define SUBNET 0x0a000000U
 #define PORT 7720
 #define SEEDS 3
-#define TARGETS 8
+#define TARGETS 64
 
 struct delivery {
     uint64_t at;
@@ -281,7 +281,8 @@
     }
     memset(&m, 0, sizeof(m));
     view_news_init(&m.news);
-    if (view_decode(&m, data, size)) {
+        if (view_decode(&m, data, size)) {
+        node->records_in += m.news.targets->len;
         view_sync_receive(node->sync, &m, now);
     }
     view_news_clear(&m.news);
--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -55,6 +55,7 @@
     uint64_t answer_at; /* a read's answer arrives; 0: not yet decided */
     uint64_t calls;
     uint64_t messages_out;
+    uint64_t records_in; /* of targets, in messages of others */
     uint64_t bytes_out;
 };
 
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -265,6 +265,110 @@
     }
 }
 
+/* Steps until the running balancers have the newest revision; returns how long
+ * that took, in us. */
+static uint64_t
+run_until_in_force(struct fleet *fleet)
+{
+    uint64_t started = fleet->now;
+
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        const struct fleet_node *node = &fleet->nodes[i];
+
+        while (node->running &&
+               forward_view_revision(node->view) < fleet->revision) {
+            fleet_step(fleet);
+            assert_true(fleet->now - started < 2 * BOUND);
+        }
+    }
+    return fleet->now - started;
+}
+
+static uint64_t
+records_in(const struct fleet *fleet)
+{
+    uint64_t records = 0;
+
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        records += fleet->nodes[i].records_in;
+    }
+    return records;
+}
+
+/* Each balancer gets a change about once, whatever the size of the fleet. */
+static void
+test_copies(void **state)
+{
+    static const size_t sizes[] = {24, 80, 160};
+    const unsigned changes = 60;
+    const double most = 2.0;
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        struct fleet *fleet = fleet_new(sizes[s], 4, BOUND, SEED);
+        uint64_t before = 0;
+        double copies;
+
+        fleet_run(fleet, SETTLE_US);
+        for (unsigned i = 0; i < 2 * changes; i++) {
+            before = i == changes ? records_in(fleet) : before;
+            fleet_write(fleet);
+            fleet_run(fleet, 100 * USEC_PER_MSEC);
+        }
+        copies = (double)(records_in(fleet) - before) /
+                 (double)(changes * sizes[s]);
+        print_message("%zu balancers: %.2f copies of a change each\n",
+                      sizes[s], copies);
+        assert_true(copies <= most);
+        fleet_destroy(fleet);
+    }
+}
+
+/* The others learn of a change quickly, too, when some of those that passed
+ * changes on have just died. */
+static void
+test_spread_past_the_dead(void **state)
+{
+    const uint64_t most = USEC_PER_SEC;
+    struct fleet *fleet = fleet_new(80, 4, BOUND, SEED);
+    uint64_t took;
+
+    fleet_run(fleet, SETTLE_US);
+    for (unsigned i = 0; i < 20; i++) {
+        fleet_write(fleet);
+        fleet_run(fleet, 200 * USEC_PER_MSEC);
+    }
+    for (size_t i = 0; i < fleet->node_count; i += 4) {
+        if (&fleet->nodes[i] != fleet_watcher(fleet)) {
+            fleet_kill_node(fleet, i);
+        }
+    }
+    fleet_write(fleet);
+    took = run_until_in_force(fleet);
+    print_message("a quarter dead: in force after %llu ms\n",
+                  (unsigned long long)(took / USEC_PER_MSEC));
+    assert_true(took <= most);
+    fleet_destroy(fleet);
+}
+
+/* So many changes at once that they are not pushed to everyone. */
+static void
+test_spread_of_many(void **state)
+{
+    const uint64_t most = USEC_PER_SEC;
+    struct fleet *fleet = fleet_new(80, 4, BOUND, SEED);
+    uint64_t took;
+
+    fleet_run(fleet, SETTLE_US);
+    for (unsigned i = 0; i < 60; i++) {
+        fleet_write(fleet);
+    }
+    took = run_until_in_force(fleet);
+    print_message("60 changes at once: in force after %llu ms\n",
+                  (unsigned long long)(took / USEC_PER_MSEC));
+    assert_true(took <= most);
+    fleet_destroy(fleet);
+}
+
 /* While the store is away all try, but ever less often; when it is back all
  * are up to date again soon. */
 static void
@@ -299,6 +403,9 @@
         cmocka_unit_test(test_faults),
         cmocka_unit_test(test_calls_do_not_grow),
         cmocka_unit_test(test_spread),
+        cmocka_unit_test(test_copies),
+        cmocka_unit_test(test_spread_past_the_dead),
+        cmocka_unit_test(test_spread_of_many),
         cmocka_unit_test(test_outage),
     };
 
