transport: gossip connections come from the own address

Test test_source_address, fails before (seen 127.0.0.1 in place of the own). Ruled out: taking the source from the settings of the packets' socket; gossip may have an address of its own.

--- a/src/daemon/forward-settings.h
+++ b/src/daemon/forward-settings.h
@@ -16,6 +16,7 @@
     struct endpoint packets; /* where callers' packets arrive */
     struct endpoint ready;   /* HTTP: readiness and metrics */
     struct endpoint gossip;
+    struct endpoint gossip_public; /* where peers reach it */
     struct endpoint store;
     size_t seed_count;
     struct endpoint seeds[FORWARD_SEEDS_MAX]; /* gossip addresses of peers */
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -145,6 +145,19 @@
     }
 }
 
+static bool
+load_settings(const struct forwarder_adapter *adapter,
+              struct forward_settings *settings, struct status *st)
+{
+    if (!adapter->load_settings(adapter->settings_path, settings, st)) {
+        return false;
+    }
+    if (adapter->gossip_public != NULL) {
+        settings->gossip_public = *adapter->gossip_public;
+    }
+    return true;
+}
+
 /* Reads the settings again. A file that cannot be read changes nothing. */
 static void
 reload(struct forwarder *f)
@@ -153,8 +166,7 @@
     struct status st;
 
     note_settings_time(f);
-    if (!f->adapter->load_settings(f->adapter->settings_path, &settings,
-                                   &st)) {
+    if (!load_settings(f->adapter, &settings, &st)) {
         LOG_WARN("settings stay as they are: %s", st.message);
         return;
     }
@@ -317,7 +329,7 @@
     int result = EXIT_FAILURE;
 
     note_settings_time(&f);
-    if (!adapter->load_settings(adapter->settings_path, &f.settings, &st)) {
+    if (!load_settings(adapter, &f.settings, &st)) {
         fprintf(stderr, "pimentohaven forward: %s\n", st.message);
         return EXIT_FAILURE;
     }
--- a/src/daemon/forwarder.h
+++ b/src/daemon/forwarder.h
@@ -14,6 +14,9 @@
     const char *settings_path;
     const char *ready_path;   /* of readiness, by GET */
     const char *metrics_path; /* of the metrics text, by GET */
+    /* Where peers reach this balancer, when it is not the address that it
+     * binds; NULL otherwise. */
+    const struct endpoint *gossip_public;
     struct directory directory;
     const struct flow_packet_format *format;
 };
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -401,16 +401,17 @@
         .ctx = task,
     };
     struct member_info self = {
-        .addr = settings->gossip.addr,
-        .port = settings->gossip.port,
+        .addr = settings->gossip_public.addr,
+        .port = settings->gossip_public.port,
         /* Higher than that of any earlier process of this host. */
         .incarnation = clock_wall_us(),
     };
 
     memcpy(self.id, settings->host, sizeof(self.id));
     memcpy(self.domain, settings->domain, sizeof(self.domain));
-    task->gossip = gossip_endpoint_new(zmq_ctx, task->base, self.addr,
-                                       self.port, on_gossip, task, st);
+    task->gossip =
+        gossip_endpoint_new(zmq_ctx, task->base, settings->gossip.addr,
+                            settings->gossip.port, on_gossip, task, st);
     if (task->gossip == NULL) {
         return false;
     }
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -12,6 +12,7 @@
 #include "transport/zmq-watch.h"
 
 #define ENDPOINT_TEXT_SIZE 64
+#define CONNECT_TEXT_SIZE 96
 #define MESSAGE_SIZE_MAX                                                      \
     (1 << 20) /* bytes; a larger one ends its connection */
 #define SEND_QUEUE_MESSAGES 1000
@@ -36,6 +37,7 @@
 };
 
 struct gossip_endpoint {
+    uint32_t addr; /* own; connections to peers come from it */
     void *zmq_ctx;
     void *router;
     struct zmq_watch *watch;
@@ -143,6 +145,7 @@
         status_set(st, ERR_NO_MEMORY, "gossip: out of memory");
         return NULL;
     }
+    ep->addr = addr;
     ep->zmq_ctx = zmq_ctx;
     ep->cb = cb;
     ep->ctx = ctx;
@@ -198,10 +201,24 @@
     return NULL;
 }
 
+/* Writes "tcp://SOURCE:0;PEER:PORT": peers see the address that they know this
+ * balancer by, also on a host that has several. */
+static void
+format_connection(const struct gossip_endpoint *ep, uint32_t addr,
+                  uint16_t port, char out[CONNECT_TEXT_SIZE])
+{
+    char source[ADDRESS_TEXT_SIZE];
+    char peer[ADDRESS_TEXT_SIZE];
+
+    address_format(ep->addr, source);
+    address_format(addr, peer);
+    snprintf(out, CONNECT_TEXT_SIZE, "tcp://%s:0;%s:%u", source, peer, port);
+}
+
 static void *
 connect_socket(struct gossip_endpoint *ep, uint32_t addr, uint16_t port)
 {
-    char endpoint[ENDPOINT_TEXT_SIZE];
+    char endpoint[CONNECT_TEXT_SIZE];
     void *socket = zmq_socket(ep->zmq_ctx, ZMQ_DEALER);
 
     if (socket == NULL) {
@@ -211,7 +228,7 @@
     set_option(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
     set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
     set_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-    format_endpoint(endpoint, addr, port);
+    format_connection(ep, addr, port, endpoint);
     if (zmq_connect(socket, endpoint) < 0) {
         zmq_close(socket);
         return NULL;
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -1,8 +1,11 @@
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -93,11 +96,47 @@
     zmq_ctx_term(zmq_ctx);
 }
 
+/* Peers see connections from the address that the balancer is known by, not
+ * from whichever the host would take. */
+static void
+test_source_address(void **state)
+{
+    void *zmq_ctx = zmq_ctx_new();
+    struct event_base *base = event_base_new();
+    struct side a = {0};
+    struct sockaddr_in sin = {.sin_family = AF_INET,
+                              .sin_port = htons(PORT + 2),
+                              .sin_addr.s_addr = htonl(ADDR_B)};
+    socklen_t len = sizeof(sin);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+        int accepted;
+    int on = 1;
+    struct status st;
+
+        /* Else the connections of an earlier run are in the way. */
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    assert_int_equal(bind(listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
+    assert_int_equal(listen(listener, 1), 0);
+    a.ep =
+        gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a, &st);
+    assert_non_null(a.ep);
+    gossip_endpoint_send(a.ep, ADDR_B, PORT + 2, (const uint8_t *)"x", 1, 1);
+    accepted = accept(listener, (struct sockaddr *)&sin, &len);
+    assert_true(accepted >= 0);
+    assert_int_equal(ntohl(sin.sin_addr.s_addr), ADDR_A);
+    close(accepted);
+    close(listener);
+    gossip_endpoint_destroy(a.ep);
+    event_base_free(base);
+    zmq_ctx_term(zmq_ctx);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_two_endpoints),
+        cmocka_unit_test(test_source_address),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -66,6 +66,8 @@
     assert_int_equal(s.ready.port, 8167);
     assert_int_equal(s.gossip.addr, 0x0a01000a);
     assert_int_equal(s.gossip.port, 7720);
+    assert_int_equal(s.gossip_public.addr, s.gossip.addr);
+    assert_int_equal(s.gossip_public.port, s.gossip.port);
     assert_int_equal(s.store.port, 8169);
     assert_int_equal(s.seed_count, 2);
     assert_int_equal(s.seeds[1].addr, 0x0a020028);
