--- a/tests/standins/standin-flow-caller.c
+++ b/tests/standins/standin-flow-caller.c
@@ -3,6 +3,7 @@
  * at the end, a line each: what, how many. */
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -51,6 +52,7 @@
     uint32_t ack;
     int copies;
     int request;
+    int on_flow;     /* requests answered on this one */
     int tries;       /* of the request that were refused */
     uint64_t since;  /* of the state, us */
     uint64_t resend; /* next, us */
@@ -67,6 +69,8 @@
 static int request_count = 10;
 static int gap_ms = 50;
 static int deadline_ms = 3000;
+static int flow_requests; /* after which a flow is closed, 0: never */
+static gboolean print_events;
 static int retries; /* of a request whose flow was refused */
 static int seed = 1;
 static gboolean steady;
@@ -80,6 +84,10 @@
     {"service", 0, 0, G_OPTION_ARG_STRING, &service, "Expected", "NAME"},
     {"flows", 0, 0, G_OPTION_ARG_INT, &flow_count, "At once", "N"},
     {"requests", 0, 0, G_OPTION_ARG_INT, &request_count, "Of a flow", "N"},
+    {"flow-requests", 0, 0, G_OPTION_ARG_INT, &flow_requests,
+     "Answered before another flow is opened", "N"},
+    {"events", 0, 0, G_OPTION_ARG_NONE, &print_events,
+     "A line for each request as it ends", NULL},
     {"gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "Between requests", "MS"},
     {"deadline-ms", 0, 0, G_OPTION_ARG_INT, &deadline_ms, "Of one", "MS"},
     {"retries", 0, 0, G_OPTION_ARG_INT, &retries, "After a refusal", "N"},
@@ -92,6 +100,7 @@
 
 static int sock;
 static struct standin_endpoint route;
+static uint32_t sender; /* of the packet that is being handled */
 static struct in_addr own;
 static struct in_addr route_addr;
 static GArray *vias; /* struct standin_endpoint */
@@ -136,7 +145,9 @@
     static uint16_t next_port = FIRST_PORT;
 
     flow->state = OPENING;
-    flow->port = next_port++;
+    flow->port = next_port;
+    next_port = next_port == UINT16_MAX ? FIRST_PORT : next_port + 1;
+    flow->on_flow = 0;
     flow->echo = 0;
     flow->seq = (uint32_t)standin_random_next(&random_source);
     flow->copies = 0;
@@ -151,10 +162,30 @@
     flow->since = now;
 }
 
+/* A line for each request that ends: when, how, on which flow, and who sent
+ * the packet that ended it. */
+static void
+print_event(const struct flow *flow, enum result result, uint64_t now)
+{
+    if (print_events) {
+        printf("event %" PRIu64 " %s %x:%u:%u %x %s-%td-%d\n", now / 1000,
+               result_names[result], ntohl(own.s_addr), flow->port, route.port,
+               sender, label, flow - flows, flow->request);
+        fflush(stdout);
+    }
+}
+
+static void
+close_flow(struct flow *flow)
+{
+    send_packet(flow, WIRE_FIN | WIRE_ACK, flow->seq, flow->ack, NULL);
+}
+
 /* A request has ended; the next one goes on the same flow or on a new one. */
 static void
 end_request(struct flow *flow, enum result result, uint64_t now)
 {
+    print_event(flow, result, now);
     if (result == REFUSED && flow->tries < retries) {
         flow->tries++;
         open_flow(flow, now);
@@ -165,12 +196,19 @@
     flow->request++;
     if (flow->request == request_count) {
         if (result == ANSWERED) {
-            send_packet(flow, WIRE_FIN | WIRE_ACK, flow->seq, flow->ack, NULL);
+            close_flow(flow);
         }
         set_state(flow, ENDED, now);
     }
     else if (result == ANSWERED) {
-        set_state(flow, IDLE, now);
+        flow->on_flow++;
+        if (flow->on_flow == flow_requests) {
+            close_flow(flow);
+            open_flow(flow, now + (uint64_t)gap_ms * 1000);
+        }
+        else {
+            set_state(flow, IDLE, now);
+        }
     }
     else {
         open_flow(flow, now + (uint64_t)gap_ms * 1000);
@@ -244,14 +282,19 @@
 on_readable(evutil_socket_t fd, short what, void *ctx)
 {
     uint8_t data[WIRE_PACKET_MAX];
+    struct sockaddr_in from;
+    socklen_t from_len = sizeof(from);
     struct wire_packet p;
     ssize_t size;
 
-    while ((size = recv(sock, data, sizeof(data), 0)) > 0) {
+    while ((size = recvfrom(sock, data, sizeof(data), 0,
+                            (struct sockaddr *)&from, &from_len)) > 0) {
+        sender = ntohl(from.sin_addr.s_addr);
         if (wire_read(data, (size_t)size, &p)) {
             on_packet(&p, clock_monotonic_us());
         }
     }
+    sender = 0;
 }
 
 static void
--- a/tests/standins/standin-flow-target.c
+++ b/tests/standins/standin-flow-target.c
@@ -39,6 +39,8 @@
 static int caller_port;
 static int work_ms;
 static gboolean refuse;
+static gboolean run_twice;
+static gboolean mix_answers;
 
 static const GOptionEntry options[] = {
     {"listen", 0, 0, G_OPTION_ARG_STRING, &listen_text, "Address", "A:PORT"},
@@ -50,6 +52,10 @@
     {"work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms, "Time of a request", "MS"},
     {"refuse", 0, 0, G_OPTION_ARG_NONE, &refuse,
      "Answers each opening with a reset", NULL},
+    {"run-twice", 0, 0, G_OPTION_ARG_NONE, &run_twice,
+     "Breaks a promise: runs each request twice", NULL},
+    {"mix-answers", 0, 0, G_OPTION_ARG_NONE, &mix_answers,
+     "Breaks a promise: answers with the request before", NULL},
     {NULL},
 };
 
@@ -60,15 +66,16 @@
 static uint32_t next_seq = 1000;
 static struct event_base *base;
 
+/* Writes a line: time, what, service, id, text, and of which flow. */
 static void
-note(const char *what, const char *text)
+note(const char *what, const char *text, const struct wire_packet *p)
 {
     struct timespec ts;
 
     clock_gettime(CLOCK_MONOTONIC, &ts);
-    fprintf(journal, "%lld %s %s %s %s\n",
+    fprintf(journal, "%lld %s %s %s %s %x:%u:%u\n",
             (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000, what, service,
-            id, text);
+            id, text, p->src, p->sport, p->dport);
     fflush(journal);
 }
 
@@ -117,29 +124,33 @@
 static void
 on_opening(const struct wire_packet *p)
 {
-    struct flow *flow = g_new0(struct flow, 1);
     struct wire_packet out = reply_to(p, WIRE_SYN | WIRE_ACK);
+    struct flow *flow;
+    uint64_t key[2];
 
     if (refuse) {
         out.flags = WIRE_RST;
-        note("refuse", "-");
+        note("refuse", "-", p);
         send_packet(&out);
-        g_free(flow);
         return;
     }
-    make_key(p, flow->key);
-    if (g_hash_table_contains(flows, flow->key)) {
-        g_free(flow);
+    make_key(p, key);
+    flow = g_hash_table_lookup(flows, key);
+    if (flow == NULL) {
+        flow = g_new0(struct flow, 1);
+        memcpy(flow->key, key, sizeof(key));
+        flow->expected = p->seq + 1;
+        flow->seq = next_seq + 1;
+        next_seq += 100000;
+        g_hash_table_insert(flows, flow->key, flow);
+        note("open", "-", p);
+    }
+    else if (flow->expected != p->seq + 1) {
         return;
     }
-    flow->expected = p->seq + 1;
-    flow->seq = next_seq;
-    next_seq += 100000;
-    g_hash_table_insert(flows, flow->key, flow);
-    out.seq = flow->seq;
+    /* Also for a copy: the answer to the one before may be lost. */
+    out.seq = flow->seq - 1;
     out.ack = flow->expected;
-    flow->seq++;
-    note("open", "-");
     send_packet(&out);
 }
 
@@ -162,11 +173,20 @@
 {
     struct answer *answer = g_new0(struct answer, 1);
     const struct timeval delay = {work_ms / 1000, (work_ms % 1000) * 1000};
+    static char last_text[WIRE_DATA_MAX + 1];
     char text[WIRE_DATA_MAX + 1];
 
     memcpy(text, p->data, p->len);
     text[p->len] = '\0';
-    note("run", text);
+    note("run", text, p);
+    if (run_twice) {
+        note("run", text, p);
+    }
+    if (mix_answers) {
+        g_strlcpy(text, last_text, sizeof(text));
+        memcpy(last_text, p->data, p->len);
+        last_text[p->len] = '\0';
+    }
     flow->expected += p->len;
     flow->answered = false;
     flow->last = reply_to(p, WIRE_ACK);
@@ -203,7 +223,7 @@
     if (flow == NULL || flow->ended) {
         out = reply_to(p, WIRE_RST);
         out.seq = p->ack;
-        note("unknown-flow", "-");
+        note("unknown-flow", "-", p);
         send_packet(&out);
         return;
     }
@@ -225,6 +245,7 @@
 static void
 on_readable(evutil_socket_t fd, short what, void *ctx)
 {
+    static const struct wire_packet none;
     uint8_t data[WIRE_TAG + WIRE_PACKET_MAX];
     ssize_t size;
 
@@ -237,10 +258,10 @@
         }
         if (size < WIRE_TAG ||
             !wire_read(data + WIRE_TAG, (size_t)size - WIRE_TAG, &p)) {
-            note("malformed", "-");
+            note("malformed", "-", &none);
         }
         else if (to != 0 && to != tag) {
-            note("other-target", "-");
+            note("other-target", "-", &p);
         }
         else {
             on_packet(&p);
--- a/tests/standins/standin-link.c
+++ b/tests/standins/standin-link.c
@@ -14,6 +14,8 @@
 enum cut_mode {
     CUT_NO,
     CUT_SILENT, /* nothing passes; connections stay open */
+    CUT_UP,     /* nothing passes from those that connect */
+    CUT_DOWN,   /* nothing passes to them */
     CUT_CLOSED, /* connections are closed, new ones too */
 };
 
@@ -39,6 +41,9 @@
     struct tcp_link *owner;
     struct pipe up;
     struct pipe down;
+    char from[INET_ADDRSTRLEN];
+    struct pipe
+        *last;   /* one end has closed; what it sent is still passed on */
     bool silent; /* for good */
 };
 
@@ -49,6 +54,7 @@
     struct standin_endpoint target;
     struct list connections;
     enum cut_mode cut;
+    GHashTable *cut_from; /* address that connects -> enum cut_mode */
     double delay_ms;
 };
 
@@ -79,10 +85,29 @@
     g_free(conn);
 }
 
+/* What cuts a connection: the link's own mode goes first. */
+static enum cut_mode
+connection_cut(const struct connection *conn)
+{
+    const struct tcp_link *owner = conn->owner;
+
+    if (conn->silent) {
+        return CUT_SILENT;
+    }
+    if (owner->cut != CUT_NO) {
+        return owner->cut;
+    }
+    return (enum cut_mode)GPOINTER_TO_INT(
+        g_hash_table_lookup(owner->cut_from, conn->from));
+}
+
 static bool
-connection_is_paused(const struct connection *conn)
+pipe_is_paused(const struct pipe *pipe)
 {
-    return conn->silent || conn->owner->cut == CUT_SILENT;
+    enum cut_mode cut = connection_cut(pipe->conn);
+
+    return cut == CUT_SILENT ||
+           cut == (pipe == &pipe->conn->up ? CUT_UP : CUT_DOWN);
 }
 
 static void
@@ -101,7 +126,7 @@
     struct pipe *pipe = ctx;
     uint64_t now = clock_monotonic_us();
 
-    if (connection_is_paused(pipe->conn)) {
+    if (pipe_is_paused(pipe)) {
         return;
     }
     list_for_each_safe (it, &pipe->parcels) {
@@ -134,36 +159,61 @@
     pipe_due(-1, 0, pipe);
 }
 
-/* Either end has closed: what was read so far is passed on first when there
- * is no delay, and lost otherwise. */
+static bool
+pipe_is_empty(const struct pipe *pipe)
+{
+    return list_empty(&pipe->parcels) &&
+           evbuffer_get_length(bufferevent_get_output(pipe->to)) == 0;
+}
+
+/* Either end has closed: the other one gets what was sent before. */
 static void
 pipe_event(struct bufferevent *bev, short what, void *ctx)
 {
-    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-        connection_destroy(ctx);
+    struct connection *conn = ctx;
+
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+        return;
+    }
+    if (conn->last == NULL && (what & BEV_EVENT_EOF) != 0) {
+        conn->last = bev == conn->up.from ? &conn->up : &conn->down;
+        if (!pipe_is_empty(conn->last)) {
+            return;
+        }
     }
+    connection_destroy(conn);
 }
 
 static void
-end_pause(struct bufferevent *bev, bool paused)
+pipe_written(struct bufferevent *bev, void *ctx)
 {
-    if (paused) {
-        bufferevent_disable(bev, EV_READ | EV_WRITE);
-    }
-    else {
-        bufferevent_enable(bev, EV_READ | EV_WRITE);
+    struct connection *conn = ctx;
+
+    if (conn->last != NULL && conn->last->to == bev &&
+        pipe_is_empty(conn->last)) {
+        connection_destroy(conn);
     }
 }
 
 static void
-connection_pause(struct connection *conn, bool paused)
+pipe_update(struct pipe *pipe)
 {
-    end_pause(conn->up.from, paused);
-    end_pause(conn->down.from, paused);
-    if (!paused) {
-        pipe_due(-1, 0, &conn->up);
-        pipe_due(-1, 0, &conn->down);
+    if (pipe_is_paused(pipe)) {
+        bufferevent_disable(pipe->from, EV_READ);
+        bufferevent_disable(pipe->to, EV_WRITE);
+        return;
     }
+    bufferevent_enable(pipe->from, EV_READ);
+    bufferevent_enable(pipe->to, EV_WRITE);
+    pipe_due(-1, 0, pipe);
+}
+
+/* Stops or goes on, as the cuts say. */
+static void
+connection_update(struct connection *conn)
+{
+    pipe_update(&conn->up);
+    pipe_update(&conn->down);
 }
 
 static void
@@ -193,31 +243,40 @@
     }
     conn = g_new0(struct connection, 1);
     conn->owner = owner;
+    evutil_inet_ntop(AF_INET, &((struct sockaddr_in *)from)->sin_addr,
+                     conn->from, sizeof(conn->from));
     list_push_back(&owner->connections, &conn->link);
     near = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
     far = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     pipe_init(&conn->up, conn, near, far);
     pipe_init(&conn->down, conn, far, near);
-    bufferevent_setcb(near, pipe_read, NULL, pipe_event, conn);
-    bufferevent_setcb(far, pipe_read, NULL, pipe_event, conn);
+    bufferevent_setcb(near, pipe_read, pipe_written, pipe_event, conn);
+    bufferevent_setcb(far, pipe_read, pipe_written, pipe_event, conn);
     standin_endpoint_sockaddr(&owner->target, &target);
     bufferevent_socket_connect(far, (struct sockaddr *)&target,
                                sizeof(target));
-    connection_pause(conn, connection_is_paused(conn));
+    connection_update(conn);
 }
 
+/* Cuts a link, or only the connections from one address. */
 static void
-set_cut(struct tcp_link *owner, enum cut_mode mode)
+set_cut(struct tcp_link *owner, const char *from, enum cut_mode mode)
 {
-    owner->cut = mode;
+    if (from == NULL) {
+        owner->cut = mode;
+    }
+    else {
+        g_hash_table_insert(owner->cut_from, g_strdup(from),
+                            GINT_TO_POINTER(mode));
+    }
     list_for_each_safe (it, &owner->connections) {
         struct connection *conn = container_of(it, struct connection, link);
 
-        if (mode == CUT_CLOSED) {
+        if (connection_cut(conn) == CUT_CLOSED) {
             connection_destroy(conn);
             continue;
         }
-        connection_pause(conn, connection_is_paused(conn));
+        connection_update(conn);
     }
 }
 
@@ -229,7 +288,7 @@
         struct connection *conn = container_of(it, struct connection, link);
 
         conn->silent = true;
-        connection_pause(conn, true);
+        connection_update(conn);
     }
 }
 
@@ -238,14 +297,18 @@
 {
     const char *cut = json_string_value(json_object_get(order, "cut"));
     const json_t *delay = json_object_get(order, "delay_ms");
-    static const char *const modes[] = {
-        [CUT_NO] = "no", [CUT_SILENT] = "silent", [CUT_CLOSED] = "closed"};
+    const char *from = json_string_value(json_object_get(order, "from"));
+    static const char *const modes[] = {[CUT_NO] = "no",
+                                        [CUT_SILENT] = "silent",
+                                        [CUT_UP] = "up",
+                                        [CUT_DOWN] = "down",
+                                        [CUT_CLOSED] = "closed"};
     bool ok = cut == NULL;
 
     for (size_t i = 0; cut != NULL && i < sizeof(modes) / sizeof(*modes);
          i++) {
         if (strcmp(cut, modes[i]) == 0) {
-            set_cut(owner, (enum cut_mode)i);
+            set_cut(owner, from, (enum cut_mode)i);
             ok = true;
         }
     }
@@ -313,6 +376,8 @@
 
     g_strfreev(parts);
     list_init(&owner->connections);
+    owner->cut_from =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     list_push_back(&links, &owner->link);
     owner->delay_ms = delay_ms;
     if (!ok) {
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -281,7 +281,7 @@
     }
     memset(&m, 0, sizeof(m));
     view_news_init(&m.news);
-        if (view_decode(&m, data, size)) {
+    if (view_decode(&m, data, size)) {
         node->records_in += m.news.targets->len;
         view_sync_receive(node->sync, &m, now);
     }
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -109,11 +109,11 @@
                               .sin_addr.s_addr = htonl(ADDR_B)};
     socklen_t len = sizeof(sin);
     int listener = socket(AF_INET, SOCK_STREAM, 0);
-        int accepted;
+    int accepted;
     int on = 1;
     struct status st;
 
-        /* Else the connections of an earlier run are in the way. */
+    /* Else the connections of an earlier run are in the way. */
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     assert_int_equal(bind(listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
     assert_int_equal(listen(listener, 1), 0);
