--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -110,12 +110,25 @@
     json_array_append_new(ctx, item_json(entry));
 }
 
-/* The state some revisions ago: what has changed since is left out. */
 static void
-add_old_item(void *ctx, const struct kv_entry *entry)
+take_older(void *ctx, const struct kv_entry *entry)
 {
+    const struct kv_entry **last = ctx;
+
     if (entry->mod_revision + stale_by <= kv_history_revision(kv)) {
-        add_item(ctx, entry);
+        *last = entry;
+    }
+}
+
+/* An item as it was some revisions ago, if it was there. */
+static void
+add_old_item(void *ctx, const struct kv_entry *entry)
+{
+    const struct kv_entry *last = NULL;
+
+    kv_history_changes(kv, 0, entry->key, NULL, take_older, &last);
+    if (last != NULL && last->value != NULL) {
+        add_item(ctx, last);
     }
 }
 
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -10,6 +10,7 @@
 
 #define SLOW_STORE "{\"delay_ms\":400}"
 #define SLOW_GOSSIP "{\"delay_ms\":150}"
+#define STALE_STORE "{\"stale\":6}"
 #define NO_DELAY "{\"delay_ms\":0}"
 #define SILENT "{\"cut\":\"silent\"}"
 #define CUT_UP "{\"cut\":\"up\"}"
@@ -186,6 +187,13 @@
     disturb_store(r, false);
 }
 
+/* Reads that may be old are no excuse for anything. */
+static void
+end_store_stale(struct running *r)
+{
+    directory_order(r->soak, "{\"stale\":0}");
+}
+
 /* Entries of targets that live come back soon after the store. */
 static void
 come_back(void *ctx)
@@ -586,6 +594,10 @@
         directory_order(r->soak, "{\"compact\":true}");
         running_free(r);
         break;
+    case FAULT_STORE_STALE:
+        directory_order(r->soak, STALE_STORE);
+        end_later(r, end_store_stale);
+        break;
     case FAULT_STORE_LAPSE:
         lapse(r);
         break;
--- a/tools/soak/plan.c
+++ b/tools/soak/plan.c
@@ -28,6 +28,7 @@
     [FAULT_STORE_RESET] = {"store-reset", 2, 100, 2000},
     [FAULT_STORE_QUIET] = {"store-quiet", 3, 0, 0},
     [FAULT_STORE_COMPACT] = {"store-compact", 2, 0, 0},
+    [FAULT_STORE_STALE] = {"store-stale", 2, 2000, 8000},
     [FAULT_STORE_LAPSE] = {"store-lapse", 2, 2000, 6000},
     [FAULT_STORE_ONE] = {"store-one", 4, 1000, 10000},
     [FAULT_GOSSIP_CUT] = {"gossip-cut", 4, 1000, 10000},
--- a/tools/soak/plan.h
+++ b/tools/soak/plan.h
@@ -17,6 +17,7 @@
     FAULT_STORE_RESET,    /* its connections end */
     FAULT_STORE_QUIET,    /* they go silent for good, new ones work */
     FAULT_STORE_COMPACT,  /* it forgets its history */
+    FAULT_STORE_STALE,    /* reads that may be old are far behind */
     FAULT_STORE_LAPSE,    /* silent, and all entries lapse meanwhile */
     FAULT_STORE_ONE,      /* silent for one balancer */
     FAULT_GOSSIP_CUT,     /* one balancer and its peers lose each other */
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -174,7 +174,7 @@
     printf("\nBROKEN: %s: %s\n", promise_name(promise), text);
     print_lines(soak, words);
     fflush(stdout);
-    if (soak->options.until_broken) {
+    if (g_strcmp0(soak->options.until_broken, promise_name(promise)) == 0) {
         soak->ending = true;
         event_base_loopbreak(soak->base);
     }
@@ -329,8 +329,8 @@
          "The balancers' program, if another", "FILE"},
         {"target-option", 0, 0, G_OPTION_ARG_STRING, &options->target_option,
          "An option of the targets, to see that it is caught", "OPTION"},
-        {"until-broken", 0, 0, G_OPTION_ARG_NONE, &options->until_broken,
-         "Ends with the first broken promise", NULL},
+        {"until-broken", 0, 0, G_OPTION_ARG_STRING, &options->until_broken,
+         "Ends when this one is broken", "PROMISE"},
         {"replay", 0, 0, G_OPTION_ARG_FILENAME, &options->replay,
          "A plan that an earlier soak wrote", "FILE"},
         {"keep", 0, 0, G_OPTION_ARG_FILENAME, &options->keep,
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -140,7 +140,7 @@
     char *build;
     char *program;       /* the balancers'; NULL: that of the build */
     char *target_option; /* of all targets, to see that it is caught */
-    gboolean until_broken;
+    char *until_broken;  /* ends when this promise is */
     char *replay;
     char *keep;
     int net;
