daemon: openings that callers have given up are not passed on

An opening that has waited longer than its caller does, 1.4 s from the first copy, is dropped and counted.

Ruled out: dropping old packets of open flows too; their data is not always sent again, and targets tell copies apart.

--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -29,6 +29,11 @@
 #define EARLY_PACKETS_MAX 256
 #define EARLY_AGE_US (150 * USEC_PER_MSEC)
 
+/* A caller gives an opening up 1.4 s after its first packet; the copies follow
+ * that after 200 and 600 ms. */
+static const uint64_t opening_patience_us[] = {
+    1400 * USEC_PER_MSEC, 1200 * USEC_PER_MSEC, 800 * USEC_PER_MSEC};
+
 /* A packet that came before there was a view. */
 struct early_packet {
     struct list link;
@@ -73,6 +78,7 @@
     [FORWARD_DROP_NO_VIEW] = "no_view",
     [FORWARD_DROP_UNKNOWN] = "unknown_target",
     [FORWARD_DROP_FORGED] = "forged",
+    [FORWARD_DROP_GIVEN_UP] = "given_up",
     [FORWARD_DROP_NOT_SENT] = "not_sent",
 };
 
@@ -308,6 +314,18 @@
     return flow;
 }
 
+/* Whether the caller of an opening has given up: it waited here for too long,
+ * because the process stood still or the host is overloaded. */
+static bool
+is_given_up(const struct inbound_packet *in)
+{
+    const size_t copies =
+        sizeof(opening_patience_us) / sizeof(*opening_patience_us);
+
+    return in->packet.ack < copies &&
+           in->now - in->arrived > opening_patience_us[in->packet.ack];
+}
+
 static void
 handle_opening(struct forward_task *task, struct inbound_packet *in)
 {
@@ -320,6 +338,10 @@
     struct forward_log_inputs inputs;
     const char *service;
 
+    if (is_given_up(in)) {
+        drop(task, in, FORWARD_DROP_GIVEN_UP);
+        return;
+    }
     if (route == NULL) {
         reset(task, &in->packet, FORWARD_RESET_NO_ROUTE);
         return;
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -33,6 +33,7 @@
     FORWARD_DROP_NO_VIEW,  /* just started, and the view took too long */
     FORWARD_DROP_UNKNOWN,  /* the target it names is not known */
     FORWARD_DROP_FORGED,   /* it names a target that its route never had */
+    FORWARD_DROP_GIVEN_UP, /* its caller no longer waits for it */
     FORWARD_DROP_NOT_SENT, /* the kernel did not take it */
     FORWARD_DROP_COUNT,
 };
