ctl: explain tells the story of a flow or a target from logs

And histograms for each service and priority of route: time until a flow is open, time until a request is answered, as far as the callers' packets show them. The text format of histograms is written once, in state/metrics-text.

Sets are bounded at 64, and a histogram is made with its first value.

Tests test-log-story (flow, beginning of an id, target, nothing, foreign lines) and test-flow-times (sets, bound, text).

--- a/src/daemon/commands.h
+++ b/src/daemon/commands.h
@@ -7,3 +7,4 @@
 int cmd_call(int argc, char **argv);
 int cmd_ctl(int argc, char **argv);
 int cmd_check_config(int argc, char **argv);
+int cmd_explain(int argc, char **argv);
--- a/src/daemon/forward-metrics.h
+++ b/src/daemon/forward-metrics.h
@@ -5,5 +5,4 @@
 
 /* Prometheus text exposition format 0.0.4 of a forwarder. The caller frees the
  * text. */
-char *forward_metrics_text(const struct forward_counters *counters,
-                           struct view_task *view);
+char *forward_metrics_text(struct forward_task *task, struct view_task *view);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -12,6 +12,7 @@
 #include "coordination/flow-placement.h"
 #include "coordination/passive-health.h"
 #include "daemon/forward-log.h"
+#include "state/flow-times.h"
 #include "state/recent-flows.h"
 
 /* A caller that was refused tries again within this time. */
@@ -54,6 +55,7 @@
     struct udp_socket *socket;
     struct event *expire;
     struct recent_flows *flows;
+    struct flow_times *times;
     struct list early; /* struct early_packet, oldest first */
     size_t early_count;
     struct event *early_over; /* the time to wait for the first view is */
@@ -66,6 +68,7 @@
 /* One packet on its way through. */
 struct inbound_packet {
     struct flow_packet packet;
+    const struct forward_route *route; /* of an open flow's packet */
     uint8_t *data;
     size_t size;
     uint64_t now;
@@ -308,7 +311,7 @@
         flow->ack = 0;
     }
     else {
-        task->counters.opening_copies++;
+        task->counters.opening_copies[in->packet.ack == 1 ? 0 : 1]++;
         note_opening_missed(task, flow, in->arrived);
     }
     return flow;
@@ -375,13 +378,25 @@
 }
 
 static void
-note_answer(struct recent_flow *flow, struct forward_target *target,
-            uint32_t ack, uint64_t now)
+record_time(struct forward_task *task, const struct inbound_packet *in,
+            const struct forward_target *target, enum flow_phase phase,
+            uint64_t since)
 {
-    flow->ack = ack;
+    flow_times_record(task->times, target->record.service,
+                      in->route->record.priority, phase, in->now - since);
+}
+
+static void
+note_answer(struct forward_task *task, struct recent_flow *flow,
+            struct forward_target *target, const struct inbound_packet *in)
+{
+    if (flow->waiting) {
+        record_time(task, in, target, FLOW_PHASE_ANSWER, flow->sent_at);
+    }
+    flow->ack = in->packet.ack;
     flow->repeats = 0;
     flow->waiting = false;
-    passive_health_answered(&target->signs, now);
+    passive_health_answered(&target->signs, in->now);
 }
 
 /* The caller's first packet after its opening. One of a flow that another
@@ -395,8 +410,9 @@
     flow->open = true;
     flow->cookie = target->cookie;
     flow->seq_end = in->packet.seq;
-    note_answer(flow, target, in->packet.ack, in->now);
+    note_answer(task, flow, target, in);
     if (opened_here) {
+        record_time(task, in, target, FLOW_PHASE_OPEN, flow->sent_at);
         passive_health_opened(&target->signs, in->now - flow->sent_at,
                               in->now);
         touch_caller(task, &in->packet, in->now)->open = true;
@@ -448,7 +464,7 @@
         note_opened(task, flow, target, in);
     }
     else if ((int32_t)(packet->ack - flow->ack) > 0) {
-        note_answer(flow, target, packet->ack, in->now);
+        note_answer(task, flow, target, in);
     }
     if (packet->length == 0) {
         return flow;
@@ -477,7 +493,7 @@
 }
 
 static void
-handle_open_flow(struct forward_task *task, const struct inbound_packet *in)
+handle_open_flow(struct forward_task *task, struct inbound_packet *in)
 {
     const struct flow_packet *packet = &in->packet;
     const struct forward_route *route =
@@ -507,6 +523,7 @@
         drop(task, in, FORWARD_DROP_FORGED);
         return;
     }
+    in->route = route;
     flow = observe(task, in, target);
     if (target->signs.silent && flow->waiting && flow->repeats > 0) {
         reset_flow(task, flow);
@@ -642,9 +659,10 @@
     const struct timeval early = {.tv_usec = EARLY_AGE_US};
 
     task->flows = recent_flows_new(RECENT_FLOWS_MAX);
+    task->times = flow_times_new();
     task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
     task->early_over = event_new(base, -1, 0, on_early_over, task);
-    if (task->flows == NULL || task->expire == NULL ||
+    if (task->flows == NULL || task->times == NULL || task->expire == NULL ||
         task->early_over == NULL) {
         status_set(st, ERR_NO_MEMORY, "forward: out of memory");
         return false;
@@ -704,9 +722,16 @@
         event_free(task->expire);
     }
     recent_flows_destroy(task->flows);
+    flow_times_destroy(task->times);
     free(task);
 }
 
+const struct flow_times *
+forward_task_times(const struct forward_task *task)
+{
+    return task->times;
+}
+
 const struct forward_counters *
 forward_task_counters(struct forward_task *task)
 {
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -8,6 +8,7 @@
 #include "base/status.h"
 #include "daemon/forward-settings.h"
 #include "protocol/flow-packet.h"
+#include "state/flow-times.h"
 #include "state/forward-view.h"
 #include "transport/udp-socket.h"
 
@@ -46,11 +47,13 @@
     FORWARD_RESET_COUNT,
 };
 
+#define FORWARD_COPIES_MAX 2
+
 struct forward_counters {
     uint64_t received;
     uint64_t passed_on;
     uint64_t openings;
-    uint64_t opening_copies;
+    uint64_t opening_copies[FORWARD_COPIES_MAX]; /* first, later ones */
     uint64_t requests;
     uint64_t repeats;
     uint64_t drops[FORWARD_DROP_COUNT];
@@ -79,3 +82,4 @@
 
 const struct forward_counters *
 forward_task_counters(struct forward_task *task);
+const struct flow_times *forward_task_times(const struct forward_task *task);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -104,8 +104,7 @@
 static void
 reply_metrics(struct forwarder *f, struct http_exchange *x)
 {
-    char *text =
-        forward_metrics_text(forward_task_counters(f->forward), f->view);
+    char *text = forward_metrics_text(f->forward, f->view);
 
     http_exchange_reply(x, text == NULL ? 503 : 200, "text/plain",
                         text == NULL ? "" : text,
--- a/src/main.c
+++ b/src/main.c
@@ -14,6 +14,7 @@
 
 static const struct command commands[] = {
     {"forward", cmd_forward, "forward packets on the users' platform"},
+    {"explain", cmd_explain, "tell the story of a flow or a target from logs"},
     {"serve", cmd_serve, "run a balancer"},
     {"call", cmd_call, "send requests as a caller does"},
     {"check-config", cmd_check_config, "check a settings file"},
--- a/src/state/metrics.c
+++ b/src/state/metrics.c
@@ -7,15 +7,11 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "state/metrics-text.h"
 
-#define PREFIX "pimentohaven_"
+#define PREFIX METRICS_PREFIX
 #define OTHER_TENANT "other"
-#define LABEL_SIZE (2 * ID_SIZE) /* bytes of an id with every byte escaped */
-/* Edges of the exposed buckets, as powers of two of a microsecond: 1 ms to
- * 67 s. Values are whole microseconds, so "below the edge" is exposed as "up
- * to the edge less one". */
-#define EDGE_MIN_BITS 10
-#define EDGE_MAX_BITS 26
+#define LABEL_SIZE METRICS_LABEL_SIZE(ID_SIZE)
 
 static const char *const phase_names[PHASE_COUNT] = {
     [PHASE_QUEUE] = "queue",
@@ -151,30 +147,6 @@
     return t->histograms[class][phase];
 }
 
-/* Writes "text" escaped for a label value (backslash, quote, newline). */
-static const char *
-escape_label(const char *text, char out[LABEL_SIZE])
-{
-    size_t len = 0;
-
-    for (const char *p = text; *p != '\0' && len + 2 < LABEL_SIZE; p++) {
-        if (*p == '\\' || *p == '"' || *p == '\n') {
-            out[len] = '\\';
-            len++;
-        }
-        out[len] = *p == '\n' ? 'n' : *p;
-        len++;
-    }
-    out[len] = '\0';
-    return out;
-}
-
-static double
-seconds(uint64_t us)
-{
-    return (double)us / USEC_PER_SEC;
-}
-
 static void
 print_counters(FILE *f, const struct counters *c)
 {
@@ -197,30 +169,13 @@
     }
 }
 
-static void
-print_histogram(FILE *f, const char *labels, const struct histogram *h)
-{
-    const char *name = PREFIX "request_seconds";
-
-    for (unsigned bits = EDGE_MIN_BITS; bits <= EDGE_MAX_BITS; bits++) {
-        fprintf(f, "%s_bucket{%s,le=\"%.6f\"} %llu\n", name, labels,
-                seconds((1ULL << bits) - 1),
-                (unsigned long long)histogram_count_below(h, bits));
-    }
-    fprintf(f, "%s_bucket{%s,le=\"+Inf\"} %llu\n", name, labels,
-            (unsigned long long)h->count);
-    fprintf(f, "%s_sum{%s} %.6f\n", name, labels, seconds(h->sum));
-    fprintf(f, "%s_count{%s} %llu\n", name, labels,
-            (unsigned long long)h->count);
-}
-
 static void
 print_tenant(FILE *f, const struct tenant_metrics *t)
 {
     char name[LABEL_SIZE];
     char labels[LABEL_SIZE + 64];
 
-    escape_label(t->name, name);
+    metrics_escape_label(t->name, name, sizeof(name));
     for (int class = 0; class < CLASS_COUNT; class ++) {
         for (int phase = 0; phase < PHASE_COUNT; phase++) {
             const struct histogram *h = t->histograms[class][phase];
@@ -232,7 +187,7 @@
                      "tenant=\"%s\",class=\"%s\",phase=\"%s\"", name,
                      traffic_class_name((enum traffic_class) class),
                      phase_names[phase]);
-            print_histogram(f, labels, h);
+            metrics_print_histogram(f, "request_seconds", labels, h);
         }
     }
 }
--- /dev/null
+++ b/tests/unit/test-log-story.c
@@ -0,0 +1,102 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ctl/log-story.h"
+
+#define AT(time) "{\"time\":\"2026-12-04T10:" time "Z\",\"level\":\"info\","
+#define FLOW "100.64.0.7:1040>198.18.0.1:443"
+#define OTHER_FLOW "100.64.0.7:10401>198.18.0.1:443"
+
+/* The logs of two hosts as a collector merges them, not in order. */
+static const char *const log_lines[] = {
+    "host-1 " AT("00:05.000") "\"message\":\"flow_placed\",\"flow\":\"" FLOW
+                              "\",\"target\":\"i-1\",\"copy\":\"0\"}",
+    "host-2 " AT(
+        "00:05.200") "\"message\":\"flow_placed\",\"flow\":\"" OTHER_FLOW
+                     "\",\"target\":\"i-2\"}",
+    "host-1 " AT("00:09.000") "\"message\":\"flow_reset\",\"flow\":\"" FLOW
+                              "\",\"cause\":\"target_silent\"}",
+    "host-1 " AT("00:08.900") "\"message\":\"target_silent\",\"target\":"
+                              "\"i-1\"}",
+    "host-2 " AT("00:08.800") "\"message\":\"target_silent\",\"target\":"
+                              "\"i-2\"}",
+    "host-1 " AT("00:01.000") "\"message\":\"paused for 700 ms\"}",
+    "host-2 " AT("00:02.000") "\"message\":\"paused for 900 ms\"}",
+    "host-1 " AT("30:00.000") "\"message\":\"paused for 800 ms\"}",
+    "not a log line",
+    "{\"time\":\"yesterday\",\"message\":\"x\"}",
+    "host-2 " AT("00:08.700") "\"message\":\"target_silent\",\"target\":"
+                              "\"i-1\"}",
+    AT("00:12.000") "\"message\":\"target_changed\",\"target\":\"i-1\","
+                    "\"state\":\"gone\"}",
+};
+
+struct story_case {
+    const char *flow;
+    const char *target;
+    const char *story; /* NULL: nothing names it */
+};
+
+static const struct story_case cases[] = {
+    {FLOW, NULL,
+     "2026-12-04T10:00:01.000Z host-1 paused for 700 ms\n"
+     "2026-12-04T10:00:05.000Z host-1 flow_placed flow=" FLOW
+     " target=i-1 copy=0\n"
+     "2026-12-04T10:00:08.900Z host-1 target_silent target=i-1 (and 1 more "
+     "lines of others)\n"
+     "2026-12-04T10:00:09.000Z host-1 flow_reset flow=" FLOW
+     " cause=target_silent\n"
+     "2026-12-04T10:00:12.000Z some-file target_changed target=i-1 "
+     "state=gone\n"},
+    {"100.64.0.7:10401", NULL,
+     "2026-12-04T10:00:02.000Z host-2 paused for 900 ms\n"
+     "2026-12-04T10:00:05.200Z host-2 flow_placed flow=" OTHER_FLOW
+     " target=i-2\n"
+     "2026-12-04T10:00:08.800Z host-2 target_silent target=i-2\n"},
+    {NULL, "i-2",
+     "2026-12-04T10:00:08.800Z host-2 target_silent target=i-2\n"
+     "1 lines give a flow to i-2\n"},
+    {"100.64.0.7:104", NULL, NULL},
+    {NULL, "i-3", NULL},
+};
+
+static void
+test_stories(void **state)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct story_query query = {cases[i].flow, cases[i].target};
+        struct log_story *story = log_story_new(&query);
+        char *text = NULL;
+        size_t len;
+        FILE *out = open_memstream(&text, &len);
+        bool found;
+
+        for (size_t k = 0; k < sizeof(log_lines) / sizeof(*log_lines); k++) {
+            log_story_add(story, "some-file", log_lines[k]);
+        }
+        found = log_story_print(story, out);
+        fclose(out);
+        assert_int_equal(found, cases[i].story != NULL);
+        assert_string_equal(text, found ? cases[i].story : "");
+        assert_int_equal(log_story_skipped(story), 2);
+        free(text);
+        log_story_destroy(story);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_stories),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -340,7 +340,7 @@
         fleet_write(fleet);
         fleet_run(fleet, 200 * USEC_PER_MSEC);
     }
-        fleet_run(fleet, USEC_PER_SEC);
+    fleet_run(fleet, USEC_PER_SEC);
     assert_non_null(fleet_watcher(fleet));
     for (size_t i = 0; i < fleet->node_count; i += 4) {
         if (&fleet->nodes[i] != fleet_watcher(fleet)) {
