--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -24,6 +24,26 @@
     uint8_t *data;
 };
 
+static gboolean
+is_idle(gpointer key, gpointer value, gpointer now)
+{
+    return *(uint64_t *)value + FLEET_LINK_IDLE_US < *(uint64_t *)now;
+}
+
+/* Counts the connections that a balancer would have open for sending. */
+static void
+note_link(struct fleet_node *node, uint32_t addr)
+{
+    uint64_t *used = g_new(uint64_t, 1);
+
+    *used = node->fleet->now;
+    g_hash_table_insert(node->links, GUINT_TO_POINTER(addr), used);
+    g_hash_table_foreach_remove(node->links, is_idle, &node->fleet->now);
+    if (g_hash_table_size(node->links) > node->links_peak) {
+        node->links_peak = g_hash_table_size(node->links);
+    }
+}
+
 static void
 send_bytes(struct fleet_node *node, uint32_t addr, const uint8_t *data,
            size_t size)
@@ -32,6 +52,7 @@
     size_t to = addr - SUBNET - 1;
     struct delivery *d;
 
+    note_link(node, addr);
     node->messages_out++;
     node->bytes_out += size;
     if (to >= fleet->node_count || fleet->nodes[to].side != node->side ||
@@ -389,6 +410,9 @@
     node->frozen_until = 0;
     node->disturbed_at = fleet->now;
     node->self.incarnation = fleet->now;
+    node->links =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    node->links_peak = 0;
     open_node(node);
 }
 
@@ -404,6 +428,7 @@
     view_sync_destroy(node->sync);
     forward_view_destroy(node->view);
     membership_destroy(node->members);
+    g_hash_table_destroy(node->links);
 }
 
 struct fleet *
--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -18,7 +18,9 @@
  * and a store that can fail in parts. Messages pass through the real codecs.
  */
 
-#define FLEET_STEP_US 5000ULL          /* of the fake clock */
+#define FLEET_STEP_US 5000ULL /* of the fake clock */
+/* A connection for sending that is not used for so long is closed. */
+#define FLEET_LINK_IDLE_US 5000000ULL
 #define FLEET_CALL_LIMIT_US 1000000ULL /* a call without an answer ends */
 
 /* How the store treats a balancer. */
@@ -54,6 +56,8 @@
     uint64_t call_wait;
     uint64_t answer_at; /* a read's answer arrives; 0: not yet decided */
     uint64_t calls;
+    GHashTable *links; /* address of a peer -> when last sent to, us */
+    size_t links_peak;
     uint64_t messages_out;
     uint64_t records_in; /* of targets, in messages of others */
     uint64_t bytes_out;
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -298,6 +298,38 @@
     return records;
 }
 
+/* Connections to peers cost memory: how many a balancer has open for sending
+ * while all start at once, and afterwards, when it does not grow. */
+static void
+test_links(void **state)
+{
+    static const size_t sizes[] = {24, 80, 160, 300};
+    /* To seven neighbours, to the seven of whom it is one, and two others. */
+    const double most_calm = 16.0;
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        struct fleet *fleet = fleet_new(sizes[s], 4, BOUND, SEED);
+        size_t sum = 0;
+        size_t most = 0;
+        size_t calm = 0;
+
+        fleet_run(fleet, 2 * SETTLE_US);
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            const struct fleet_node *node = &fleet->nodes[i];
+
+            sum += node->links_peak;
+            most = node->links_peak > most ? node->links_peak : most;
+            calm += g_hash_table_size(node->links);
+        }
+        print_message("%zu balancers: %.1f connections for sending at most in "
+                      "the mean, %zu at the worst, %.1f when calm\n",
+                      sizes[s], (double)sum / (double)sizes[s], most,
+                      (double)calm / (double)sizes[s]);
+        assert_true((double)calm <= most_calm * (double)sizes[s]);
+        fleet_destroy(fleet);
+    }
+}
+
 /* Each balancer gets a change about once, whatever the size of the fleet. */
 static void
 test_copies(void **state)
@@ -442,6 +474,7 @@
         cmocka_unit_test(test_faults),
         cmocka_unit_test(test_calls_do_not_grow),
         cmocka_unit_test(test_spread),
+        cmocka_unit_test(test_links),
         cmocka_unit_test(test_copies),
         cmocka_unit_test(test_spread_past_the_dead),
         cmocka_unit_test(test_spread_of_many),
