state: smaller records of routes and targets

Cause: 381 bytes a target and 337 a route were 69 MB for 150,000 and 37,000, over the 64 of the target. Ids take 40 bytes in place of 64, a target is in one list at a time, a route's past services are kept once there are any, and its key is part of it.

Ruled out for now: finding targets by cookie alone (35 bytes a target), shares outside of the record.

The forward path's rate was not measured: the machine was busy, relay and path swing by half between rows.

--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -155,15 +155,15 @@
     return object->via.u64;
 }
 
-/* Takes a text of less than ID_SIZE bytes. The library gives an empty one no
+/* Takes a text of less than "size" bytes. The library gives an empty one no
  * pointer. */
 static void
-take_text(struct reader *r, char out[ID_SIZE])
+take_text(struct reader *r, char *out, size_t size)
 {
     const msgpack_object *object = take(r, MSGPACK_OBJECT_STR);
 
     out[0] = '\0';
-    if (object == NULL || object->via.str.size >= ID_SIZE) {
+    if (object == NULL || object->via.str.size >= size) {
         r->failed = true;
         return;
     }
@@ -184,7 +184,7 @@
 {
     char text[ID_SIZE];
 
-    take_text(r, text);
+    take_text(r, text, sizeof(text));
     return r->failed || text[0] == '\0' ? NULL : g_intern_string(text);
 }
 
@@ -254,7 +254,7 @@
     struct reader f = take_array(r);
 
     memset(t, 0, sizeof(*t));
-    take_text(&f, t->id);
+    take_text(&f, t->id, sizeof(t->id));
     t->service = take_name(&f);
     t->domain = take_name(&f);
     take_tag(&f, t->tag);
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -49,6 +49,15 @@
     return (uint64_t)addr << 16 | port;
 }
 
+static void
+route_free(gpointer data)
+{
+    struct forward_route *route = data;
+
+    g_free(route->past);
+    g_free(route);
+}
+
 static void
 service_free(gpointer data)
 {
@@ -69,7 +78,7 @@
     }
     view->cb = *cb;
     view->routes =
-        g_hash_table_new_full(route_key_hash, g_int64_equal, free, free);
+        g_hash_table_new_full(route_key_hash, g_int64_equal, NULL, route_free);
     view->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     view->cookies = g_hash_table_new(g_direct_hash, g_direct_equal);
     view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
@@ -173,7 +182,7 @@
     if (!route->record.removed && has_share(&route->record, service)) {
         return true;
     }
-    for (size_t i = 0; i < ROUTE_PAST_MAX; i++) {
+    for (size_t i = 0; route->past != NULL && i < ROUTE_PAST_MAX; i++) {
         if (route->past[i].service == service &&
             route->past[i].until >= since) {
             return true;
@@ -194,6 +203,9 @@
             (!next->removed && has_share(next, service))) {
             continue;
         }
+        if (route->past == NULL) {
+            route->past = g_new0(struct route_past, ROUTE_PAST_MAX);
+        }
         route->past[route->past_next % ROUTE_PAST_MAX] =
             (struct route_past){service, now};
         route->past_next++;
@@ -237,13 +249,12 @@
 add_route(struct forward_view *view, const struct route_record *record)
 {
     struct forward_route *route = g_new0(struct forward_route, 1);
-    uint64_t *key = g_new(uint64_t, 1);
 
-    *key = route_key(record->addr, record->port);
+    route->key = route_key(record->addr, record->port);
     list_init(&route->removed_link);
     route->record.addr = record->addr;
     route->record.port = record->port;
-    g_hash_table_insert(view->routes, key, route);
+    g_hash_table_insert(view->routes, &route->key, route);
     return route;
 }
 
@@ -421,14 +432,13 @@
     if (target->presence == TARGET_GONE) {
         view->removed_target_count--;
     }
-    list_remove(&target->removed_link);
-    list_remove(&target->lapsed_link);
+    list_remove(&target->link);
     target->presence = presence;
     if (presence == TARGET_LAPSED) {
-        list_push_back(&view->lapsed, &target->lapsed_link);
+        list_push_back(&view->lapsed, &target->link);
     }
     if (presence == TARGET_GONE) {
-        list_push_back(&view->removed_targets, &target->removed_link);
+        list_push_back(&view->removed_targets, &target->link);
         view->removed_target_count++;
         join_service(view, target, NULL);
     }
@@ -452,8 +462,7 @@
 {
     struct forward_target *target = g_new0(struct forward_target, 1);
 
-    list_init(&target->removed_link);
-    list_init(&target->lapsed_link);
+    list_init(&target->link);
     memcpy(target->record.id, record->id, sizeof(target->record.id));
     target->cookie = forward_cookie(record->id);
     g_hash_table_insert(view->targets, target->record.id, target);
@@ -555,13 +564,13 @@
 {
     while (view->removed_target_count > FORWARD_REMOVED_MAX) {
         struct forward_target *target = container_of(
-            view->removed_targets.next, struct forward_target, removed_link);
+            view->removed_targets.next, struct forward_target, link);
         gpointer key = GUINT_TO_POINTER(target->cookie);
 
         if (target->record.revision > view->forgotten) {
             view->forgotten = target->record.revision;
         }
-        list_remove(&target->removed_link);
+        list_remove(&target->link);
         view->removed_target_count--;
         if (g_hash_table_lookup(view->cookies, key) == target) {
             g_hash_table_remove(view->cookies, key);
@@ -663,7 +672,7 @@
 {
     list_for_each_safe (it, &view->lapsed) {
         struct forward_target *target =
-            container_of(it, struct forward_target, lapsed_link);
+            container_of(it, struct forward_target, link);
 
         if (now >= target->held_until) {
             set_presence(view, target, TARGET_GONE);
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -29,12 +29,14 @@
     uint64_t until; /* last in force, us */
 };
 
+/* There are many, few of which ever change their services. */
 struct forward_route {
     struct list removed_link;
+    uint64_t key; /* of address and port */
     struct route_record record;
-    uint64_t revision; /* of the list that last changed it */
-    uint64_t seen;     /* generation of the last whole list */
-    struct route_past past[ROUTE_PAST_MAX];
+    uint64_t revision;       /* of the list that last changed it */
+    uint64_t seen;           /* generation of the last whole list */
+    struct route_past *past; /* ROUTE_PAST_MAX, or NULL: it had no other */
     size_t past_next;
 };
 
@@ -46,15 +48,14 @@
 };
 
 struct forward_target {
-    struct list removed_link; /* while gone */
-    struct list lapsed_link;  /* while lapsed */
+    struct list link; /* while lapsed or gone, in the list of those */
     struct target_record record;
-    enum target_presence presence;
     uint64_t held_until; /* of a lapsed one, us */
     uint64_t cold_until; /* us */
     uint32_t cookie;
-    bool shadowed; /* an older target has its cookie: it gets no new flow */
-    uint64_t seen; /* generation of the last whole list */
+    uint8_t presence; /* enum target_presence */
+    bool shadowed;    /* an older target has its cookie: it gets no new flow */
+    uint64_t seen;    /* generation of the last whole list */
     struct target_signs signs;
     struct forward_service *service;
 };
--- a/src/state/target-signs.h
+++ b/src/state/target-signs.h
@@ -8,7 +8,6 @@
 struct target_signs {
     double load;            /* decayed count of requests sent to it */
     uint64_t load_at;       /* when "load" was right, us */
-    unsigned misses;        /* requests without an answer since the last one */
     uint64_t missed_since;  /* when the first of them was sent, us */
     uint64_t missed_at;     /* when the last of them was noticed, us */
     uint64_t answered_at;   /* last sign of life, us; 0: none */
@@ -16,6 +15,7 @@
     uint64_t trial_at;      /* last flow given to it while avoided, us */
     uint64_t opening_since; /* first opening without an answer, us; 0: none */
     double handshake_us;    /* usual time until an opening is answered */
+    uint32_t misses;        /* requests without an answer since the last one */
+    uint32_t unreported;    /* misses that the peers have not been told of */
     bool silent;            /* taken for dead, frozen or cut off */
-    unsigned unreported;    /* misses that the peers have not been told of */
 };
--- a/src/state/view-news.h
+++ b/src/state/view-news.h
@@ -16,6 +16,7 @@
 
 #define ROUTE_SHARES_MAX 8
 #define TARGET_TAG_SIZE 8
+#define TARGET_ID_SIZE 40 /* with the NUL; a UUID with a prefix fits */
 
 struct route_share {
     const char *service;
@@ -26,24 +27,24 @@
     uint32_t addr; /* where callers reach it: IPv4, host byte order */
     uint16_t port;
     bool removed;
+    uint8_t priority; /* 0 is the most urgent */
     uint32_t timeout_ms;
     uint32_t aim_ms;
-    uint8_t priority; /* 0 is the most urgent */
     size_t share_count;
     struct route_share shares[ROUTE_SHARES_MAX];
 };
 
 struct target_record {
-    char id[ID_SIZE];
+    char id[TARGET_ID_SIZE];
     const char *service;
     const char *domain;
     uint8_t tag[TARGET_TAG_SIZE]; /* names it in front of packets */
     uint32_t addr;
+    uint32_t slots;   /* requests that it runs at once */
+    uint32_t cold_ms; /* time for which it is still slow */
     uint16_t port;
-    uint32_t slots; /* requests that it runs at once */
     bool draining;
     bool removed;
-    uint32_t cold_ms;  /* time for which it is still slow */
     uint64_t created;  /* revision at which its entry appeared */
     uint64_t revision; /* of its last change */
 };
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -86,9 +86,9 @@
 }
 
 static void
-target_id(size_t i, char out[ID_SIZE])
+target_id(size_t i, char out[TARGET_ID_SIZE])
 {
-    snprintf(out, ID_SIZE, "i-%010zx", i);
+    snprintf(out, TARGET_ID_SIZE, "i-%010zx", i);
 }
 
 static struct forward_view *
@@ -139,7 +139,7 @@
 {
     const uint32_t addr = ROUTE_ADDR + (uint32_t)(route / 1000);
     const uint16_t port = (uint16_t)(1000 + route % 1000);
-    char id[ID_SIZE];
+    char id[TARGET_ID_SIZE];
 
     memset(out, 0, PACKET_SIZE);
     out[0] = (uint8_t)(port >> 8);
