--- a/tests/standins/standin-link.c
+++ b/tests/standins/standin-link.c
@@ -258,6 +258,19 @@
     connection_update(conn);
 }
 
+/* Ends the connections that are cut by closing them. */
+static void
+close_cut(struct tcp_link *owner)
+{
+    list_for_each_safe (it, &owner->connections) {
+        struct connection *conn = container_of(it, struct connection, link);
+
+        if (connection_cut(conn) == CUT_CLOSED) {
+            connection_destroy(conn);
+        }
+    }
+}
+
 /* Cuts a link, or only the connections from one address. */
 static void
 set_cut(struct tcp_link *owner, const char *from, enum cut_mode mode)
@@ -269,15 +282,10 @@
         g_hash_table_insert(owner->cut_from, g_strdup(from),
                             GINT_TO_POINTER(mode));
     }
-    list_for_each_safe (it, &owner->connections) {
-        struct connection *conn = container_of(it, struct connection, link);
-
-        if (connection_cut(conn) == CUT_CLOSED) {
-            connection_destroy(conn);
-            continue;
-        }
-        connection_update(conn);
+    list_for_each (it, &owner->connections) {
+        connection_update(container_of(it, struct connection, link));
     }
+    close_cut(owner);
 }
 
 /* Makes the connections of this moment silent for good. */
@@ -293,32 +301,45 @@
 }
 
 static bool
-control_link(struct tcp_link *owner, const json_t *order)
+read_mode(const char *text, enum cut_mode *mode)
 {
-    const char *cut = json_string_value(json_object_get(order, "cut"));
-    const json_t *delay = json_object_get(order, "delay_ms");
-    const char *from = json_string_value(json_object_get(order, "from"));
     static const char *const modes[] = {[CUT_NO] = "no",
                                         [CUT_SILENT] = "silent",
                                         [CUT_UP] = "up",
                                         [CUT_DOWN] = "down",
                                         [CUT_CLOSED] = "closed"};
-    bool ok = cut == NULL;
 
-    for (size_t i = 0; cut != NULL && i < sizeof(modes) / sizeof(*modes);
-         i++) {
-        if (strcmp(cut, modes[i]) == 0) {
-            set_cut(owner, from, (enum cut_mode)i);
-            ok = true;
+    for (size_t i = 0; i < sizeof(modes) / sizeof(*modes); i++) {
+        if (strcmp(text, modes[i]) == 0) {
+            *mode = (enum cut_mode)i;
+            return true;
         }
     }
-    if (json_is_number(delay)) {
+    return false;
+}
+
+static bool
+control_link(struct tcp_link *owner, const json_t *order)
+{
+    const char *cut = json_string_value(json_object_get(order, "cut"));
+    const char *from = json_string_value(json_object_get(order, "from"));
+    const json_t *delay = json_object_get(order, "delay_ms");
+    enum cut_mode mode;
+
+        if (json_is_number(delay)) {
         owner->delay_ms = json_number_value(delay);
     }
     if (json_is_true(json_object_get(order, "silence"))) {
         silence(owner);
     }
-    return ok;
+    if (cut == NULL) {
+        return true;
+    }
+    if (!read_mode(cut, &mode)) {
+        return false;
+    }
+    set_cut(owner, from, mode);
+    return true;
 }
 
 /* {"LISTEN": {"cut": "silent", "delay_ms": 5}, ...}, where LISTEN is the
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -1,6 +1,7 @@
 #include "soak.h"
 
 #include <arpa/inet.h>
+#include <assert.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -267,8 +268,10 @@
 schedule(struct soak *soak)
 {
     const struct plan *plan = soak->plan;
-    uint64_t last = plan->length_ms;
+    uint64_t last;
 
+    assert(plan != NULL);
+    last = plan->length_ms;
     for (guint i = 0; i < plan->faults->len; i++) {
         struct due_fault *due = g_new0(struct due_fault, 1);
 
@@ -397,25 +400,26 @@
 static void
 run(struct soak *soak)
 {
-    struct event *events[] = {
-        open_timer(soak, REAP_MS, on_reap),
-        open_timer(soak, POLL_MS, on_poll),
-        open_timer(soak, SIZE_CHECK_MS, on_size_check),
-        evsignal_new(soak->base, SIGINT, on_interrupt, soak),
-        evsignal_new(soak->base, SIGTERM, on_interrupt, soak),
-    };
-
-    event_add(events[3], NULL);
-    event_add(events[4], NULL);
+    struct event *reap = open_timer(soak, REAP_MS, on_reap);
+    struct event *poll = open_timer(soak, POLL_MS, on_poll);
+    struct event *check = open_timer(soak, SIZE_CHECK_MS, on_size_check);
+    struct event *interrupt =
+        evsignal_new(soak->base, SIGINT, on_interrupt, soak);
+    struct event *term = evsignal_new(soak->base, SIGTERM, on_interrupt, soak);
+
+    event_add(interrupt, NULL);
+    event_add(term, NULL);
     router_open(soak);
     fleet_start(soak);
     schedule(soak);
     event_base_dispatch(soak->base);
     children_end(soak);
     router_close(soak);
-    for (size_t i = 0; i < sizeof(events) / sizeof(*events); i++) {
-        event_free(events[i]);
-    }
+    event_free(reap);
+    event_free(poll);
+    event_free(check);
+    event_free(interrupt);
+    event_free(term);
 }
 
 static int
