daemon: no circles of files any more

What the parts of the data task and of the api share lies below them now (data-report, api-call, control-event); what only the task knows, handling a relayed datagram and serving a request that has lost its home, is handed to the parts as callbacks; whether a host is draining is a question to the configuration's store. Of the circles of eight, four and three files none is left, counted by which file calls what another defines.

Ruled out: one header less, with the functions left where they were; the circle is in the calls.

--- a/src/daemon/api-task.c
+++ b/src/daemon/api-task.c
@@ -18,154 +18,18 @@
 #define CALLS_MAX 256 /* requests in progress */
 #define HEADERS_MAX 8192
 #define CONNECTION_TIMEOUT_S 15
-#define CONTROL_TIMEOUT_S 3
 #define STOP_LIMIT_S 10 /* above the time limit of a write */
-#define STOP_FLUSH_MS 50
-#define RETRY_AFTER_S "2"
 #define LIST_LIMIT_DEFAULT 100
 #define LIST_LIMIT_MAX 1000
 #define METRICS_SIZE 4096 /* bytes of the api task's own metrics */
-#define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
-/* Ends the loop once the answers are on their way. */
-static void
-end_soon(struct api_task *task)
-{
-    const struct timeval flush = {.tv_usec = STOP_FLUSH_MS * 1000};
-
-    event_base_loopexit(task->base, &flush);
-}
-
-static void
-call_destroy(struct api_call *call)
-{
-    struct api_task *task = call->task;
-
-    list_remove(&call->link);
-    task->call_count--;
-    if (task->stopping && task->call_count == 0) {
-        end_soon(task);
-    }
-    if (call->timer != NULL) {
-        event_free(call->timer);
-    }
-    api_write_destroy(call->write);
-    json_decref(call->status);
-    free(call);
-}
-
-static void
-reply_typed(struct api_call *call, int http_status, const char *type,
-            const char *text, size_t len)
-{
-    if (http_status == HTTP_SERVUNAVAIL) {
-        http_exchange_add_header(call->x, "Retry-After", RETRY_AFTER_S);
-    }
-    http_exchange_reply(call->x, http_status, type, text, len);
-    call_destroy(call);
-}
-
-void
-api_call_reply(struct api_call *call, int http_status, const char *text,
-               size_t len)
-{
-    reply_typed(call, http_status, JSON_TYPE, text, len);
-}
-
-void
-api_call_fail(struct api_call *call, const struct status *st)
-{
-    char *text = api_error_text(st);
-    int http_status = error_answer(st->kind)->http_status;
-
-    api_call_reply(call, http_status, text, text == NULL ? 0 : strlen(text));
-    free(text);
-}
-
-static void
-fail_with(struct api_call *call, enum error_kind kind, const char *message)
-{
-    struct status st;
-
-    status_set(&st, kind, "%s", message);
-    api_call_fail(call, &st);
-}
-
-static void
-on_control_timeout(evutil_socket_t fd, short what, void *ctx)
-{
-    struct api_call *call = ctx;
-
-    call->asked = 0;
-    fail_with(call, ERR_STALE_VIEW, "the control task does not answer");
-}
-
-void
-api_call_ask(struct api_call *call, struct msg_api_request *request,
-             api_answer_cb on_answer)
-{
-    const struct timeval limit = {.tv_sec = CONTROL_TIMEOUT_S};
-    struct api_task *task = call->task;
-
-    request->id = ++task->next_id;
-    call->asked = request->id;
-    call->on_answer = on_answer;
-    event_add(call->timer, &limit);
-    if (!mailbox_send(task->control, MSG_API_REQUEST, request,
-                      sizeof(*request))) {
-        LOG_WARN("the control task's mailbox is full");
-    }
-}
-
-void
-api_tell(struct api_task *task, struct msg_api_request *request)
-{
-    request->id = ++task->next_id;
-    if (!mailbox_send(task->control, MSG_API_REQUEST, request,
-                      sizeof(*request))) {
-        free(request->resource);
-    }
-}
-
-static struct api_call *
-find_asked(struct api_task *task, uint64_t id)
-{
-    list_for_each (it, &task->calls) {
-        struct api_call *call = container_of(it, struct api_call, link);
-
-        if (call->asked == id) {
-            return call;
-        }
-    }
-    return NULL;
-}
-
-static void
-on_control_message(void *ctx, uint32_t type, const void *data, size_t size)
-{
-    struct api_task *task = ctx;
-    struct msg_api_answer answer;
-    struct api_call *call;
-
-    if (type != MSG_API_ANSWER || size != sizeof(answer)) {
-        return;
-    }
-    memcpy(&answer, data, sizeof(answer));
-    call = find_asked(task, answer.id);
-    if (call != NULL) {
-        call->asked = 0;
-        event_del(call->timer);
-        call->on_answer(call, &answer);
-    }
-    free(answer.text);
-}
-
 static void
 on_text(struct api_call *call, const struct msg_api_answer *answer)
 {
     if (answer->kind != ERR_NONE) {
-        fail_with(call, answer->kind, error_answer(answer->kind)->text);
+        api_call_fail_with(call, answer->kind,
+                           error_answer(answer->kind)->text);
         return;
     }
     api_call_reply(call, HTTP_OK, answer->text, answer->text_len);
@@ -217,7 +81,7 @@
     size_t len;
 
     if (text == NULL) {
-        fail_with(call, ERR_NO_MEMORY, "out of memory");
+        api_call_fail_with(call, ERR_NO_MEMORY, "out of memory");
         return;
     }
     len = own_metrics(call->task, text, METRICS_SIZE);
@@ -225,7 +89,7 @@
         memcpy(text + len, answer->text, answer->text_len);
         len += answer->text_len;
     }
-    reply_typed(call, HTTP_OK, METRICS_TYPE, text, len);
+    api_call_reply_typed(call, HTTP_OK, METRICS_TYPE, text, len);
     free(text);
 }
 
@@ -262,7 +126,7 @@
     if (!query_number(call, "limit", LIST_LIMIT_DEFAULT, LIST_LIMIT_MAX,
                       &limit) ||
         limit == 0) {
-        fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
+        api_call_fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
         return;
     }
     request.limit = (uint32_t)limit;
@@ -279,12 +143,12 @@
     uint64_t limit;
 
     if (!query_number(call, "after", 0, UINT64_MAX, &request.since)) {
-        fail_with(call, ERR_INVALID, "after: expected a number");
+        api_call_fail_with(call, ERR_INVALID, "after: expected a number");
         return;
     }
     if (!query_number(call, "limit", LIST_LIMIT_DEFAULT, LIST_LIMIT_MAX,
                       &limit)) {
-        fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
+        api_call_fail_with(call, ERR_INVALID, "limit: expected 1 to 1000");
         return;
     }
     request.limit = (uint32_t)limit;
@@ -345,43 +209,28 @@
         api_write_start(call);
     }
     else {
-        fail_with(call, ERR_METHOD, "only GET is served here");
-    }
-}
-
-static struct api_call *
-call_new(struct api_task *task, struct http_exchange *x)
-{
-    struct api_call *call = calloc(1, sizeof(*call));
-
-    if (call == NULL) {
-        return NULL;
+        api_call_fail_with(call, ERR_METHOD, "only GET is served here");
     }
-    call->task = task;
-    call->x = x;
-    call->timer = event_new(task->base, -1, 0, on_control_timeout, call);
-    list_push_back(&task->calls, &call->link);
-    task->call_count++;
-    return call;
 }
 
 static void
 on_exchange(void *ctx, struct http_exchange *x)
 {
     struct api_task *task = ctx;
-    struct api_call *call = call_new(task, x);
+    struct api_call *call = api_call_new(task, x);
 
     task->requests++;
     if (call == NULL) {
-        http_exchange_reply(x, HTTP_SERVUNAVAIL, JSON_TYPE, NULL, 0);
+        http_exchange_reply(x, HTTP_SERVUNAVAIL, API_JSON_TYPE, NULL, 0);
         return;
     }
     if (task->stopping) {
-        fail_with(call, ERR_STOPPING, "this balancer is stopping");
+        api_call_fail_with(call, ERR_STOPPING, "this balancer is stopping");
         return;
     }
     if (task->call_count > CALLS_MAX) {
-        fail_with(call, ERR_OVERLOADED, "too many requests in progress");
+        api_call_fail_with(call, ERR_OVERLOADED,
+                           "too many requests in progress");
         return;
     }
     handle(call);
@@ -395,7 +244,7 @@
 
     task->stopping = true;
     if (task->call_count == 0) {
-        end_soon(task);
+        api_end_soon(task);
         return;
     }
     event_base_loopexit(task->base, &limit);
@@ -481,7 +330,7 @@
         return NULL;
     }
     task->control = mailbox_new(zmq_ctx, task->base, MAILBOX_CONTROL_API,
-                                false, on_control_message, task, st);
+                                false, api_calls_on_message, task, st);
     if (task->control == NULL) {
         api_task_destroy(task);
         return NULL;
@@ -532,8 +381,8 @@
     list_for_each_safe (it, &task->calls) {
         struct api_call *call = container_of(it, struct api_call, link);
 
-        http_exchange_reply(call->x, HTTP_SERVUNAVAIL, JSON_TYPE, NULL, 0);
-        call_destroy(call);
+        http_exchange_reply(call->x, HTTP_SERVUNAVAIL, API_JSON_TYPE, NULL, 0);
+        api_call_destroy(call);
     }
 }
 
--- a/src/daemon/api-write.c
+++ b/src/daemon/api-write.c
@@ -31,12 +31,11 @@
 
 static void advance(struct api_write *write, enum operator_step step);
 
-void
-api_write_destroy(struct api_write *write)
+static void
+on_call_end(struct api_call *call)
 {
-    if (write == NULL) {
-        return;
-    }
+    struct api_write *write = call->write;
+
     api_context_destroy(write->context);
     if (write->timer != NULL) {
         event_free(write->timer);
@@ -401,6 +400,7 @@
         return;
     }
     call->write = write;
+    call->on_end = on_call_end;
     write->call = call;
     write->timer = event_new(call->task->base, -1, 0, on_wait_over, write);
     if (!parse_request(call, &write->machine.request, &st)) {
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -53,11 +53,17 @@
     uint64_t asked;      /* id of the question to the control task, 0: none */
     struct event *timer; /* time limit of that question */
     api_answer_cb on_answer;
-    struct api_write *write; /* of a PUT or DELETE */
-    json_t *status;          /* the control task's status, being completed */
+    struct api_write *write;               /* of a PUT or DELETE */
+    void (*on_end)(struct api_call *call); /* frees what is its owner's */
+    json_t *status; /* the control task's status, being completed */
 };
 
-/* api-task.c */
+/* api-call.c: a request from its start to its answer. */
+#define API_JSON_TYPE "application/json"
+/* Returns NULL when memory is short. */
+struct api_call *api_call_new(struct api_task *task, struct http_exchange *x);
+/* Ends a call without an answer. */
+void api_call_destroy(struct api_call *call);
 
 /* Asks the control task; "on_answer" runs once, unless the call is ended
  * before. */
@@ -65,7 +71,17 @@
                   api_answer_cb on_answer);
 /* Tells the control task something, without an answer. */
 void api_tell(struct api_task *task, struct msg_api_request *request);
+/* A message of the control task: an answer to one of the calls. A mailbox
+ * callback; "ctx" is the api task. */
+void api_calls_on_message(void *ctx, uint32_t type, const void *data,
+                          size_t size);
+/* Ends the loop once the answers are on their way. */
+void api_end_soon(struct api_task *task);
 /* Each replies and ends the call. */
+void api_call_reply_typed(struct api_call *call, int http_status,
+                          const char *type, const char *text, size_t len);
+void api_call_fail_with(struct api_call *call, enum error_kind kind,
+                        const char *message);
 void api_call_reply(struct api_call *call, int http_status, const char *text,
                     size_t len);
 void api_call_fail(struct api_call *call, const struct status *st);
@@ -95,7 +111,6 @@
 
 /* api-write.c: PUT and DELETE of a resource. */
 void api_write_start(struct api_call *call);
-void api_write_destroy(struct api_write *write);
 
 /* api-fate.c: what became of a write. */
 void api_write_look_up(struct api_call *call);
--- a/src/daemon/control-config.c
+++ b/src/daemon/control-config.c
@@ -141,17 +141,6 @@
     }
 }
 
-bool
-control_host_is_draining(const struct control_task *task, const char *id)
-{
-    char name[RESOURCE_NAME_SIZE];
-    struct resource r;
-
-    snprintf(name, sizeof(name), "host/%s", id);
-    return config_store_get(task->config, name, &r, NULL) && !r.deleted &&
-           r.host.state == ADMIN_DRAINING;
-}
-
 /* Builds a view and hands it to the data task. Nothing is published before
  * the configuration was complete once: a part of it could admit an address
  * that the missing part forbids. */
@@ -176,7 +165,7 @@
         return;
     }
     msg.view->host_draining =
-        control_host_is_draining(task, task->settings->host.id);
+        config_store_host_is_draining(task->config, task->settings->host.id);
     view_filter_set(&task->view_filter, msg.view);
     if (!mailbox_send(task->data, MSG_CONFIG_VIEW, &msg, sizeof(msg))) {
         config_view_destroy(msg.view);
--- a/src/daemon/control-peers.c
+++ b/src/daemon/control-peers.c
@@ -189,7 +189,7 @@
     size_t count = membership_draw(task->members, local, peers, MSG_PEERS_MAX);
 
     for (size_t i = 0; i < count; i++) {
-        if (!control_host_is_draining(task, peers[i]->info.id)) {
+        if (!config_store_host_is_draining(task->config, peers[i]->info.id)) {
             msg->addrs[msg->count] = peers[i]->info.addr;
             msg->count++;
         }
--- a/src/daemon/control-task.c
+++ b/src/daemon/control-task.c
@@ -1,6 +1,5 @@
 #include "daemon/control-task.h"
 
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,21 +15,6 @@
 
 #define EVENTS_KEPT 4096
 
-void
-control_event(struct control_task *task, const char *kind, const char *subject,
-              const char *fmt, ...)
-{
-    char cause[EVENT_CAUSE_SIZE];
-    va_list args;
-
-    va_start(args, fmt);
-    vsnprintf(cause, sizeof(cause), fmt, args);
-    va_end(args);
-    event_ring_add(task->events, clock_wall_us(), kind, subject, cause);
-    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
-               LOG_FIELDS({"subject", subject}, {"cause", cause}), "%s", kind);
-}
-
 static void
 on_data_event(struct control_task *task, const void *data, size_t size)
 {
@@ -108,7 +92,7 @@
 
     control_peers_tick(task, now);
     if (task->stopping ||
-        control_host_is_draining(task, task->settings->host.id)) {
+        config_store_host_is_draining(task->config, task->settings->host.id)) {
         control_peers_offer(task);
     }
     control_config_tick(task, now);
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -77,7 +77,7 @@
     bool isolated;         /* neither peers nor store can be reached */
 };
 
-/* Records an event for the log and /v1/events. */
+/* control-event.c: records an event for the log and /v1/events. */
 void control_event(struct control_task *task, const char *kind,
                    const char *subject, const char *fmt, ...)
     __attribute__((format(printf, 4, 5)));
@@ -97,8 +97,7 @@
 bool control_config_open(struct control_task *task, struct status *st);
 void control_config_tick(struct control_task *task, uint64_t now);
 void control_config_close(struct control_task *task);
-/* Whether a host is declared draining. */
-bool control_host_is_draining(const struct control_task *task, const char *id);
+
 void control_config_view_applied(struct control_task *task, uint64_t sequence);
 /* The data task was paused: answers with MSG_VIEW_FRESH once the
  * configuration was compared with a peer's or the store's. */
--- a/src/daemon/data-task.c
+++ b/src/daemon/data-task.c
@@ -1,7 +1,6 @@
 #include "daemon/data-task.h"
 
 #include <errno.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,38 +37,9 @@
 #define INCARNATION_BITS 40
 #define RECORD_BYTES (16 * 1048576) /* answers kept for late copies */
 
-void
-data_event(struct data_task *task, const char *kind, const char *subject,
-           const char *fmt, ...)
-{
-    struct msg_event event = {0};
-    va_list args;
-
-    snprintf(event.kind, sizeof(event.kind), "%s", kind);
-    snprintf(event.subject, sizeof(event.subject), "%s", subject);
-    va_start(args, fmt);
-    vsnprintf(event.cause, sizeof(event.cause), fmt, args);
-    va_end(args);
-    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
-               LOG_FIELDS({"subject", event.subject}, {"cause", event.cause}),
-               "%s", event.kind);
-    mailbox_send(task->control, MSG_EVENT, &event, sizeof(event));
-}
-
-void
-data_count(struct data_task *task, enum counter counter)
-{
-    counters_add(metrics_counters(task->metrics), counter, 1);
-}
-
-void
-data_count_error(struct data_task *task, enum error_kind kind)
-{
-    counters_add_error(metrics_counters(task->metrics), kind);
-}
-
-void
-data_serve_repeatable(struct data_task *task, const struct inbound *in)
+/* Serves a request here that needs no home, or whose home is lost. */
+static void
+serve_repeatable(struct data_task *task, const struct inbound *in)
 {
     if ((in->packet.fields & FIELD_OBSERVE) != 0) {
         streams_handle(task->streams, in);
@@ -113,7 +83,7 @@
         relays_forward(task->relays, in);
         return;
     }
-    data_serve_repeatable(task, in);
+    serve_repeatable(task, in);
 }
 
 /* Opens the Echo value of a request. Returns false when it does not verify:
@@ -163,10 +133,10 @@
     }
 }
 
-void
-data_handle_datagram(struct data_task *task, const struct service_port *port,
-                     const struct endpoint *from, const uint8_t *raw,
-                     size_t size, uint64_t received_us, bool relayed)
+static void
+handle_datagram(struct data_task *task, const struct service_port *port,
+                const struct endpoint *from, const uint8_t *raw, size_t size,
+                uint64_t received_us, bool relayed)
 {
     struct inbound in = {
         .port = port,
@@ -202,6 +172,11 @@
     handle_request(task, &in);
 }
 
+static const struct data_handlers handlers = {
+    .datagram = handle_datagram,
+    .serve_repeatable = serve_repeatable,
+};
+
 /* While the view may be out of date nothing is delivered. */
 static void
 set_stale(struct data_task *task, bool stale, uint64_t now)
@@ -236,8 +211,8 @@
     struct service_port *port = ctx;
     uint64_t now = turn(port->task);
 
-    data_handle_datagram(port->task, port, from, data, size, now - queued_us,
-                         false);
+    handle_datagram(port->task, port, from, data, size, now - queued_us,
+                    false);
 }
 
 static void
@@ -537,6 +512,7 @@
     }
     task->zmq_ctx = zmq_ctx;
     task->settings = settings;
+    task->handlers = &handlers;
     task->base = event_base_new();
     init_home(task);
     if (task->base == NULL || task->home.flows == NULL || !make_parts(task)) {
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -32,6 +32,20 @@
 struct streams;
 struct target_links;
 
+struct data_task;
+struct inbound;
+struct service_port;
+
+/* What the parts hand back to the task, which knows them all. */
+struct data_handlers {
+    /* Handles a datagram that another balancer has relayed. */
+    void (*datagram)(struct data_task *task, const struct service_port *port,
+                     const struct endpoint *from, const uint8_t *raw,
+                     size_t size, uint64_t received_us, bool relayed);
+    /* Serves a request here that needs no home, or whose home is lost. */
+    void (*serve_repeatable)(struct data_task *task, const struct inbound *in);
+};
+
 /* The socket of one service on this host. */
 struct service_port {
     struct data_task *task;
@@ -43,6 +57,7 @@
 
 struct data_task {
     const struct settings *settings;
+    const struct data_handlers *handlers;
     void *zmq_ctx;
     pthread_t thread;
     bool started;
@@ -107,18 +122,10 @@
     size_t raw_len;
 };
 
-/* Counts on the task's counters. */
+/* data-report.c: counts on the task's counters. */
 void data_count(struct data_task *task, enum counter counter);
 void data_count_error(struct data_task *task, enum error_kind kind);
 
 /* Sends an event to the control task. */
 void data_event(struct data_task *task, const char *kind, const char *subject,
                 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
-
-/* Handles a datagram that a service's port, or another balancer, received. */
-void data_handle_datagram(struct data_task *task,
-                          const struct service_port *port,
-                          const struct endpoint *from, const uint8_t *raw,
-                          size_t size, uint64_t received_us, bool relayed);
-/* Serves a request here that needs no home, or whose home is lost. */
-void data_serve_repeatable(struct data_task *task, const struct inbound *in);
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -110,7 +110,7 @@
         /* The token leads nowhere, so the answer brings another one; else
          * each block of a download would wait for the lost home again. */
         homeless.has_token = false;
-        data_serve_repeatable(relays->task, &homeless);
+        relays->task->handlers->serve_repeatable(relays->task, &homeless);
         return;
     }
     if (!in->has_token) {
@@ -230,8 +230,8 @@
         return;
     }
     acknowledge(relays, from, envelope, ENVELOPE_ACCEPTED);
-    data_handle_datagram(task, port, &caller, envelope->packet,
-                         envelope->packet_len, received_us, true);
+    task->handlers->datagram(task, port, &caller, envelope->packet,
+                             envelope->packet_len, received_us, true);
 }
 
 static void
--- a/src/state/config-store.c
+++ b/src/state/config-store.c
@@ -585,3 +585,14 @@
 {
     return cs->bytes;
 }
+
+bool
+config_store_host_is_draining(const struct config_store *cs, const char *id)
+{
+    char name[RESOURCE_NAME_SIZE];
+    struct resource r;
+
+    snprintf(name, sizeof(name), "host/%s", id);
+    return config_store_get(cs, name, &r, NULL) && !r.deleted &&
+           r.host.state == ADMIN_DRAINING;
+}
--- a/src/state/config-store.h
+++ b/src/state/config-store.h
@@ -90,3 +90,7 @@
 uint64_t config_store_older_count(const struct config_store *cs);
 /* Bytes of memory in use. */
 size_t config_store_bytes(const struct config_store *cs);
+
+/* Whether a host is declared draining. */
+bool config_store_host_is_draining(const struct config_store *cs,
+                                   const char *id);
