--- a/tools/soak/child.c
+++ b/tools/soak/child.c
@@ -188,7 +188,7 @@
         child->stopping = true;
         child->stop_at_ms = 0;
         child->on_exit = NULL;
-                child_signal(child, SIGKILL);
+        child_signal(child, SIGKILL);
         waitpid(child->pid, NULL, 0);
         if (child->lines != NULL) {
             bufferevent_free(child->lines);
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -132,8 +132,10 @@
 }
 
 static void
-running_free(struct running *r)
+running_free(void *ctx)
 {
+    struct running *r = ctx;
+
     if (r->targets != NULL) {
         g_ptr_array_free(r->targets, TRUE);
     }
@@ -155,7 +157,7 @@
 end_later(struct running *r, void (*end)(struct running *r))
 {
     r->end = end;
-    soak_after(r->soak, r->fault.for_ms, end_now, r);
+    soak_after(r->soak, r->fault.for_ms, end_now, r, running_free);
 }
 
 static void
@@ -217,7 +219,7 @@
     struct running *r = ctx;
 
     order_store_links(r, NO_CUT);
-    soak_after(r->soak, LAPSE_BACK_MS, come_back, r);
+    soak_after(r->soak, LAPSE_BACK_MS, come_back, r, running_free);
 }
 
 static void
@@ -234,7 +236,7 @@
             g_ptr_array_add(r->targets, t);
         }
     }
-    soak_after(r->soak, r->fault.for_ms, lapse_over, r);
+    soak_after(r->soak, r->fault.for_ms, lapse_over, r, running_free);
 }
 
 static void
@@ -364,7 +366,8 @@
     disturb_target(r, true);
     t->leaving = true;
     child_kill(&t->child);
-    soak_after(r->soak, HEARTBEAT_EXPIRY_MS + r->fault.for_ms, expire, r);
+    soak_after(r->soak, HEARTBEAT_EXPIRY_MS + r->fault.for_ms, expire, r,
+               running_free);
 }
 
 static void
@@ -422,7 +425,7 @@
         fleet_targets_of(r->soak, t->service) > 1) {
         fleet_drain_target(t, t->service);
     }
-    soak_after(r->soak, RELEASE_GAP_MS, release_next, r);
+    soak_after(r->soak, RELEASE_GAP_MS, release_next, r, running_free);
 }
 
 static void
@@ -517,7 +520,7 @@
         checker_balancer_stopping(r->soak->checker, b->index, soak_now_ms());
         child_stop(&b->child);
     }
-    soak_after(r->soak, ROLL_GAP_MS, roll_next, r);
+    soak_after(r->soak, ROLL_GAP_MS, roll_next, r, running_free);
 }
 
 /* Changes a route, or takes one away that the next change brings back. */
@@ -548,7 +551,7 @@
     }
     r->step++;
     change_config(r->soak);
-    soak_after(r->soak, STORM_GAP_MS, storm_next, r);
+    soak_after(r->soak, STORM_GAP_MS, storm_next, r, running_free);
 }
 
 static void
--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -148,7 +148,7 @@
 static void
 on_balancer_exit(struct child *child)
 {
-    soak_after(child->soak, RESTART_MS, restart_balancer, child->owner);
+    soak_after(child->soak, RESTART_MS, restart_balancer, child->owner, NULL);
 }
 
 void
@@ -304,7 +304,8 @@
     if (t->registered) {
         directory_remove(t, true);
     }
-    soak_after(t->child.soak, ADDRESS_REUSE_MS + SLACK_MS, start_next, s);
+    soak_after(t->child.soak, ADDRESS_REUSE_MS + SLACK_MS, start_next, s,
+               g_free);
 }
 
 void
@@ -317,7 +318,8 @@
     t->draining = true;
     t->leaving = true;
     directory_register(t);
-    soak_after(t->child.soak, DRAIN_MS + DRAIN_LINGER_MS, end_drained, s);
+    soak_after(t->child.soak, DRAIN_MS + DRAIN_LINGER_MS, end_drained, s,
+               g_free);
 }
 
 size_t
@@ -451,5 +453,5 @@
 {
     start_store(soak);
     start_links(soak);
-    soak_after(soak, STANDINS_MS, start_rest, soak);
+    soak_after(soak, STANDINS_MS, start_rest, soak, NULL);
 }
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -52,9 +52,11 @@
 
 /* A call that is due later. */
 struct later {
+    struct list link;
     struct event *timer;
     void (*cb)(void *ctx);
     void *ctx;
+    GDestroyNotify drop;
 };
 
 uint64_t
@@ -109,13 +111,31 @@
 {
     struct later *later = ctx;
 
+    list_remove(&later->link);
     later->cb(later->ctx);
     event_free(later->timer);
     g_free(later);
 }
 
+/* Frees the calls that are not due any more. */
+static void
+drop_later(struct soak *soak)
+{
+    list_for_each_safe (it, &soak->later) {
+        struct later *later = container_of(it, struct later, link);
+
+        list_remove(&later->link);
+        if (later->drop != NULL) {
+            later->drop(later->ctx);
+        }
+        event_free(later->timer);
+        g_free(later);
+    }
+}
+
 void
-soak_after(struct soak *soak, uint64_t ms, void (*cb)(void *ctx), void *ctx)
+soak_after(struct soak *soak, uint64_t ms, void (*cb)(void *ctx), void *ctx,
+           GDestroyNotify drop)
 {
     const struct timeval delay = {(time_t)(ms / 1000),
                                   (suseconds_t)(ms % 1000 * 1000)};
@@ -123,6 +143,8 @@
 
     later->cb = cb;
     later->ctx = ctx;
+    later->drop = drop;
+    list_push_back(&soak->later, &later->link);
     later->timer = event_new(soak->base, -1, 0, on_later, later);
     event_add(later->timer, &delay);
 }
@@ -248,7 +270,7 @@
 
     soak_note(soak, "counting begins");
     soak->counting = true;
-    soak_after(soak, COUNT_MS, finish, soak);
+    soak_after(soak, COUNT_MS, finish, soak, NULL);
 }
 
 /* All routes are there again for the count. */
@@ -261,7 +283,7 @@
         soak->services[i] = (int)i % SOAK_SERVICES;
     }
     directory_write_config(soak);
-    soak_after(soak, RECOVERY_MS, start_counting, soak);
+    soak_after(soak, RECOVERY_MS, start_counting, soak, NULL);
 }
 
 static void
@@ -277,9 +299,9 @@
 
         due->soak = soak;
         due->fault = &g_array_index(plan->faults, struct fault, i);
-        soak_after(soak, due->fault->at_ms, begin_due, due);
+        soak_after(soak, due->fault->at_ms, begin_due, due, g_free);
     }
-    soak_after(soak, last + LAST_FAULT_MS, restore_routes, soak);
+    soak_after(soak, last + LAST_FAULT_MS, restore_routes, soak, NULL);
 }
 
 static struct event *
@@ -414,6 +436,7 @@
     schedule(soak);
     event_base_dispatch(soak->base);
     children_end(soak);
+    drop_later(soak);
     router_close(soak);
     event_free(reap);
     event_free(poll);
@@ -500,6 +523,7 @@
     }
     signal(SIGPIPE, SIG_IGN);
     random_seed(&soak.random, soak.plan->seed);
+    list_init(&soak.later);
     soak.lines = g_queue_new();
     soak.children = g_ptr_array_new();
     soak.targets = g_ptr_array_new_with_free_func(g_free);
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "base/list.h"
 #include "base/random.h"
 #include "checker.h"
 #include "delay-line.h"
@@ -179,7 +180,8 @@
     unsigned answered;
     unsigned failed;
     unsigned requests;
-    GQueue *lines; /* the last ones noted */
+    GQueue *lines;     /* the last ones noted */
+    struct list later; /* calls that are due later */
 };
 
 uint64_t soak_now_ms(void);
@@ -190,6 +192,7 @@
                   char out[INET_ADDRSTRLEN]);
 void soak_sockaddr(const struct soak *soak, enum soak_net net, unsigned index,
                    uint16_t port, struct sockaddr_in *sin);
-/* Calls "cb" with "ctx" after some time. */
+/* Calls "cb" with "ctx" after some time. When the soak ends before, "drop"
+ * frees it; NULL: it is somebody else's. */
 void soak_after(struct soak *soak, uint64_t ms, void (*cb)(void *ctx),
-                void *ctx);
+                void *ctx, GDestroyNotify drop);
