--- a/tests/standins/standin-flow-caller.c
+++ b/tests/standins/standin-flow-caller.c
@@ -282,7 +282,7 @@
 on_readable(evutil_socket_t fd, short what, void *ctx)
 {
     uint8_t data[WIRE_PACKET_MAX];
-        struct sockaddr_in from = {0};
+    struct sockaddr_in from = {0};
     socklen_t from_len = sizeof(from);
     struct wire_packet p;
     ssize_t size;
--- a/tests/standins/standin-link.c
+++ b/tests/standins/standin-link.c
@@ -326,7 +326,7 @@
     const json_t *delay = json_object_get(order, "delay_ms");
     enum cut_mode mode;
 
-        if (json_is_number(delay)) {
+    if (json_is_number(delay)) {
         owner->delay_ms = json_number_value(delay);
     }
     if (json_is_true(json_object_get(order, "silence"))) {
