tools: HTTP calls under way when a soak ends are given up

Cause: the soak ended while balancers were being asked for readiness. Ruled out: the client, whose calls end by their callback or by cancelling.

--- a/tools/soak/directory.c
+++ b/tools/soak/directory.c
@@ -16,6 +16,8 @@
 typedef void (*order_cb)(struct soak *soak, unsigned number);
 
 struct order {
+    struct list link;
+    struct http_call *call;
     struct soak *soak;
     order_cb cb;
     unsigned number;
@@ -32,12 +34,25 @@
         fprintf(stderr, "soak: a stand-in did not take an order\n");
         exit(2);
     }
+    list_remove(&order->link);
     if (order->cb != NULL) {
         order->cb(order->soak, order->number);
     }
     g_free(order);
 }
 
+void
+directory_close(struct soak *soak)
+{
+    list_for_each_safe (it, &soak->orders) {
+        struct order *order = container_of(it, struct order, link);
+
+        list_remove(&order->link);
+        http_call_cancel(order->call);
+        g_free(order);
+    }
+}
+
 static void
 send_order(struct soak *soak, enum soak_net net, uint16_t port,
            const char *json, order_cb cb, unsigned number)
@@ -59,7 +74,9 @@
     order->cb = cb;
     order->number = number;
     soak_address(soak, net, 0, address);
-    http_call_start(soak->base, &request, NULL, on_ordered, order);
+    list_push_back(&soak->orders, &order->link);
+    order->call =
+        http_call_start(soak->base, &request, NULL, on_ordered, order);
 }
 
 void
--- a/tools/soak/router.c
+++ b/tools/soak/router.c
@@ -192,6 +192,11 @@
 router_close(struct soak *soak)
 {
     close_socket(soak, soak->router_readable, soak->router);
+    for (unsigned i = 0; i < soak->balancer_count; i++) {
+        if (soak->balancers[i].asking != NULL) {
+            http_call_cancel(soak->balancers[i].asking);
+        }
+    }
     for (unsigned i = 0; i < soak->place_count; i++) {
         close_socket(soak, soak->places[i].readable, soak->places[i].fd);
     }
@@ -218,6 +223,7 @@
     struct balancer *b = ctx;
     bool was = b->rotation;
 
+    b->asking = NULL;
     if (answer->end == HTTP_CALL_ANSWERED && answer->status == 200) {
         b->misses = 0;
         b->rotation = true;
@@ -246,8 +252,11 @@
             .answer_max = READY_ANSWER_MAX,
         };
 
+        if (soak->balancers[i].asking != NULL) {
+            continue;
+        }
         soak_address(soak, NET_BALANCER, i, address);
-        http_call_start(soak->base, &request, NULL, on_ready,
-                        &soak->balancers[i]);
+        soak->balancers[i].asking = http_call_start(
+            soak->base, &request, NULL, on_ready, &soak->balancers[i]);
     }
 }
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -437,6 +437,7 @@
     event_base_dispatch(soak->base);
     children_end(soak);
     drop_later(soak);
+    directory_close(soak);
     router_close(soak);
     event_free(reap);
     event_free(poll);
@@ -524,6 +525,7 @@
     signal(SIGPIPE, SIG_IGN);
     random_seed(&soak.random, soak.plan->seed);
     list_init(&soak.later);
+    list_init(&soak.orders);
     soak.lines = g_queue_new();
     soak.children = g_ptr_array_new();
     soak.targets = g_ptr_array_new_with_free_func(g_free);
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -14,6 +14,7 @@
 #include "delay-line.h"
 #include "plan.h"
 #include "standin-common.h"
+#include "transport/http-call.h"
 
 /* A fault soak: real balancers, targets, callers and a store stand-in on
  * loopback, broken from outside by a plan, while the promises are checked.
@@ -93,7 +94,8 @@
 struct balancer {
     struct child child;
     unsigned index;
-    bool rotation; /* the router uses it */
+    bool rotation;            /* the router uses it */
+    struct http_call *asking; /* for readiness; NULL: not now */
     unsigned misses;
     bool paused;
     unsigned restarts_held; /* faults that keep it from being restarted */
@@ -180,8 +182,9 @@
     unsigned answered;
     unsigned failed;
     unsigned requests;
-    GQueue *lines;     /* the last ones noted */
-    struct list later; /* calls that are due later */
+    GQueue *lines;      /* the last ones noted */
+    struct list later;  /* calls that are due later */
+    struct list orders; /* to stand-ins, under way */
 };
 
 uint64_t soak_now_ms(void);
