coordination: who pulled changes passes on who told of them

Cause: an answer to a pull named no balancer that the store had answered, so after changes that all had to pull (more than 32 at once) nobody had heard of the one that watches, and others took its place.

Ruled out: telling of it in the announcement, whose receiver is behind and waits for the pull. The position is kept since news go along a tree, so the answer can name it.

--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -171,17 +171,17 @@
     view_news_init(&m->news);
 }
 
-/* Fills in when the store last answered, and to whom: "position" is that of
- * the balancer that asked it. */
+/* Fills in when the store last answered, and the position of the balancer that
+ * it answered. */
 static void
 message_confirm(const struct view_sync *vs, struct view_message *m,
-                double position, uint64_t now)
+                uint64_t now)
 {
     uint64_t age = freshness_age(vs->freshness, now);
 
     m->confirmed = age != UINT64_MAX;
     m->age_us = m->confirmed ? age : 0;
-    m->position = (uint32_t)(position * VIEW_POSITION_END);
+    m->position = (uint32_t)(vs->position * VIEW_POSITION_END);
 }
 
 static bool
@@ -326,7 +326,7 @@
     vs->announcing = false;
     vs->next_announce = now + ANNOUNCE_INTERVAL_US;
     message_init(vs, &m, VIEW_ANNOUNCE);
-    message_confirm(vs, &m, vs->position, now);
+    message_confirm(vs, &m, now);
     m.pass_on = true;
     m.news.to = forward_view_revision(vs->view);
     m.news.routes_revision = forward_view_routes_revision(vs->view);
@@ -371,7 +371,7 @@
     }
     vs->position = view_sync_position(vs, at);
     message_init(vs, &m, VIEW_NEWS);
-    message_confirm(vs, &m, vs->position, at);
+    message_confirm(vs, &m, at);
     tell_news(vs, &m, &before, 0, at);
     view_news_clear(&m.news);
     return true;
@@ -414,8 +414,7 @@
         return;
     }
     message_init(vs, &m, VIEW_NEWS);
-    /* Not to be taken for a sign of a watcher: the position is the last. */
-    message_confirm(vs, &m, 1.0, now);
+    message_confirm(vs, &m, now);
     forward_view_since(vs->view, pull->news.from, pull->news.routes_revision,
                        now, &m.news);
     vs->cb.send(vs->cb.ctx, peers, 1, &m);
@@ -435,7 +434,7 @@
         return;
     }
     message_init(vs, &on, VIEW_NEWS);
-    message_confirm(vs, &on, vs->position, now);
+    message_confirm(vs, &on, now);
     tell_news(vs, &on, before, m->sender_addr, now);
     view_news_clear(&on.news);
 }
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -406,6 +406,30 @@
     fleet_destroy(fleet);
 }
 
+/* After changes that all had to pull nobody takes the place of the balancer
+ * that watches: who told them of it is not forgotten on the way. */
+static void
+test_calls_after_many(void **state)
+{
+    const uint64_t seconds = 10;
+    /* One watch that ends each half of the bound, and one for the changes. */
+    const uint64_t most = 2 + seconds * 2 * USEC_PER_SEC / BOUND;
+    struct fleet *fleet = fleet_new(80, 4, BOUND, SEED);
+    uint64_t calls;
+
+    fleet_run(fleet, SETTLE_US);
+    calls = fleet_calls(fleet);
+    for (unsigned i = 0; i < 60; i++) {
+        fleet_write(fleet);
+    }
+    fleet_run(fleet, seconds * USEC_PER_SEC);
+    calls = fleet_calls(fleet) - calls;
+    print_message("60 changes at once: %llu calls in %llu s\n",
+                  (unsigned long long)calls, (unsigned long long)seconds);
+    assert_true(calls <= most);
+    fleet_destroy(fleet);
+}
+
 /* While the store is away the calls to it do not grow with the fleet; when it
  * is back all are up to date again soon. */
 static void
@@ -478,6 +502,7 @@
         cmocka_unit_test(test_copies),
         cmocka_unit_test(test_spread_past_the_dead),
         cmocka_unit_test(test_spread_of_many),
+        cmocka_unit_test(test_calls_after_many),
         cmocka_unit_test(test_outage),
         cmocka_unit_test(test_calls_of_many_changes),
     };
