tools: the soak leaves the platform's names to the stand-ins

Settings files, configurations and entries were written in the soak's own files. They are in tests/standins/platform-text now, the one place of the tests' C programs that has these names. Programs are started by GLib in place of an own fork, which also tells why one cannot be run; constants say where they come from; rolls and releases stop before the recovery is watched (a roll of 96 balancers went on through it).

--- /dev/null
+++ b/tests/standins/platform-text.c
@@ -0,0 +1,82 @@
+#include "platform-text.h"
+
+#include <glib.h>
+
+/* What requests on a route look like does not matter to a balancer. */
+#define ROUTE_TIMEOUT_MS 500
+#define ROUTE_AIM_MS 100
+#define ROUTE_PRIORITY 1
+#define FLOW_IDLE_MS 15000
+
+static json_t *
+seeds_json(const struct platform_text_host *host)
+{
+    json_t *seeds = json_array();
+
+    for (size_t i = 0; i < host->seed_count; i++) {
+        json_array_append_new(seeds, json_string(host->seeds[i]));
+    }
+    return seeds;
+}
+
+bool
+platform_text_write_settings(const char *path,
+                             const struct platform_text_host *host)
+{
+    json_t *listen = json_pack("{s:s,s:s}", "datagramAddr", host->packets,
+                               "ready", host->ready);
+    json_t *bounds = json_pack(
+        "{s:i,s:i,s:i,s:i}", "configApplyMs", (int)host->change_bound_ms,
+        "drainMs", (int)host->drain_bound_ms, "graceS", (int)host->grace_s,
+        "maxFlowS", (int)host->flow_max_s);
+    json_t *file = json_pack(
+        "{s:s,s:s,s:o,s:[i,i],s:o,s:o,s:{s:s}}", "nodeName", host->id, "zone",
+        host->domain, "listen", listen, "internalPorts", host->gossip_port,
+        host->gossip_port + 1, "seeds", seeds_json(host), "bounds", bounds,
+        "platform", "address", host->store);
+    bool written = json_dump_file(file, path, JSON_INDENT(1)) == 0;
+
+    json_decref(file);
+    return written;
+}
+
+json_t *
+platform_text_route(const char *host, uint16_t port, const char *service)
+{
+    char *name = g_strdup_printf("route-%u", port);
+    char *prefix = g_strdup_printf("/%u/", port);
+    json_t *route =
+        json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s}", "name", name, "host",
+                  host, "prefix", prefix, "kind", "safe", "timeoutMs",
+                  ROUTE_TIMEOUT_MS, "targetLatencyMs", ROUTE_AIM_MS,
+                  "priority", ROUTE_PRIORITY, "service", service);
+
+    g_free(name);
+    g_free(prefix);
+    return route;
+}
+
+json_t *
+platform_text_config(unsigned version, json_t *routes)
+{
+    return json_pack("{s:i,s:o,s:[],s:{s:i}}", "version", (int)version,
+                     "routes", routes, "services", "limits", "idleTimeoutMs",
+                     FLOW_IDLE_MS);
+}
+
+json_t *
+platform_text_target(const struct platform_text_target *target)
+{
+    return json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
+                     target->service, "address", target->endpoint, "zone",
+                     target->domain, "version", "v1", "slots",
+                     (int)target->slots, "state",
+                     target->draining ? "draining" : "ready", "coldLeftMs", 0,
+                     "sequence", 1);
+}
+
+char *
+platform_text_target_key(const char *id)
+{
+    return g_strconcat("servers/", id, NULL);
+}
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -115,7 +115,7 @@
 /* Whether the bound holds for a balancer: it runs, it and its own way to the
  * store have been well for some time. */
 static bool
-in_touch(const struct fleet *fleet, const struct fleet_node *node)
+bound_holds(const struct fleet *fleet, const struct fleet_node *node)
 {
     return node->running && fleet->now >= node->frozen_until &&
            node->path == STORE_OPEN &&
@@ -136,7 +136,7 @@
     for (size_t i = 0; i < fleet->node_count; i++) {
         const struct fleet_node *node = &fleet->nodes[i];
 
-        if (!in_touch(fleet, node)) {
+        if (!bound_holds(fleet, node)) {
             continue;
         }
         assert_true(forward_view_revision(node->view) >= before[i]);
@@ -163,7 +163,7 @@
     170 * USEC_PER_MSEC, 1100 * USEC_PER_MSEC, 5300 * USEC_PER_MSEC};
 
 /* Plays a fault. No change may stay out of force past the bound at a balancer
- * in touch, and none may go back. */
+ * for which the bound holds, and none may go back. */
 static void
 play(size_t size, enum fault fault, uint64_t write_interval, double loss,
      uint64_t seed)
--- a/tools/soak/checker.c
+++ b/tools/soak/checker.c
@@ -179,7 +179,7 @@
 
 /* Whether the bounds on changes hold for a balancer. */
 static bool
-in_touch(struct checker *c, unsigned balancer, uint64_t at)
+bounds_hold(struct checker *c, unsigned balancer, uint64_t at)
 {
     return is_calm(c, SUBJECT_STORE, 0, at) &&
            is_calm(c, SUBJECT_BALANCER, balancer, at) &&
@@ -363,7 +363,7 @@
 
     if (t->leaving == 0 ||
         now <= t->leaving + c->bounds.drain_ms + c->bounds.slack_ms ||
-        !in_touch(c, flow->balancer, flow->opening_at) ||
+        !bounds_hold(c, flow->balancer, flow->opening_at) ||
         !is_calm(c, SUBJECT_TARGET, target, now)) {
         return;
     }
@@ -385,7 +385,7 @@
             return;
         }
     }
-    if (!in_touch(c, flow->balancer, flow->opening_at)) {
+    if (!bounds_hold(c, flow->balancer, flow->opening_at)) {
         return;
     }
     snprintf(text, sizeof(text),
@@ -474,7 +474,7 @@
 
     if (flow->holder < 0 || flow->holder == (int)target ||
         !is_calm(c, SUBJECT_TARGET, (unsigned)flow->holder, now) ||
-        !in_touch(c, flow->balancer, now)) {
+        !bounds_hold(c, flow->balancer, now)) {
         return;
     }
     if (now > flow->stray_at + STRAY_MS) {
@@ -548,7 +548,7 @@
 check_refusal(struct checker *c, const struct flow *flow, unsigned balancer,
               uint64_t now)
 {
-    if (in_touch(c, balancer, flow->opening_at) &&
+    if (bounds_hold(c, balancer, flow->opening_at) &&
         route_stays(c, flow->key.route, flow->opening_at) &&
         can_be_served(c, flow->key.route, flow->opening_at)) {
         broken(c, PROMISE_SERVED, "its opening was refused", &flow->key,
--- a/tools/soak/child.c
+++ b/tools/soak/child.c
@@ -13,6 +13,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include "platform-text.h"
+
 /* The users' limits of a balancer: memory of all control, and descriptors of
  * the smallest hosts less those kept for files. */
 #define MEMORY_MAX_KB (64 * 1024)
@@ -43,6 +45,16 @@
     child->lines = NULL;
 }
 
+static void
+read_lines(struct child *child, int fd)
+{
+    evutil_make_socket_nonblocking(fd);
+    child->lines =
+        bufferevent_socket_new(child->soak->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(child->lines, on_readable, NULL, on_event, child);
+    bufferevent_enable(child->lines, EV_READ);
+}
+
 static int
 open_output(struct soak *soak, struct child *child, int pipes[2])
 {
@@ -59,45 +71,33 @@
     return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
 
-static void
-run_program(char **argv, const char *env, int output)
-{
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    if (env != NULL) {
-        putenv(g_strdup(env));
-    }
-    execv(argv[0], argv);
-    fprintf(stderr, "%s cannot be run\n", argv[0]);
-    _exit(127);
-}
-
 void
 child_start(struct soak *soak, struct child *child, char **argv,
-            const char *env)
+            const char *settings)
 {
     int pipes[2] = {-1, -1};
     int output = open_output(soak, child, pipes);
+    char **env = g_get_environ();
+    GError *error = NULL;
 
+    if (settings != NULL) {
+        env = g_environ_setenv(env, PLATFORM_TEXT_SETTINGS_VARIABLE, settings,
+                               TRUE);
+    }
     child->soak = soak;
     child->stopping = false;
     child->stop_at_ms = 0;
-    child->pid = fork();
-    if (child->pid < 0) {
-        perror("fork");
+    if (!g_spawn_async_with_fds(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
+                                NULL, NULL, &child->pid, -1, output, output,
+                                &error)) {
+        fprintf(stderr, "soak: %s\n", error->message);
         exit(2);
     }
-    if (child->pid == 0) {
-        run_program(argv, env, output);
-    }
+    g_strfreev(env);
     close(output);
     g_ptr_array_add(soak->children, child);
     if (child->on_line != NULL) {
-        evutil_make_socket_nonblocking(pipes[0]);
-        child->lines = bufferevent_socket_new(soak->base, pipes[0],
-                                              BEV_OPT_CLOSE_ON_FREE);
-        bufferevent_setcb(child->lines, on_readable, NULL, on_event, child);
-        bufferevent_enable(child->lines, EV_READ);
+        read_lines(child, pipes[0]);
     }
     soak_note(soak, "%s starts, process %d", child->name, (int)child->pid);
 }
--- a/tools/soak/child.h
+++ b/tools/soak/child.h
@@ -3,10 +3,11 @@
 #include "soak.h"
 
 /* Starts a program whose output is read line by line, or goes to NAME.log in
- * the work folder when "on_line" is NULL. "argv" ends with NULL; "env" is one
- * "NAME=VALUE" or NULL. Exits with a message when it cannot. */
+ * the work folder when "on_line" is NULL. "argv" ends with NULL; "settings" is
+ * the path of a balancer's settings file, or NULL. Exits with a message when
+ * it cannot. */
 void child_start(struct soak *soak, struct child *child, char **argv,
-                 const char *env);
+                 const char *settings);
 /* Tells it to end. */
 void child_stop(struct child *child);
 void child_kill(struct child *child);
--- a/tools/soak/directory.c
+++ b/tools/soak/directory.c
@@ -7,10 +7,15 @@
 #include <jansson.h>
 
 #include "base/clock.h"
+#include "platform-text.h"
 #include "transport/http-call.h"
 
+/* Stand-ins answer in milliseconds; a machine that has no time for them for so
+ * long is no place for a soak. */
 #define ORDER_TIMEOUT_US (5 * USEC_PER_SEC)
-#define ORDER_ANSWER_MAX 4096
+#define ORDER_ANSWER_MAX 4096 /* bytes; a revision or less */
+/* Requests that a target of the users runs at once. */
+#define TARGET_SLOTS 2
 
 /* Runs when the store has taken an order. */
 typedef void (*order_cb)(struct soak *soak, unsigned number);
@@ -23,8 +28,6 @@
     unsigned number;
 };
 
-static const char *const service_names[SOAK_SERVICES] = {"live", "export"};
-
 static void
 on_ordered(void *ctx, const struct http_call_answer *answer)
 {
@@ -117,20 +120,6 @@
     checker_config_acked(soak->checker, version, soak_now_ms());
 }
 
-static json_t *
-route_json(unsigned route, int service)
-{
-    char prefix[16];
-    char name[16];
-
-    snprintf(prefix, sizeof(prefix), "/%u/", ROUTE_FIRST_PORT + route);
-    snprintf(name, sizeof(name), "route-%u", route);
-    return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s}", "name", name, "host",
-                     ROUTE_HOST, "prefix", prefix, "kind", "safe", "timeoutMs",
-                     500, "targetLatencyMs", 100, "priority", 1, "service",
-                     service_names[service]);
-}
-
 void
 directory_write_config(struct soak *soak)
 {
@@ -140,17 +129,18 @@
     for (unsigned i = 0; i < CHECKER_ROUTES_MAX; i++) {
         g_string_append_printf(text, " %d", soak->services[i]);
         if (soak->services[i] != CHECKER_NO_SERVICE) {
-            json_array_append_new(routes, route_json(i, soak->services[i]));
+            json_array_append_new(
+                routes, platform_text_route(ROUTE_HOST,
+                                            (uint16_t)(ROUTE_FIRST_PORT + i),
+                                            soak_service(soak->services[i])));
         }
     }
     soak->config_version = checker_config_sent(soak->checker, soak->services);
     soak_note(soak, "version %u is written, services%s", soak->config_version,
               text->str);
     g_string_free(text, TRUE);
-    put(soak, "op/config",
-        json_pack("{s:i,s:o,s:[],s:{s:i}}", "version",
-                  (int)soak->config_version + 1, "routes", routes, "services",
-                  "limits", "idleTimeoutMs", 15000),
+    put(soak, PLATFORM_TEXT_CONFIG_KEY,
+        platform_text_config(soak->config_version + 1, routes),
         on_config_taken, soak->config_version);
 }
 
@@ -173,13 +163,19 @@
 directory_register(struct target_process *t)
 {
     struct soak *soak = t->child.soak;
-    char address[INET_ADDRSTRLEN];
-    char endpoint[INET_ADDRSTRLEN + 8];
-    char key[64];
+    char endpoint[SOAK_ENDPOINT];
+    const struct platform_text_target target = {
+        .service = soak_service(t->service),
+        .endpoint = endpoint,
+        /* Both services are in both domains. */
+        .domain = soak_domain(t->place->index / SOAK_SERVICES),
+        .slots = TARGET_SLOTS,
+        .draining = t->draining,
+    };
+    char *key = platform_text_target_key(t->id);
 
-    soak_address(soak, NET_TARGET_LINK, t->place->index, address);
-    snprintf(endpoint, sizeof(endpoint), "%s:%u", address, PORT_TARGET);
-    snprintf(key, sizeof(key), "servers/%s", t->id);
+    soak_endpoint(soak, NET_TARGET_LINK, t->place->index, PORT_TARGET,
+                  endpoint);
     if (!t->draining) {
         checker_disturb(soak->checker, SUBJECT_TARGET, t->number,
                         soak_now_ms());
@@ -187,25 +183,21 @@
                              soak_now_ms());
     }
     t->registered = true;
-    put(soak, key,
-        json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
-                  service_names[t->service], "address", endpoint, "zone",
-                  t->place->index / SOAK_SERVICES % 2 == 0 ? "zone-0"
-                                                           : "zone-1",
-                  "version", "v1", "slots", 2, "state",
-                  t->draining ? "draining" : "ready", "coldLeftMs", 0,
-                  "sequence", 1),
+    put(soak, key, platform_text_target(&target),
         t->draining ? on_leaving : on_registered, t->number);
+    g_free(key);
 }
 
 void
 directory_remove(struct target_process *t, bool for_good)
 {
     struct soak *soak = t->child.soak;
-    char body[96];
+    char *key = platform_text_target_key(t->id);
+    char *body = g_strdup_printf("{\"delete\":\"%s\"}", key);
 
     t->registered = false;
-    snprintf(body, sizeof(body), "{\"delete\":\"servers/%s\"}", t->id);
     send_order(soak, NET_STORE, PORT_STORE, body, for_good ? on_leaving : NULL,
                t->number);
+    g_free(body);
+    g_free(key);
 }
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -8,6 +8,9 @@
 #include "directory.h"
 #include "fleet.h"
 
+/* Orders to the stand-ins. A store that is this slow stays within the time
+ * limit of a call, 1 s; gossip that is still comes within that of a heartbeat.
+ */
 #define SLOW_STORE "{\"delay_ms\":400}"
 #define SLOW_GOSSIP "{\"delay_ms\":150}"
 #define STALE_STORE "{\"stale\":6}"
@@ -22,8 +25,12 @@
 #define LAPSE_BACK_MS 1000
 /* Between the stops of a roll; a balancer takes some two seconds. */
 #define ROLL_GAP_MS 2500
+/* Several targets leave at a time. */
 #define RELEASE_GAP_MS 1500
+/* Ten changes a second, far above the users' three. */
 #define STORM_GAP_MS 100
+/* Shares of the datagrams: so many that most flows meet them, so few that most
+ * requests get through in time. */
 #define PACKETS_LOST 0.05
 #define PACKETS_TWICE 0.05
 #define PACKETS_LATE 0.2
@@ -415,7 +422,7 @@
     struct running *r = ctx;
     struct target_process *t;
 
-    if (r->step == r->targets->len || r->soak->ending) {
+    if (r->step == r->targets->len || r->soak->settled) {
         running_free(r);
         return;
     }
@@ -510,7 +517,7 @@
     struct running *r = ctx;
     struct balancer *b;
 
-    if (r->step == r->soak->balancer_count || r->soak->ending) {
+    if (r->step == r->soak->balancer_count || r->soak->settled) {
         running_free(r);
         return;
     }
@@ -545,7 +552,7 @@
 {
     struct running *r = ctx;
 
-    if (r->soak->ending || r->step * STORM_GAP_MS >= r->fault.for_ms) {
+    if (r->soak->settled || r->step * STORM_GAP_MS >= r->fault.for_ms) {
         running_free(r);
         return;
     }
--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -7,17 +7,23 @@
 
 #include "child.h"
 #include "directory.h"
+#include "platform-text.h"
 #include "router.h"
 
 #define ARGUMENTS_MAX (8 + 4 * SOAK_BALANCERS_MAX)
+/* The load: flows of a few seconds with short requests, so that each fault
+ * meets flows that are open and flows that open. A target works for 5 ms, a
+ * caller pauses for 60 ms and waits for 3 s, and a flow has 40 requests; there
+ * are more requests than any soak has time for. */
 #define WORK_MS "5"
-#define REQUESTS "1000000"
-#define FLOW_REQUESTS "40"
 #define GAP_MS "60"
 #define DEADLINE_MS "3000"
-/* A target goes on serving for so long after its bound. */
+#define FLOW_REQUESTS "40"
+#define REQUESTS "1000000"
+/* A target goes on serving for so long after its bound: longer than a balancer
+ * in time, with some to spare. */
 #define DRAIN_LINGER_MS 2500
-/* How long a process that was killed stays away, unless a fault says so. */
+/* A host's supervisor starts a process anew after a short delay. */
 #define RESTART_MS 100
 
 /* A program of the build folder, with options. */
@@ -54,9 +60,9 @@
 
 static void
 command_start(struct command *cmd, struct soak *soak, struct child *child,
-              const char *env)
+              const char *settings)
 {
-    child_start(soak, child, cmd->argv, env);
+    child_start(soak, child, cmd->argv, settings);
     for (size_t i = 0; i < cmd->count; i++) {
         g_free(cmd->argv[i]);
     }
@@ -99,40 +105,48 @@
     command_start(&cmd, soak, &soak->links, NULL);
 }
 
+static void
+settings_path(const struct balancer *b, char *out, size_t size)
+{
+    snprintf(out, size, "%s/%s.json", b->child.soak->work, b->child.name);
+}
+
 /* The first two are the seeds of all. */
 void
 fleet_write_settings(struct balancer *b)
 {
     struct soak *soak = b->child.soak;
-    char own[INET_ADDRSTRLEN];
-    char store[INET_ADDRSTRLEN];
-    char seeds[2][INET_ADDRSTRLEN];
+    char packets[SOAK_ENDPOINT];
+    char ready[SOAK_ENDPOINT];
+    char store[SOAK_ENDPOINT];
+    char seeds[2][SOAK_ENDPOINT];
+    const char *const seed_list[] = {seeds[0], seeds[1]};
+    const struct platform_text_host host = {
+        .id = b->child.name,
+        .domain = soak_domain(b->index),
+        .packets = packets,
+        .ready = ready,
+        .store = store,
+        .seeds = seed_list,
+        .seed_count = 2,
+        .gossip_port = PORT_GOSSIP,
+        .change_bound_ms = CHANGE_MS,
+        .drain_bound_ms = DRAIN_MS,
+        .grace_s = GRACE_S,
+        .flow_max_s = FLOW_MAX_S,
+    };
     char path[SOAK_PATH + 64];
-    FILE *out;
-
-    soak_address(soak, NET_BALANCER, b->index, own);
-    soak_address(soak, NET_STORE_LINK, b->index, store);
-    soak_address(soak, NET_GOSSIP_LINK, 0, seeds[0]);
-    soak_address(soak, NET_GOSSIP_LINK, 1, seeds[1]);
-    snprintf(path, sizeof(path), "%s/boot-%u.json", soak->work, b->index);
-    out = fopen(path, "w");
-    if (out == NULL) {
-        perror(path);
+
+    soak_endpoint(soak, NET_BALANCER, b->index, PORT_PACKETS, packets);
+    soak_endpoint(soak, NET_BALANCER, b->index, PORT_READY, ready);
+    soak_endpoint(soak, NET_STORE_LINK, b->index, PORT_STORE, store);
+    soak_endpoint(soak, NET_GOSSIP_LINK, 0, PORT_GOSSIP, seeds[0]);
+    soak_endpoint(soak, NET_GOSSIP_LINK, 1, PORT_GOSSIP, seeds[1]);
+    settings_path(b, path, sizeof(path));
+    if (!platform_text_write_settings(path, &host)) {
+        fprintf(stderr, "soak: %s cannot be written\n", path);
         exit(2);
     }
-    fprintf(out,
-            "{\"nodeName\": \"host-%u\", \"zone\": \"zone-%u\",\n"
-            " \"listen\": {\"datagramAddr\": \"%s:%u\", \"ready\": "
-            "\"%s:%u\"},\n"
-            " \"internalPorts\": [%u, %u],\n"
-            " \"seeds\": [\"%s:1\", \"%s:1\"],\n"
-            " \"bounds\": {\"configApplyMs\": %u, \"drainMs\": %u, "
-            "\"graceS\": %u, \"maxFlowS\": %u},\n"
-            " \"platform\": {\"address\": \"%s:%u\"}}\n",
-            b->index, b->index % 2, own, PORT_PACKETS, own, PORT_READY,
-            PORT_GOSSIP, PORT_GOSSIP + 1, seeds[0], seeds[1], CHANGE_MS,
-            DRAIN_MS, GRACE_S, FLOW_MAX_S, store, PORT_STORE);
-    fclose(out);
 }
 
 static void
@@ -156,7 +170,7 @@
 {
     struct soak *soak = b->child.soak;
     char address[INET_ADDRSTRLEN];
-    char env[SOAK_PATH + 64];
+    char path[SOAK_PATH + 64];
     struct command cmd;
 
     memset(&cmd, 0, sizeof(cmd));
@@ -169,14 +183,12 @@
     command_add(&cmd, g_strdup("forward"));
     soak_address(soak, NET_GOSSIP_LINK, b->index, address);
     command_option(&cmd, "--gossip-address", "%s:%u", address, PORT_GOSSIP);
-    snprintf(env, sizeof(env), "PIMENTOHAVEN_BOOT=%s/boot-%u.json", soak->work,
-             b->index);
-    snprintf(b->child.name, sizeof(b->child.name), "host-%u", b->index);
+    settings_path(b, path, sizeof(path));
     b->child.on_exit = on_balancer_exit;
     b->child.owner = b;
     b->paused = false;
     checker_balancer_started(soak->checker, b->index, soak_now_ms());
-    command_start(&cmd, soak, &b->child, env);
+    command_start(&cmd, soak, &b->child, path);
 }
 
 /* Reads "ADDRESS:PORT:ROUTE-PORT". */
@@ -258,7 +270,7 @@
     soak_address(soak, NET_TARGET, place->index, address);
     command_option(&cmd, "--listen", "%s:%u", address, PORT_TARGET);
     command_option(&cmd, "--id", "%s", t->id);
-    command_option(&cmd, "--service", "%s", service == 0 ? "live" : "export");
+    command_option(&cmd, "--service", "%s", soak_service(service));
     command_option(&cmd, "--journal", "/dev/stdout");
     command_option(&cmd, "--caller-port", "%u", PORT_ANSWERS);
     command_option(&cmd, "--work-ms", WORK_MS);
@@ -437,6 +449,7 @@
 
         b->index = i;
         b->child.soak = soak;
+        snprintf(b->child.name, sizeof(b->child.name), "host-%u", i);
         fleet_write_settings(b);
         fleet_start_balancer(b);
     }
@@ -445,7 +458,7 @@
     }
 }
 
-/* Time for the stand-ins to listen. */
+/* Time for the stand-ins to listen; they take some ten milliseconds. */
 #define STANDINS_MS 500
 
 void
--- a/tools/soak/router.c
+++ b/tools/soak/router.c
@@ -7,13 +7,17 @@
 #include <unistd.h>
 
 #include "flow-wire.h"
+#include "platform-text.h"
 #include "transport/http-call.h"
 
+/* Below the half second between two questions. */
 #define READY_TIMEOUT_US 400000
-#define READY_ANSWER_MAX 4096
-/* Misses in a row that take a balancer out of rotation. */
+#define READY_ANSWER_MAX 4096 /* bytes; nothing is read of it */
+/* Misses in a row that take a balancer out of the routers' choice, as on the
+ * users' platform. */
 #define MISSES_MAX 2
-/* An overtaken datagram is this late at most. */
+/* An overtaken datagram is this late at most: less than a caller's first
+ * repeat, 200 ms. */
 #define LATE_MS 60.0
 /* Datagrams taken at a time, so that nothing else has to wait long. */
 #define DATAGRAMS_MAX 64
@@ -247,7 +251,7 @@
             .address = address,
             .port = PORT_READY,
             .method = EVHTTP_REQ_GET,
-            .path = "/api/readiness",
+            .path = PLATFORM_TEXT_READY_PATH,
             .timeout_us = READY_TIMEOUT_US,
             .answer_max = READY_ANSWER_MAX,
         };
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -23,16 +23,19 @@
 /* After the last fault has ended: the users' bound, and as long again to
  * count. */
 #define COUNT_MS 8000
-/* The longest fault of a plan with its later steps, see plan.c. */
+/* The longest fault of a plan, see plan.c, and what follows a target's death.
+ * Rolls and releases that go on for longer stop there. */
 #define LAST_FAULT_MS 16000
-#define REAP_MS 20
-#define POLL_MS 500
-#define SIZE_CHECK_MS 1000
+#define REAP_MS 20  /* between looks for ended processes: far below the grace \
+                     */
+#define POLL_MS 500 /* the routers of the users ask twice a second */
+#define SIZE_CHECK_MS 1000 /* memory grows over seconds */
 /* Of the requests after the recovery, the share that has to be answered. All
  * of them on a calm fleet; a process of a busy machine may be late for a
  * few. */
 #define RECOVERED_SHARE 0.99
-/* Lines kept for the report, and shown of them. */
+/* Lines kept for the report, some minutes of a medium fleet, and shown of
+ * them: a screen. */
 #define LINES_MAX 60000
 #define SHOWN_MAX 25
 
@@ -93,6 +96,32 @@
              index + 1);
 }
 
+void
+soak_endpoint(const struct soak *soak, enum soak_net net, unsigned index,
+              uint16_t port, char out[SOAK_ENDPOINT])
+{
+    char address[INET_ADDRSTRLEN];
+
+    soak_address(soak, net, index, address);
+    snprintf(out, SOAK_ENDPOINT, "%s:%u", address, port);
+}
+
+const char *
+soak_service(int service)
+{
+    static const char *const names[SOAK_SERVICES] = {"live", "export"};
+
+    return names[service];
+}
+
+const char *
+soak_domain(unsigned index)
+{
+    static const char *const names[] = {"domain-0", "domain-1"};
+
+    return names[index % 2];
+}
+
 void
 soak_sockaddr(const struct soak *soak, enum soak_net net, unsigned index,
               uint16_t port, struct sockaddr_in *sin)
@@ -279,6 +308,7 @@
 {
     struct soak *soak = ctx;
 
+    soak->settled = true;
     for (unsigned i = 0; i < CHECKER_ROUTES_MAX; i++) {
         soak->services[i] = (int)i % SOAK_SERVICES;
     }
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -31,8 +31,9 @@
 #define SOAK_ADDRESSES_MAX 128 /* of targets */
 #define SOAK_CALLERS_MAX 32
 #define SOAK_SERVICES 2
-#define SOAK_TEXT 160
-#define SOAK_PATH 512
+#define SOAK_TEXT 160    /* bytes */
+#define SOAK_ENDPOINT 24 /* bytes of "a.b.c.d:port" and the NUL */
+#define SOAK_PATH 512    /* bytes */
 
 /* The users' bounds of the small deployments. */
 #define CHANGE_MS 3000
@@ -44,6 +45,7 @@
 #define DOWNGRADE_MS 250
 #define SLACK_MS 200
 #define ADDRESS_REUSE_MS 2000
+/* Entries of silent targets go after three of their intervals, here 1 s. */
 #define HEARTBEAT_EXPIRY_MS 3000
 
 /* Part of 127.0.0.0/8 that each kind of address is in. */
@@ -158,7 +160,8 @@
     struct delay_line *delays;
     uint64_t started_ms;
     unsigned broken[PROMISE_COUNT];
-    bool ending; /* the fleet is being stopped */
+    bool settled; /* no fault goes on: the recovery is watched */
+    bool ending;  /* the fleet is being stopped */
     char work[SOAK_PATH];
 
     size_t balancer_count;
@@ -193,6 +196,11 @@
     __attribute__((format(printf, 2, 3)));
 void soak_address(const struct soak *soak, enum soak_net net, unsigned index,
                   char out[INET_ADDRSTRLEN]);
+void soak_endpoint(const struct soak *soak, enum soak_net net, unsigned index,
+                   uint16_t port, char out[SOAK_ENDPOINT]);
+/* Names of services, and of the failure domains that are dealt out in turn. */
+const char *soak_service(int service);
+const char *soak_domain(unsigned index);
 void soak_sockaddr(const struct soak *soak, enum soak_net net, unsigned index,
                    uint16_t port, struct sockaddr_in *sin);
 /* Calls "cb" with "ctx" after some time. When the soak ends before, "drop"
