--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -12,8 +12,7 @@
     VIEW_NEWS = 1, /* what changed, and when the store confirmed it */
     VIEW_PULL,     /* please send what changed after "news.from" */
     VIEW_SIGNS,    /* targets that do not answer */
-    VIEW_ANNOUNCE, /* VIEW_NEWS without the records, for the receiver to pull
-                    */
+    VIEW_ANNOUNCE, /* that there are news, for the receiver to pull */
     VIEW_PRUNE,    /* the receiver's news come too late: announce them only */
     VIEW_MESSAGE_KIND_END,
 };
--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -7,11 +7,12 @@
 
 #define BACKOFF_MIN_US (100 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (2 * USEC_PER_SEC)
-/* Of all balancers that hear each other one tries the store as often while it
- * does not answer, 20 times a second: a twentieth of what the smallest store
- * of the users takes, and answers of it are known to all at once. */
+/* While the store does not answer, one of all balancers that hear each other
+ * tries it in each interval: a hundredth of the 2,000 reads a second that the
+ * smallest store of the users takes. The first answer is soon known to all. */
 #define ATTEMPT_INTERVAL_US (50 * USEC_PER_MSEC)
-/* Changes that follow within it are fetched with one call. */
+/* Changes that follow within it are fetched with one call: small against the
+ * bound on changes, and at most five calls a second. */
 #define WATCH_PACE_US (200 * USEC_PER_MSEC)
 
 struct view_reader {
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -10,7 +10,8 @@
 /* Told at a time: twice the neighbours of a balancer, and some that join. */
 #define PEERS_MAX 32
 /* Between two announcements to the peers that get no records. One that lost
- * its way to the news is late by this and a pull. */
+ * its way to the news is late by this and a pull: small against the bound on
+ * changes. */
 #define ANNOUNCE_INTERVAL_US (200 * USEC_PER_MSEC)
 /* A member heard within this time has a connection with us. */
 #define HEARD_RECENTLY_US (2500 * USEC_PER_MSEC)
--- a/src/ctl/log-story.c
+++ b/src/ctl/log-story.c
@@ -20,9 +20,9 @@
 struct story_line {
     uint64_t at_us;
     size_t number;      /* in order of reading */
-    const char *source; /* interned, as are flow and target */
-    const char *flow;
+    const char *source; /* interned, as is the target */
     const char *target;
+    bool of_flow;     /* it is about a flow */
     char *text;       /* time, host, and what is said */
     const char *said; /* in "text", from the message on */
     unsigned others;  /* hosts that say the same, and are left out */
@@ -87,10 +87,16 @@
     return found;
 }
 
+static const char *
+get_text(const json_t *json, const char *name)
+{
+    return json_string_value(json_object_get(json, name));
+}
+
 static bool
 read_time(const json_t *json, uint64_t *at_us)
 {
-    const char *text = json_string_value(json_object_get(json, "time"));
+    const char *text = get_text(json, "time");
     GDateTime *time =
         text == NULL ? NULL : g_date_time_new_from_iso8601(text, NULL);
 
@@ -113,9 +119,8 @@
     const char *name;
     json_t *value;
 
-    g_string_append_printf(
-        text, "%s %s %s", json_string_value(json_object_get(json, "time")),
-        source, json_string_value(json_object_get(json, "message")));
+    g_string_append_printf(text, "%s %s %s", get_text(json, "time"), source,
+                           get_text(json, "message"));
     json_object_foreach((json_t *)json, name, value)
     {
         bool shown = json_is_string(value);
@@ -131,12 +136,6 @@
     return g_string_free(text, FALSE);
 }
 
-static const char *
-intern_field(const json_t *json, const char *name)
-{
-    return g_intern_string(json_string_value(json_object_get(json, name)));
-}
-
 /* Whether "flow" is the one asked for: the same, or with that beginning. */
 static bool
 names_flow(const struct log_story *story, const char *flow)
@@ -163,17 +162,18 @@
     return false;
 }
 
-/* Where a line belongs; NULL when it does not matter. */
+/* Where a line belongs; NULL when it does not matter. "flow" is NULL for one
+ * that is about no flow. */
 static GPtrArray *
 choose_list(struct log_story *story, const struct story_line *line,
-            const char *message)
+            const char *flow, const char *message)
 {
     bool asked = story->query.target != NULL &&
                  g_strcmp0(line->target, story->query.target) == 0;
 
-    if (line->flow != NULL) {
+    if (flow != NULL) {
         story->placed += asked;
-        return names_flow(story, line->flow) ? story->named : NULL;
+        return names_flow(story, flow) ? story->named : NULL;
     }
     if (line->target != NULL) {
         return asked ? story->named : story->targets;
@@ -184,7 +184,8 @@
 static void
 add_object(struct log_story *story, const json_t *json, const char *source)
 {
-    const char *message = json_string_value(json_object_get(json, "message"));
+    const char *message = get_text(json, "message");
+    const char *flow = get_text(json, "flow");
     struct story_line *line = g_new0(struct story_line, 1);
     GPtrArray *list;
 
@@ -196,9 +197,9 @@
     line->number = story->lines;
     story->lines++;
     line->source = source;
-    line->flow = intern_field(json, "flow");
-    line->target = intern_field(json, "target");
-    list = choose_list(story, line, message);
+    line->of_flow = flow != NULL;
+    line->target = g_intern_string(get_text(json, "target"));
+    list = choose_list(story, line, flow, message);
     if (list == NULL) {
         g_free(line);
         return;
@@ -288,7 +289,7 @@
         g_ptr_array_add(chosen, line);
         first = line->at_us < first ? line->at_us : first;
         last = line->at_us > last ? line->at_us : last;
-        if (line->flow != NULL) {
+        if (line->of_flow) {
             g_hash_table_add(set, (gpointer)line->source);
             g_hash_table_add(set, (gpointer)line->target);
         }
--- a/src/daemon/api-call.c
+++ b/src/daemon/api-call.c
@@ -8,9 +8,9 @@
 #include "daemon/messages.h"
 #include "protocol/error-table.h"
 
-#define CONTROL_TIMEOUT_S 3
-#define STOP_FLUSH_MS 50
-#define RETRY_AFTER_S "2"
+#define CONTROL_TIMEOUT_S 3 /* of a question; the task answers at once */
+#define STOP_FLUSH_MS 50    /* for answers on their way out */
+#define RETRY_AFTER_S "2"   /* outages seldom end sooner */
 
 /* Ends the loop once the answers are on their way. */
 void
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -97,7 +97,6 @@
 bool control_config_open(struct control_task *task, struct status *st);
 void control_config_tick(struct control_task *task, uint64_t now);
 void control_config_close(struct control_task *task);
-
 void control_config_view_applied(struct control_task *task, uint64_t sequence);
 /* The data task was paused: answers with MSG_VIEW_FRESH once the
  * configuration was compared with a peer's or the store's. */
--- a/src/state/flow-times.h
+++ b/src/state/flow-times.h
@@ -11,7 +11,7 @@
  * hold the way to the caller and back. The number of sets is bounded; what is
  * beyond it shares one named "other". */
 
-#define FLOW_TIMES_MAX 64 /* sets */
+#define FLOW_TIMES_MAX 64 /* sets of 8.5 kB: half a megabyte at most */
 
 enum flow_phase {
     FLOW_PHASE_OPEN,   /* from the opening to the caller's next packet */
