--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -534,11 +534,11 @@
 static void
 change_config(struct soak *soak)
 {
-    unsigned route = random_below(&soak->random, CHECKER_ROUTES_MAX);
+    unsigned route = random_below(&soak->choices, CHECKER_ROUTES_MAX);
     int *service = &soak->services[route];
 
     if (*service == CHECKER_NO_SERVICE ||
-        random_below(&soak->random, 4) != 0) {
+        random_below(&soak->choices, 4) != 0) {
         *service = *service == 0 ? 1 : 0;
     }
     else {
--- a/tools/soak/router.c
+++ b/tools/soak/router.c
@@ -47,13 +47,13 @@
      const struct sockaddr_in *to, const uint8_t *data, size_t size)
 {
     double delay = 0;
-    int copies = random_unit(&soak->random) < harm->twice ? 2 : 1;
+    int copies = random_unit(&soak->harm) < harm->twice ? 2 : 1;
 
-    if (harm->cut || random_unit(&soak->random) < harm->lost) {
+    if (harm->cut || random_unit(&soak->harm) < harm->lost) {
         return;
     }
-    if (random_unit(&soak->random) < harm->late) {
-        delay = random_unit(&soak->random) * LATE_MS;
+    if (random_unit(&soak->harm) < harm->late) {
+        delay = random_unit(&soak->harm) * LATE_MS;
     }
     for (int i = 0; i < copies; i++) {
         delay_line_send(soak->delays, fd, to, data, size, delay);
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -26,7 +26,8 @@
 /* The longest fault of a plan, see plan.c, and what follows a target's death.
  * Rolls and releases that go on for longer stop there. */
 #define LAST_FAULT_MS 16000
-#define REAP_MS 20  /* between looks for ended processes: far below the grace \
+#define REAP_MS                                                               \
+    20              /* between looks for ended processes: far below the grace \
                      */
 #define POLL_MS 500 /* the routers of the users ask twice a second */
 #define SIZE_CHECK_MS 1000 /* memory grows over seconds */
@@ -553,7 +554,8 @@
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
-    random_seed(&soak.random, soak.plan->seed);
+    random_seed(&soak.choices, soak.plan->seed);
+    random_seed(&soak.harm, soak.plan->seed);
     list_init(&soak.later);
     list_init(&soak.orders);
     soak.lines = g_queue_new();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -154,7 +154,8 @@
 struct soak {
     struct soak_options options;
     struct event_base *base;
-    struct random random;
+    struct random choices; /* of the plan: the same in a replay */
+    struct random harm;    /* of datagrams */
     struct plan *plan;
     struct checker *checker;
     struct delay_line *delays;
