--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -1,7 +1,7 @@
 #include "soak.h"
 
 #include <arpa/inet.h>
-#include <assert.h>
+
 #include <errno.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -321,10 +321,8 @@
 schedule(struct soak *soak)
 {
     const struct plan *plan = soak->plan;
-    uint64_t last;
+    uint64_t last = plan->length_ms;
 
-    assert(plan != NULL);
-    last = plan->length_ms;
     for (guint i = 0; i < plan->faults->len; i++) {
         struct due_fault *due = g_new0(struct due_fault, 1);
 
@@ -523,6 +521,21 @@
     g_free(pattern);
 }
 
+static struct plan *
+make_plan(const struct soak_options *options)
+{
+    uint64_t length_ms = (uint64_t)(options->minutes * 60000);
+    struct plan *plan = options->replay == NULL
+                            ? plan_new(options->seed, length_ms)
+                            : plan_read(options->replay);
+
+    if (plan == NULL) {
+        fprintf(stderr, "soak: %s is no plan\n", options->replay);
+        exit(2);
+    }
+    return plan;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -545,14 +558,7 @@
         fprintf(stderr, "soak: bad arguments, see --help\n");
         return 2;
     }
-    soak.plan = soak.options.replay != NULL
-                    ? plan_read(soak.options.replay)
-                    : plan_new(soak.options.seed,
-                               (uint64_t)(soak.options.minutes * 60000));
-    if (soak.plan == NULL) {
-        fprintf(stderr, "soak: %s is no plan\n", soak.options.replay);
-        return 2;
-    }
+    soak.plan = make_plan(&soak.options);
     signal(SIGPIPE, SIG_IGN);
     random_seed(&soak.choices, soak.plan->seed);
     random_seed(&soak.harm, soak.plan->seed);
