--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -318,9 +318,8 @@
 }
 
 static void
-schedule(struct soak *soak)
+schedule(struct soak *soak, const struct plan *plan)
 {
-    const struct plan *plan = soak->plan;
     uint64_t last = plan->length_ms;
 
     for (guint i = 0; i < plan->faults->len; i++) {
@@ -449,7 +448,7 @@
 }
 
 static void
-run(struct soak *soak)
+run(struct soak *soak, const struct plan *plan)
 {
     struct event *reap = open_timer(soak, REAP_MS, on_reap);
     struct event *poll = open_timer(soak, POLL_MS, on_poll);
@@ -462,7 +461,7 @@
     event_add(term, NULL);
     router_open(soak);
     fleet_start(soak);
-    schedule(soak);
+    schedule(soak, plan);
     event_base_dispatch(soak->base);
     children_end(soak);
     drop_later(soak);
@@ -521,23 +520,19 @@
     g_free(pattern);
 }
 
+/* Returns NULL when the file to replay is no plan. */
 static struct plan *
 make_plan(const struct soak_options *options)
 {
-    uint64_t length_ms = (uint64_t)(options->minutes * 60000);
-    struct plan *plan = options->replay == NULL
-                            ? plan_new(options->seed, length_ms)
-                            : plan_read(options->replay);
-
-    if (plan == NULL) {
-        fprintf(stderr, "soak: %s is no plan\n", options->replay);
-        exit(2);
+    if (options->replay != NULL) {
+        return plan_read(options->replay);
     }
-    return plan;
+    return plan_new(options->seed, (uint64_t)(options->minutes * 60000));
 }
 
-int
-main(int argc, char **argv)
+/* The plan stays the caller's. */
+static void
+soak_init(struct soak *soak, const struct plan *plan)
 {
     static const struct checker_bounds bounds = {.change_ms = CHANGE_MS,
                                                  .drain_ms = DRAIN_MS,
@@ -546,11 +541,42 @@
                                                  .downgrade_ms = DOWNGRADE_MS,
                                                  .flow_max_ms =
                                                      FLOW_MAX_S * 1000};
+
+    soak->plan = plan;
+    random_seed(&soak->choices, plan->seed);
+    random_seed(&soak->harm, plan->seed);
+    list_init(&soak->later);
+    list_init(&soak->orders);
+    soak->lines = g_queue_new();
+    soak->children = g_ptr_array_new();
+    soak->targets = g_ptr_array_new_with_free_func(g_free);
+    soak->base = event_base_new();
+    soak->delays = delay_line_new(soak->base);
+    soak->checker = checker_new(&bounds, on_broken, soak);
+    soak->started_ms = soak_now_ms();
+    open_work(soak);
+}
+
+static void
+soak_fini(struct soak *soak)
+{
+    delay_line_destroy(soak->delays);
+    event_base_free(soak->base);
+    g_ptr_array_free(soak->children, TRUE);
+    g_ptr_array_free(soak->targets, TRUE);
+    g_queue_free_full(soak->lines, g_free);
+    checker_destroy(soak->checker);
+}
+
+int
+main(int argc, char **argv)
+{
     static struct soak soak = {.options = {.seed = 1,
                                            .minutes = 1,
                                            .size = "small",
                                            .build = "build",
                                            .net = 90}};
+    struct plan *plan;
     int result;
 
     if (!read_options(argc, argv, &soak.options) ||
@@ -558,31 +584,19 @@
         fprintf(stderr, "soak: bad arguments, see --help\n");
         return 2;
     }
-    soak.plan = make_plan(&soak.options);
+    plan = make_plan(&soak.options);
+    if (plan == NULL) {
+        fprintf(stderr, "soak: %s is no plan\n", soak.options.replay);
+        return 2;
+    }
     signal(SIGPIPE, SIG_IGN);
-    random_seed(&soak.choices, soak.plan->seed);
-    random_seed(&soak.harm, soak.plan->seed);
-    list_init(&soak.later);
-    list_init(&soak.orders);
-    soak.lines = g_queue_new();
-    soak.children = g_ptr_array_new();
-    soak.targets = g_ptr_array_new_with_free_func(g_free);
-    soak.base = event_base_new();
-    soak.delays = delay_line_new(soak.base);
-    soak.checker = checker_new(&bounds, on_broken, &soak);
-    soak.started_ms = soak_now_ms();
-    open_work(&soak);
-    run(&soak);
+    soak_init(&soak, plan);
+    run(&soak, plan);
     result = report(&soak);
     if (result == EXIT_SUCCESS && soak.options.keep == NULL) {
         remove_work(&soak);
     }
-    delay_line_destroy(soak.delays);
-    event_base_free(soak.base);
-    g_ptr_array_free(soak.children, TRUE);
-    g_ptr_array_free(soak.targets, TRUE);
-    g_queue_free_full(soak.lines, g_free);
-    checker_destroy(soak.checker);
-    plan_destroy(soak.plan);
+    soak_fini(&soak);
+    plan_destroy(plan);
     return result;
 }
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -156,7 +156,7 @@
     struct event_base *base;
     struct random choices; /* of the plan: the same in a replay */
     struct random harm;    /* of datagrams */
-    struct plan *plan;
+    const struct plan *plan;
     struct checker *checker;
     struct delay_line *delays;
     uint64_t started_ms;
