forward: a target that answers anybody does not become silent

Cause: forwarders report misses of a target to each other, but not the answers that they see. The watcher itself stood still for 281 ms and counted its own delay against three targets.

Ruled out: a dead or slow target (it answered others all the time), and the kernel's queue here (repeats came 199 to 201 ms after the packets).

Change: an answer refutes the misses of packets that were sent no later, at the host and by report at its peers; a target becomes silent 100 ms after its third miss, the time in which such a report arrives. A new request shows an answer that may be old, so it refutes only what was sent before its last request. Misses of packets that this host may have delayed itself, by a late loop or a busy link, do not count (coordination/own-delay).

test_sequences: checks as before, 100 ms later, and that no target becomes silent before; the cases with a peer's answer fail without it.

--- a/src/coordination/passive-health.c
+++ b/src/coordination/passive-health.c
@@ -44,15 +44,44 @@
     obs->load_at = now;
 }
 
+/* Forgets the misses if the packet that was answered was sent no earlier than
+ * the first unanswered one. Returns whether there were any. */
+static bool
+refute_misses(struct target_observations *obs, uint64_t sent_at)
+{
+    bool refuted = obs->misses > 0 && sent_at >= obs->first_miss_sent_at;
+
+    if (sent_at > obs->alive_at) {
+        obs->alive_at = sent_at;
+    }
+    if (refuted) {
+        obs->misses = 0;
+        obs->unreported_misses = 0;
+        obs->avoid_until = 0;
+        obs->silent = false;
+        obs->silence_due_at = 0;
+    }
+    return refuted;
+}
+
 void
-passive_health_on_answer(struct target_observations *obs, uint64_t now)
+passive_health_on_answer(struct target_observations *obs, uint64_t sent_at)
 {
-    obs->misses = 0;
-    obs->unreported_misses = 0;
-    obs->avoid_until = 0;
-    obs->silent = false;
+    if (refute_misses(obs, sent_at)) {
+        obs->unreported_answer = true;
+    }
     obs->opening_sent_at = 0;
-    obs->answered_at = now;
+}
+
+void
+passive_health_on_peer_answer(struct target_observations *obs,
+                              uint64_t sent_at)
+{
+    if (sent_at >= obs->alive_at) {
+        /* The peers have this report already. */
+        obs->unreported_answer = false;
+    }
+    refute_misses(obs, sent_at);
 }
 
 void
@@ -92,7 +121,7 @@
     return (double)waited > limit && waited < SUSPECT_END_US;
 }
 
-static bool
+static void
 add_misses(struct target_observations *obs, unsigned misses, uint64_t sent_at,
            uint64_t now)
 {
@@ -112,33 +141,46 @@
         steps = steps > AVOID_STEPS_MAX ? AVOID_STEPS_MAX : steps;
         obs->avoid_until = now + steps * AVOID_STEP_US;
     }
-    if (obs->silent || obs->misses < PASSIVE_HEALTH_SILENT_MISSES) {
-        return false;
+    if (!obs->silent && obs->silence_due_at == 0 &&
+        obs->misses >= PASSIVE_HEALTH_SILENT_MISSES) {
+        obs->silence_due_at = now + PASSIVE_HEALTH_CONFIRM_US;
     }
-    obs->silent = true;
-    return true;
 }
 
 bool
 passive_health_on_miss(struct target_observations *obs, uint64_t sent_at,
                        uint64_t arrived, uint64_t now)
 {
-    if (obs->answered_at > sent_at ||
+    if (obs->alive_at > sent_at ||
         arrived < sent_at + PASSIVE_HEALTH_MISS_MIN_US) {
         return false;
     }
     obs->unreported_misses++;
-    return add_misses(obs, 1, sent_at, now);
+    add_misses(obs, 1, sent_at, now);
+    return true;
 }
 
 bool
 passive_health_on_peer_misses(struct target_observations *obs, unsigned misses,
                               uint64_t sent_at, uint64_t now)
 {
-    if (obs->answered_at > sent_at) {
+    if (obs->alive_at > sent_at) {
+        obs->unreported_answer = true;
+        return false;
+    }
+    add_misses(obs, misses, sent_at, now);
+    return true;
+}
+
+bool
+passive_health_confirm_silence(struct target_observations *obs, uint64_t now)
+{
+    if (obs->silence_due_at == 0 || now < obs->silence_due_at) {
         return false;
     }
-    return add_misses(obs, misses, sent_at, now);
+    obs->silence_due_at = 0;
+    obs->silent = true;
+    return true;
 }
 
 bool
--- a/src/coordination/passive-health.h
+++ b/src/coordination/passive-health.h
@@ -9,13 +9,19 @@
  * answers do not pass through this balancer: a caller that continues shows
  * that the target has answered, and a caller that sends the same data again
  * shows a miss. A single forwarder may see too little of a target, so misses
- * that other forwarders report count too, unless this forwarder has seen an
- * answer since the first of the unanswered packets was sent. */
+ * that other forwarders report count too. An answer to a packet that was sent
+ * no earlier than the first unanswered one refutes the misses; forwarders
+ * notify each other of such answers too, so a target that answers anybody does
+ * not become silent. */
 
 /* A target counts as silent, that is dead, frozen or cut off, after this many
  * misses without an answer in between. A target that is only slow still
  * answers some requests, and one or two misses may be lost datagrams. */
 #define PASSIVE_HEALTH_SILENT_MISSES 3
+/* Time after the last of these misses in which an answer that another
+ * forwarder has seen still prevents it. A report takes a batch of
+ * view_task_report() and a few milliseconds to arrive. */
+#define PASSIVE_HEALTH_CONFIRM_US 100000ULL
 
 /* A copy of a packet counts as a miss only when it arrives at least this long
  * after the packet was forwarded. Callers send again after 200 ms; a copy that
@@ -38,21 +44,33 @@
  * not visible here, and retry immediately. */
 bool passive_health_is_suspect(const struct target_observations *obs,
                                uint64_t now);
-/* A caller has received an answer from the target. */
-void passive_health_on_answer(struct target_observations *obs, uint64_t now);
+/* A caller has received the answer to a packet that was sent at "sent_at".
+ * When the caller shows that later than it could have, "sent_at" is all that
+ * is known about when the target was alive. */
+void passive_health_on_answer(struct target_observations *obs,
+                              uint64_t sent_at);
+/* Another forwarder has seen the answer to a packet that was sent at "sent_at"
+ * on the clock of this host. */
+void passive_health_on_peer_answer(struct target_observations *obs,
+                                   uint64_t sent_at);
 /* The caller of a packet that was forwarded at "sent_at" sent it again. The
  * copy arrived at "arrived", which may be well before "now" because it has
- * waited in this process. Returns true when the target counts as silent from
- * this miss on, and did not before. */
+ * waited in this process. Returns true when this counts as a miss. */
 bool passive_health_on_miss(struct target_observations *obs, uint64_t sent_at,
                             uint64_t arrived, uint64_t now);
 /* Another forwarder reported "misses" further misses since its last report.
  * The first packet without an answer, which an earlier report may have
- * counted, was sent at "sent_at" on the clock of this host. Returns true in
- * the same case as passive_health_on_miss(). */
+ * counted, was sent at "sent_at" on the clock of this host. Returns false, and
+ * counts nothing, when an answer that was seen here refutes them; then the
+ * peers have to be notified of it ("unreported_answer"). */
 bool passive_health_on_peer_misses(struct target_observations *obs,
                                    unsigned misses, uint64_t sent_at,
                                    uint64_t now);
+/* Whether the target has become silent: its misses are enough, and
+ * PASSIVE_HEALTH_CONFIRM_US has passed without an answer that refutes them.
+ * Returns true once for each time that it becomes silent. */
+bool passive_health_confirm_silence(struct target_observations *obs,
+                                    uint64_t now);
 /* Whether new flows should go to other targets if there are any: for some time
  * after repeated misses, and for some time after a trial flow, which
  * passive_health_on_trial() records. */
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -25,12 +25,15 @@
  * the order in which balancers watch the store: 0 is first. */
 #define VIEW_POSITION_END 65536U
 
-/* Observation of a target that does not answer the sender's callers. */
+/* Observation of a target that does not answer the sender's callers, or of an
+ * answer that contradicts such observations. */
 struct observation_record {
     uint32_t cookie; /* forward_cookie() of the target's id */
-    uint32_t misses; /* unanswered requests since the last report */
+    /* Unanswered requests since the last report; 0: the target answered. */
+    uint32_t misses;
     /* Time since the first request without an answer was sent, which may be
-     * older than the last report */
+     * older than the last report; or time since the target is known to have
+     * been alive. */
     uint64_t sent_age_us;
 };
 
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -25,7 +25,8 @@
     /* The view has changed, or the store has confirmed it. */
     void (*changed)(void *ctx);
     /* A peer has reported that the target with this cookie did not answer
-     * "misses" requests; the first unanswered one was sent at "sent_at". */
+     * "misses" requests; the first unanswered one was sent at "sent_at". No
+     * misses: the target was alive at "sent_at". */
     void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
                      uint64_t sent_at);
     void *ctx;
--- a/src/daemon/forward-settings.h
+++ b/src/daemon/forward-settings.h
@@ -20,6 +20,7 @@
     /* Gossip address that is announced to peers. */
     struct endpoint gossip_public;
     struct endpoint store; /* the platform's store */
+    double link_mbps;      /* rate of this host's link, Mbit/s; 0: unknown */
     size_t seed_count;
     struct endpoint seeds[FORWARD_SEEDS_MAX]; /* gossip addresses of peers */
     uint64_t change_bound_us; /* maximum time until a change of the
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "coordination/flow-placement.h"
+#include "coordination/own-delay.h"
 #include "coordination/passive-health.h"
 #include "daemon/forward-log.h"
 #include "state/flow-times.h"
@@ -51,6 +52,7 @@
 struct forward_task {
     const struct flow_packet_format *format;
     struct forward_view *view;
+    struct own_delay *own_delay; /* not owned */
     struct forward_callbacks cb;
     const char *domain;   /* this failure domain, interned */
     uint64_t flow_max_us; /* maximum lifetime of a flow */
@@ -60,6 +62,9 @@
     uint16_t return_port; /* port at which callers receive resets */
     struct udp_socket *socket;
     struct event *expire; /* once a second: removes idle flows */
+    /* Confirms the silence of the targets in "doubted". */
+    struct event *confirm;
+    GArray *doubted; /* cookies of targets whose silence is due, uint32_t */
     struct recent_flows *flows;
     struct flow_times *times;
     struct list early; /* struct early_packet, oldest first */
@@ -155,6 +160,7 @@
     udp_socket_queue(task->socket, &to, target->record.tag, TARGET_TAG_SIZE,
                      in->data, in->size);
     task->counters.packets_forwarded++;
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_SEND, in->size, in->now);
 }
 
 static struct recent_flow_key
@@ -202,21 +208,70 @@
     }
 }
 
+/* Schedules the confirmation of a target's silence, if it is due. */
+static void
+doubt_target(struct forward_task *task, const struct forward_target *target)
+{
+    const struct timeval delay = {.tv_usec = PASSIVE_HEALTH_CONFIRM_US};
+
+    if (target->observations.silence_due_at == 0) {
+        return;
+    }
+    g_array_append_val(task->doubted, target->cookie);
+    if (!event_pending(task->confirm, EV_TIMEOUT, NULL)) {
+        event_add(task->confirm, &delay);
+    }
+}
+
+/* Resets the waiting flows of the targets that have become silent. Those that
+ * became due after the timer was started are checked again. */
+static void
+on_confirm(evutil_socket_t fd, short what, void *arg)
+{
+    struct forward_task *task = arg;
+    GArray *doubted = task->doubted;
+    uint64_t now = clock_monotonic_us();
+
+    task->doubted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    for (guint i = 0; i < doubted->len; i++) {
+        struct forward_target *target = forward_view_target(
+            task->view, g_array_index(doubted, uint32_t, i));
+
+        if (target == NULL) {
+            continue;
+        }
+        if (passive_health_confirm_silence(&target->observations, now)) {
+            reset_waiting_flows(task, target);
+        }
+        doubt_target(task, target);
+    }
+    g_array_free(doubted, TRUE);
+}
+
+/* Has the peers notified of what was observed here and not reported yet. */
+static void
+report(struct forward_task *task, struct forward_target *target)
+{
+    if (target->observations.unreported_misses > 0 ||
+        target->observations.unreported_answer) {
+        task->cb.target_observed(task->cb.ctx, target);
+    }
+}
+
 /* Records that a packet received at "arrived" retransmits one that was
- * forwarded to the target at "sent_at", so the target has not answered. Resets
- * the waiting flows of the target if it now counts as silent. */
+ * forwarded to the target at "sent_at", so the target has not answered. It
+ * shows nothing when this host may have delayed the packet itself. */
 static void
 note_miss(struct forward_task *task, struct forward_target *target,
           uint64_t sent_at, uint64_t arrived)
 {
-    bool silent = passive_health_on_miss(&target->observations, sent_at,
-                                         arrived, clock_monotonic_us());
-
-    if (target->observations.unreported_misses > 0) {
-        task->cb.target_missed(task->cb.ctx, target);
+    if (own_delay_covers(task->own_delay, sent_at, clock_monotonic_us())) {
+        return;
     }
-    if (silent) {
-        reset_waiting_flows(task, target);
+    if (passive_health_on_miss(&target->observations, sent_at, arrived,
+                               clock_monotonic_us())) {
+        report(task, target);
+        doubt_target(task, target);
     }
 }
 
@@ -226,10 +281,24 @@
 {
     struct forward_target *target = forward_view_target(task->view, cookie);
 
-    if (target != NULL &&
-        passive_health_on_peer_misses(&target->observations, misses, sent_at,
+    if (target == NULL) {
+        return;
+    }
+    if (passive_health_on_peer_misses(&target->observations, misses, sent_at,
                                       clock_monotonic_us())) {
-        reset_waiting_flows(task, target);
+        doubt_target(task, target);
+    }
+    report(task, target);
+}
+
+void
+forward_task_answer_reported(struct forward_task *task, uint32_t cookie,
+                             uint64_t sent_at)
+{
+    struct forward_target *target = forward_view_target(task->view, cookie);
+
+    if (target != NULL) {
+        passive_health_on_peer_answer(&target->observations, sent_at);
     }
 }
 
@@ -400,6 +469,16 @@
                       in->route->record.priority, phase, in->now - since);
 }
 
+/* Returns the latest time at which the target is known to have been alive when
+ * a caller shows that it has received something on a flow. A caller that sends
+ * no data does so at once. One that sends data may have received the answer to
+ * its last packet long before. */
+static uint64_t
+alive_time(const struct recent_flow *flow, const struct inbound_packet *in)
+{
+    return in->packet.length == 0 ? in->arrived : flow->sent_at;
+}
+
 static void
 note_answer(struct forward_task *task, struct recent_flow *flow,
             struct forward_target *target, const struct inbound_packet *in)
@@ -410,7 +489,8 @@
     flow->ack = in->packet.ack;
     flow->repeats = 0;
     flow->waiting = false;
-    passive_health_on_answer(&target->observations, in->now);
+    passive_health_on_answer(&target->observations, alive_time(flow, in));
+    report(task, target);
 }
 
 /* Handles the first packet after the opening packets of a flow, which shows
@@ -428,8 +508,8 @@
     note_answer(task, flow, target, in);
     if (opened_here) {
         record_time(task, in, target, FLOW_PHASE_OPEN, flow->sent_at);
-        passive_health_on_opening_answer(&target->observations,
-                                         in->now - flow->sent_at, in->now);
+        passive_health_on_opening_answer(
+            &target->observations, in->now - flow->sent_at, flow->sent_at);
         touch_caller(task, &in->packet, in->now)->open = true;
     }
 }
@@ -655,6 +735,7 @@
     uint64_t now = clock_monotonic_us();
 
     task->counters.received++;
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, size, now);
     if (forward_view_usable(task->view)) {
         handle_packet(task, data, size, now - queued_us, now);
     }
@@ -684,8 +765,10 @@
     task->times = flow_times_new();
     task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
     task->early_timeout = event_new(base, -1, 0, on_early_timeout, task);
+    task->confirm = event_new(base, -1, 0, on_confirm, task);
+    task->doubted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     if (task->flows == NULL || task->times == NULL || task->expire == NULL ||
-        task->early_timeout == NULL) {
+        task->early_timeout == NULL || task->confirm == NULL) {
         status_set(st, ERR_NO_MEMORY, "forward: out of memory");
         return false;
     }
@@ -700,8 +783,8 @@
 forward_task_new(struct event_base *base,
                  const struct forward_settings *settings,
                  const struct flow_packet_format *format,
-                 struct forward_view *view, const struct forward_callbacks *cb,
-                 struct status *st)
+                 struct forward_view *view, struct own_delay *own_delay,
+                 const struct forward_callbacks *cb, struct status *st)
 {
     struct forward_task *task = calloc(1, sizeof(*task));
 
@@ -712,6 +795,7 @@
     task->format = format;
     task->view = view;
     task->cb = *cb;
+    task->own_delay = own_delay;
     task->domain = g_intern_string(settings->domain);
     task->flow_max_us = settings->flow_max_us;
     task->change_bound_us = settings->change_bound_us;
@@ -743,6 +827,12 @@
     if (task->expire != NULL) {
         event_free(task->expire);
     }
+    if (task->confirm != NULL) {
+        event_free(task->confirm);
+    }
+    if (task->doubted != NULL) {
+        g_array_free(task->doubted, TRUE);
+    }
     recent_flows_destroy(task->flows);
     flow_times_destroy(task->times);
     free(task);
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include "base/status.h"
+#include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
 #include "protocol/flow-packet.h"
 #include "state/flow-times.h"
@@ -23,9 +24,10 @@
      * missing route in a view that is too old does not prove that the route
      * was removed. */
     uint64_t (*view_age_us)(void *ctx);
-    /* Called when requests to a target have gone unanswered (misses) that have
-     * not been reported to the peers yet. */
-    void (*target_missed)(void *ctx, struct forward_target *target);
+    /* Called when requests to a target have gone unanswered (misses), or an
+     * answer contradicts such misses, and the peers have not been notified
+     * yet. */
+    void (*target_observed)(void *ctx, struct forward_target *target);
     void *ctx;
 };
 
@@ -69,13 +71,15 @@
 const char *forward_drop_name(enum forward_drop drop);
 const char *forward_reset_name(enum forward_reset reset);
 
-/* Binds the UDP port and starts forwarding. "base", "format" and "view" remain
- * owned by the caller and must outlive the task; "cb" is copied. Returns NULL
+/* Binds the UDP port and starts forwarding. "base", "format", "view" and
+ * "own_delay" remain owned by the caller and must outlive the task; "cb" is
+ * copied. Returns NULL
  * with "st" set when the port cannot be bound or memory is short. */
 struct forward_task *forward_task_new(struct event_base *base,
                                       const struct forward_settings *settings,
                                       const struct flow_packet_format *format,
                                       struct forward_view *view,
+                                      struct own_delay *own_delay,
                                       const struct forward_callbacks *cb,
                                       struct status *st);
 /* Refuses the packets that still wait for the first view, closes the socket
@@ -87,6 +91,10 @@
  * clock. */
 void forward_task_misses_reported(struct forward_task *task, uint32_t cookie,
                                   unsigned misses, uint64_t sent_at);
+/* Records a peer's report that a target has answered a packet that was sent at
+ * "sent_at", or that it was alive then, on this host's monotonic clock. */
+void forward_task_answer_reported(struct forward_task *task, uint32_t cookie,
+                                  uint64_t sent_at);
 /* Handles the packets that were queued before the view became usable. */
 void forward_task_view_ready(struct forward_task *task);
 
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -14,6 +14,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/own-delay.h"
 #include "daemon/forward-metrics.h"
 #include "daemon/forward-task.h"
 #include "transport/http-server.h"
@@ -37,6 +38,7 @@
     struct timespec settings_mtime; /* modification time when last read */
     struct event_base *base;
     void *zmq_ctx;
+    struct own_delay own_delay;
     struct view_task *view;
     struct forward_task *forward;
     struct http_server *http;
@@ -89,11 +91,21 @@
 }
 
 static void
-on_target_missed(void *ctx, struct forward_target *target)
+on_answer_reported(void *ctx, uint32_t cookie, uint64_t sent_at)
 {
     struct forwarder *f = ctx;
 
-    view_task_report_misses(f->view, target);
+    if (f->forward != NULL) {
+        forward_task_answer_reported(f->forward, cookie, sent_at);
+    }
+}
+
+static void
+on_target_observed(void *ctx, struct forward_target *target)
+{
+    struct forwarder *f = ctx;
+
+    view_task_report_target(f->view, target);
 }
 
 static uint64_t
@@ -233,10 +245,14 @@
 {
     const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
                                          .view_age_us = on_view_age,
-                                         .target_missed = on_target_missed,
+                                         .target_observed = on_target_observed,
                                          .ctx = f};
     const struct view_task_callbacks view_cb = {
-        .changed = on_view_changed, .reported = on_misses_reported, .ctx = f};
+        .changed = on_view_changed,
+        .misses_reported = on_misses_reported,
+        .answer_reported = on_answer_reported,
+        .ctx = f,
+    };
     char address[ADDRESS_TEXT_SIZE];
     const struct http_server_options options = {
         .address = address,
@@ -247,13 +263,17 @@
     };
 
     address_format(f->settings.ready.addr, address);
-    f->view = view_task_new(f->zmq_ctx, f->base, &f->settings,
-                            &f->adapter->directory, &view_cb, st);
+    own_delay_init(&f->own_delay, f->settings.link_mbps, VIEW_TASK_TICK_US,
+                   clock_monotonic_us());
+    f->view =
+        view_task_new(f->zmq_ctx, f->base, &f->settings,
+                      &f->adapter->directory, &f->own_delay, &view_cb, st);
     if (f->view == NULL) {
         return false;
     }
-    f->forward = forward_task_new(f->base, &f->settings, f->adapter->format,
-                                  view_task_view(f->view), &cb, st);
+    f->forward =
+        forward_task_new(f->base, &f->settings, f->adapter->format,
+                         view_task_view(f->view), &f->own_delay, &cb, st);
     if (f->forward == NULL) {
         return false;
     }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -21,7 +21,6 @@
 #include "protocol/view-codec.h"
 #include "transport/gossip-endpoint.h"
 
-#define TICK_US MEMBERSHIP_TICK_US
 /* Minimum time by which the boot clock must advance further than the monotonic
  * clock between two ticks for the host to count as having been suspended. */
 #define SUSPENSION_MIN_US (200 * USEC_PER_MSEC)
@@ -52,9 +51,10 @@
 
     struct event_base *base;
     struct event *tick;
-    struct event *report;  /* sends the unreported misses to the peers */
-    GPtrArray *unreported; /* cookies of targets with unreported misses */
-    uint64_t last_tick;    /* us */
+    struct event *report;        /* sends the unreported misses to the peers */
+    GPtrArray *unreported;       /* cookies of targets to report about */
+    struct own_delay *own_delay; /* not owned */
+    uint64_t last_tick;          /* us */
     uint64_t boot_clock_lead_us; /* boot clock minus monotonic clock, us */
 
     struct random random;
@@ -101,6 +101,7 @@
         gossip_endpoint_send(task->gossip, peers[i]->addr, peers[i]->port,
                              data, size, now);
     }
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_SEND, size * count, now);
     free(data);
 }
 
@@ -126,6 +127,8 @@
 {
     struct view_task *task = ctx;
 
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, size,
+                          clock_monotonic_us());
     if (view_is_message(data, size)) {
         on_view_message(task, data, size);
         return;
@@ -193,7 +196,12 @@
 {
     struct view_task *task = ctx;
 
-    task->cb.reported(task->cb.ctx, cookie, misses, sent_at);
+    if (misses == 0) {
+        task->cb.answer_reported(task->cb.ctx, cookie, sent_at);
+    }
+    else {
+        task->cb.misses_reported(task->cb.ctx, cookie, misses, sent_at);
+    }
 }
 
 /* Returns the time until which a target whose entry was removed from the store
@@ -247,13 +255,18 @@
 decode_entries(struct view_task *task, struct view_delta *delta,
                const struct store_entry *entries, size_t count)
 {
+    size_t bytes = 0;
+
     for (size_t i = 0; i < count; i++) {
+        bytes += entries[i].value_len;
         if (!task->directory.add_entry(delta, &entries[i])) {
             LOG_WARN("ignoring entry %s at revision %" PRIu64
                      " in whole or in part: it cannot be decoded",
                      entries[i].key, entries[i].mod_revision);
         }
     }
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, bytes,
+                          clock_monotonic_us());
 }
 
 static void
@@ -364,7 +377,7 @@
     if (lead > task->boot_clock_lead_us + SUSPENSION_MIN_US) {
         on_paused(task, lead - task->boot_clock_lead_us);
     }
-    else if (gap > TICK_US + PAUSE_MIN_US) {
+    else if (gap > VIEW_TASK_TICK_US + PAUSE_MIN_US) {
         on_paused(task, gap);
     }
     task->boot_clock_lead_us = lead;
@@ -379,6 +392,7 @@
     bool watching = view_reader_is_watching(task->reader);
 
     check_pause(task, now);
+    own_delay_tick(task->own_delay, now);
     if (!task->leaving) {
         membership_tick(task->members, now);
     }
@@ -471,7 +485,30 @@
                                         STORE_OUTAGE_MARGIN_US);
 }
 
-/* Sends the peers the misses of targets since the last report. */
+/* Appends what was observed of a target since the last report, if anything. An
+ * answer is reported as no misses since the time at which the target was
+ * alive. */
+static void
+add_report(GArray *records, struct target_observations *obs, uint32_t cookie,
+           uint64_t now)
+{
+    struct observation_record record = {.cookie = cookie};
+
+    obs->report_scheduled = false;
+    if (obs->unreported_misses > 0) {
+        record.misses = obs->unreported_misses;
+        record.sent_age_us = now - obs->first_miss_sent_at;
+        g_array_append_val(records, record);
+    }
+    else if (obs->unreported_answer && now > obs->alive_at) {
+        record.sent_age_us = now - obs->alive_at;
+        g_array_append_val(records, record);
+    }
+    obs->unreported_misses = 0;
+    obs->unreported_answer = false;
+}
+
+/* Sends the peers what was observed of targets since the last report. */
 static void
 on_report(evutil_socket_t fd, short what, void *arg)
 {
@@ -486,15 +523,8 @@
         struct forward_target *target =
             forward_view_target(task->view, cookie);
 
-        if (target != NULL && target->observations.unreported_misses > 0) {
-            const struct observation_record record = {
-                .cookie = cookie,
-                .misses = target->observations.unreported_misses,
-                .sent_age_us = now - target->observations.first_miss_sent_at,
-            };
-
-            target->observations.unreported_misses = 0;
-            g_array_append_val(records, record);
+        if (target != NULL) {
+            add_report(records, &target->observations, cookie, now);
         }
     }
     g_ptr_array_set_size(task->unreported, 0);
@@ -549,10 +579,10 @@
 struct view_task *
 view_task_new(void *zmq_ctx, struct event_base *base,
               const struct forward_settings *settings,
-              const struct directory *directory,
+              const struct directory *directory, struct own_delay *own_delay,
               const struct view_task_callbacks *cb, struct status *st)
 {
-    const struct timeval interval = {.tv_usec = TICK_US};
+    const struct timeval interval = {.tv_usec = VIEW_TASK_TICK_US};
     struct view_task *task = calloc(1, sizeof(*task));
     uint64_t now = clock_monotonic_us();
 
@@ -562,6 +592,7 @@
     }
     task->settings = *settings;
     task->directory = *directory;
+    task->own_delay = own_delay;
     task->cb = *cb;
     task->base = base;
     task->last_tick = now;
@@ -638,11 +669,12 @@
 }
 
 void
-view_task_report_misses(struct view_task *task, struct forward_target *target)
+view_task_report_target(struct view_task *task, struct forward_target *target)
 {
     const struct timeval delay = {.tv_usec = REPORT_DELAY_US};
 
-    if (target->observations.unreported_misses == 1) {
+    if (!target->observations.report_scheduled) {
+        target->observations.report_scheduled = true;
         g_ptr_array_add(task->unreported, GUINT_TO_POINTER(target->cookie));
     }
     if (!event_pending(task->report, EV_TIMEOUT, NULL)) {
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -6,6 +6,8 @@
 #include <event2/event.h>
 
 #include "base/status.h"
+#include "coordination/membership.h"
+#include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
 #include "state/forward-view.h"
 #include "transport/store-client.h"
@@ -15,6 +17,9 @@
  * from the platform's store while this balancer is the one to read it. */
 struct view_task;
 
+/* Interval of the task's timer. */
+#define VIEW_TASK_TICK_US MEMBERSHIP_TICK_US
+
 /* How the configuration is stored in the platform's store. */
 struct directory {
     const struct store_dialect *dialect; /* API of the store */
@@ -31,18 +36,23 @@
     /* A peer has reported misses (unanswered requests) of a target. "sent_at"
      * is when the first of them was sent, in microseconds of this host's
      * monotonic clock. */
-    void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
-                     uint64_t sent_at);
+    void (*misses_reported)(void *ctx, uint32_t cookie, unsigned misses,
+                            uint64_t sent_at);
+    /* A peer has reported that a target has answered a packet that was sent
+     * then, on the same clock. */
+    void (*answer_reported)(void *ctx, uint32_t cookie, uint64_t sent_at);
     void *ctx;
 };
 
 /* Opens the gossip endpoint, begins to read the store and to join the peers.
- * "settings", "directory" and "cb" are copied; "zmq_ctx" and "base" remain
- * owned by the caller and must outlive the task. Returns NULL with "st" set on
- * failure, such as when a port cannot be bound or memory is short. */
+ * "settings", "directory" and "cb" are copied; "zmq_ctx", "base" and
+ * "own_delay" remain owned by the caller and must outlive the task. Returns
+ * NULL with "st" set on failure, such as when a port cannot be bound or memory
+ * is short. */
 struct view_task *view_task_new(void *zmq_ctx, struct event_base *base,
                                 const struct forward_settings *settings,
                                 const struct directory *directory,
+                                struct own_delay *own_delay,
                                 const struct view_task_callbacks *cb,
                                 struct status *st);
 /* Closes the connections and frees the task. Does nothing for NULL. */
@@ -59,10 +69,10 @@
 /* Requests changes from a peer, at a limited rate. To be called when a packet
  * names an unknown target, as the view may be outdated. */
 void view_task_refresh(struct view_task *task);
-/* Schedules a report of the unreported misses of a target, which is sent to
- * the peers after a short delay, together with those of other targets. To be
- * called for each miss. */
-void view_task_report_misses(struct view_task *task,
+/* Schedules a report of what was observed of a target and not reported yet. It
+ * is sent to the peers after a short delay, together with those on other
+ * targets. */
+void view_task_report_target(struct view_task *task,
                              struct forward_target *target);
 /* Begins the planned stop: announces it to the peers and stops reading the
  * store. */
--- a/src/state/target-observations.h
+++ b/src/state/target-observations.h
@@ -17,8 +17,12 @@
     uint64_t first_miss_sent_at;
     /* When the last miss counted in "misses" was detected. */
     uint64_t last_miss_at;
-    /* When the target last answered; 0: never. */
-    uint64_t answered_at;
+    /* Latest time at which a packet was sent that the target is known to have
+     * answered; 0: none. */
+    uint64_t alive_at;
+    /* When the target becomes silent unless an answer is seen before; 0: no
+     * such time is set. */
+    uint64_t silence_due_at;
     /* Time until which new flows avoid the target; 0: not avoided. */
     uint64_t avoid_until;
     /* When a new flow was last sent to the target although it was avoided. */
@@ -35,4 +39,9 @@
     uint32_t unreported_misses;
     /* Regarded as dead, hung or unreachable. */
     bool silent;
+    /* An answer contradicts misses that peers may count; they have not been
+     * notified of it yet. */
+    bool unreported_answer;
+    /* A report about the target to the peers is scheduled. */
+    bool report_scheduled;
 };
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -21,6 +21,7 @@
 #include "platform/packet-header.h"
 
 #define LOOPBACK_ADDR 0x7f000001U
+#define LINK_MBPS 10000 /* not a limit of what is measured */
 #define FORWARD_PORT 17172
 #define SINK_PORT 17173
 #define BURST_SIZE 32 /* packets in a burst */
@@ -62,7 +63,7 @@
 }
 
 static void
-ignore_missed_target(void *ctx, struct forward_target *target)
+ignore_observed_target(void *ctx, struct forward_target *target)
 {
 }
 
@@ -235,12 +236,13 @@
     const struct forward_callbacks cb = {
         .unknown_target = ignore_unknown_target,
         .view_age_us = zero_view_age,
-        .target_missed = ignore_missed_target};
+        .target_observed = ignore_observed_target};
     struct event_base *base = event_base_new();
     struct forward_view *view = make_view(targets, routes);
+    struct own_delay own_delay;
     struct status st;
     struct forward_task *task = forward_task_new(
-        base, &settings, &platform_packet_format, view, &cb, &st);
+        base, &settings, &platform_packet_format, view, &own_delay, &cb, &st);
     double spent = 0;
     uint32_t sent_count = 0;
 
@@ -248,6 +250,8 @@
         fprintf(stderr, "%s\n", st.message);
         exit(1);
     }
+    own_delay_init(&own_delay, LINK_MBPS, 100 * USEC_PER_MSEC,
+                   clock_monotonic_us());
     for (int i = 0; i < BURST_COUNT; i++) {
         double start;
 
