--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -80,7 +80,21 @@
 void
 view_reader_start(struct view_reader *reader)
 {
-    read_all(reader);
+    reader->reading = true;
+    reader->cb.read_snapshot(reader->cb.ctx);
+}
+
+void
+view_reader_on_snapshot(struct view_reader *reader,
+                        const struct view_delta *delta, uint64_t now)
+{
+    reader->reading = false;
+    if (delta == NULL) {
+        read_all(reader);
+        return;
+    }
+    reader->first_read_done = true;
+    view_sync_store_answered(reader->sync, delta, false, now);
 }
 
 /* Time in microseconds in which this balancer and each one that it can reach
--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -9,12 +9,16 @@
 #include "state/forward-view.h"
 
 /* Decides when this balancer reads the platform's store, and what it reads. At
- * the start it reads everything once; afterwards it keeps a watch on the store
+ * the start it reads the snapshot (coordination/view-snapshot.h), and
+ * everything if there is none; afterwards it keeps a watch on the store
  * while coordination/view-freshness.h says that it has to. */
 
 struct view_reader;
 
 struct view_reader_callbacks {
+    /* Starts to read the snapshot. The owner passes the result to
+     * view_reader_on_snapshot(). */
+    void (*read_snapshot)(void *ctx);
     /* Starts to read everything. With "stale" set, the store may answer with
      * data that is some seconds old. The owner passes the result to
      * view_reader_on_read(). */
@@ -47,6 +51,10 @@
 
 /* Starts the first read. */
 void view_reader_start(struct view_reader *reader);
+/* The read of the snapshot has ended at "now". "delta" contains it; NULL when
+ * there is none or it cannot be read. */
+void view_reader_on_snapshot(struct view_reader *reader,
+                             const struct view_delta *delta, uint64_t now);
 /* The read or the watch has ended at "now", in microseconds. "delta" contains
  * the answer; it is used only with VIEW_READER_ANSWERED. */
 void view_reader_on_read(struct view_reader *reader,
--- /dev/null
+++ b/src/coordination/view-snapshot.c
@@ -0,0 +1,131 @@
+#include "coordination/view-snapshot.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "protocol/view-codec.h"
+
+/* Minimum interval between two writes. Changes within it share a write. */
+#define WRITE_INTERVAL_US (2 * USEC_PER_SEC)
+/* Time after an answer of the store in which it counts as available: the wait
+ * of a watch for the longest bounds of the users, and the time of a call. */
+#define STORE_ANSWER_MAX_AGE_US (4 * USEC_PER_SEC)
+/* Time after a failed call until the next one. */
+#define RETRY_INTERVAL_US (2 * USEC_PER_SEC)
+
+void
+view_snapshot_init(struct view_snapshot *s)
+{
+    memset(s, 0, sizeof(*s));
+}
+
+void
+view_snapshot_on_store_answer(struct view_snapshot *s, uint64_t now)
+{
+    s->answered_at = now;
+}
+
+enum view_snapshot_call
+view_snapshot_due(struct view_snapshot *s, const struct forward_view *view,
+                  uint64_t now)
+{
+    uint64_t content = forward_view_content_revision(view);
+
+    if (s->calling || now < s->not_before || s->answered_at == 0 ||
+        now - s->answered_at > STORE_ANSWER_MAX_AGE_US ||
+        !forward_view_usable(view) || content <= s->content_revision) {
+        return VIEW_SNAPSHOT_NONE;
+    }
+    s->calling = true;
+    if (!s->key_known) {
+        return VIEW_SNAPSHOT_READ;
+    }
+    s->writing_content = content;
+    return VIEW_SNAPSHOT_WRITE;
+}
+
+void
+view_snapshot_on_write(struct view_snapshot *s,
+                       enum view_snapshot_result result, uint64_t key_revision,
+                       uint64_t now)
+{
+    s->calling = false;
+    if (result == VIEW_SNAPSHOT_WRITTEN) {
+        s->key_revision = key_revision;
+        s->content_revision = s->writing_content;
+        s->not_before = now + WRITE_INTERVAL_US;
+        return;
+    }
+    /* After a failure the write may still be done, so the key's revision is
+     * not known either. */
+    s->key_known = false;
+    if (result == VIEW_SNAPSHOT_FAILED) {
+        s->not_before = now + RETRY_INTERVAL_US;
+    }
+}
+
+void
+view_snapshot_on_read(struct view_snapshot *s, bool answered, uint64_t now)
+{
+    s->calling = false;
+    if (answered) {
+        s->key_known = true;
+        return;
+    }
+    s->not_before = now + RETRY_INTERVAL_US;
+}
+
+/* Returns the newest revision of the records in a delta. */
+static uint64_t
+newest_record(const struct view_delta *delta)
+{
+    uint64_t newest = delta->routes_revision;
+
+    for (guint i = 0; i < delta->targets->len; i++) {
+        const struct target_record *t =
+            &g_array_index(delta->targets, struct target_record, i);
+
+        newest = t->revision > newest ? t->revision : newest;
+    }
+    return newest;
+}
+
+void
+view_snapshot_on_seen(struct view_snapshot *s, uint64_t key_revision,
+                      const struct view_delta *delta)
+{
+    if (key_revision < s->key_revision) {
+        return;
+    }
+    s->key_revision = key_revision;
+    s->key_known = true;
+    s->content_revision = delta == NULL ? 0 : newest_record(delta);
+}
+
+uint8_t *
+view_snapshot_encode(const struct forward_view *view, uint64_t now,
+                     size_t *size)
+{
+    struct view_message m;
+    uint8_t *data;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = VIEW_DELTA;
+    view_delta_init(&m.delta);
+    forward_view_delta_since(view, 0, 0, now, &m.delta);
+    data = view_encode(&m, size);
+    view_delta_clear(&m.delta);
+    return data;
+}
+
+bool
+view_snapshot_decode(const uint8_t *data, size_t size,
+                     struct view_delta *delta)
+{
+    struct view_message m = {.delta = *delta};
+    bool valid = view_decode(&m, data, size);
+
+    *delta = m.delta;
+    return valid && m.kind == VIEW_DELTA && delta->targets_complete &&
+           delta->routes_complete;
+}
--- /dev/null
+++ b/src/coordination/view-snapshot.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/forward-view.h"
+
+/* The snapshot: a compact copy of the view in one key of the store, from which
+ * a balancer that starts gets its routes and targets with one small read. It
+ * answers the load of a start of the whole fleet: the operators' configuration
+ * takes up to some hundred kilobytes a balancer, which is the larger part of a
+ * second on a slow link, or on the store's link for some hundred balancers.
+ *
+ * The balancer that watches the store writes the snapshot after changes. A
+ * snapshot may be some seconds old, like the answer to a stale read; a
+ * balancer that starts from it gets the changes since then from its peers or
+ * from the first watch. Several writers need no agreement: each write is
+ * conditional on the last one that the writer knows. All times are monotonic,
+ * in microseconds. */
+
+struct view_snapshot {
+    uint64_t key_revision; /* revision of the key, 0: it does not exist */
+    bool key_known;        /* key_revision was read, not assumed */
+    /* The newest change that the snapshot in the store contains. */
+    uint64_t content_revision;
+    uint64_t writing_content; /* the same of the write in progress */
+    uint64_t answered_at;     /* last answer of the store; 0: none */
+    bool calling;             /* a read or write is in progress */
+    uint64_t not_before;      /* earliest next call */
+};
+
+enum view_snapshot_call {
+    VIEW_SNAPSHOT_NONE,
+    VIEW_SNAPSHOT_READ,  /* read the key, whose revision is not known */
+    VIEW_SNAPSHOT_WRITE, /* write if the key still has "key_revision" */
+};
+
+enum view_snapshot_result {
+    VIEW_SNAPSHOT_WRITTEN,
+    VIEW_SNAPSHOT_CONFLICT, /* the key has changed */
+    VIEW_SNAPSHOT_FAILED,   /* not written, or the outcome is unknown */
+};
+
+void view_snapshot_init(struct view_snapshot *s);
+/* The store has answered a watch or a read. Calls are due for a few seconds
+ * after that only: in an outage of the store none are added to those of the
+ * balancers that try to watch it. */
+void view_snapshot_on_store_answer(struct view_snapshot *s, uint64_t now);
+/* Returns the call that is due at a balancer that watches the store, and
+ * records it as in progress. */
+enum view_snapshot_call view_snapshot_due(struct view_snapshot *s,
+                                          const struct forward_view *view,
+                                          uint64_t now);
+/* The write has ended; "key_revision" is valid when it was written. */
+void view_snapshot_on_write(struct view_snapshot *s,
+                            enum view_snapshot_result result,
+                            uint64_t key_revision, uint64_t now);
+/* The read has ended. Without "answered" the store has failed; otherwise
+ * view_snapshot_on_seen() was called before, if the key exists. */
+void view_snapshot_on_read(struct view_snapshot *s, bool answered,
+                           uint64_t now);
+/* The key was seen in a read or a watch, at "key_revision"; "delta" is its
+ * content, NULL when it was removed or cannot be decoded. */
+void view_snapshot_on_seen(struct view_snapshot *s, uint64_t key_revision,
+                           const struct view_delta *delta);
+
+/* Encodes the view. Returns a buffer of *size bytes that the caller frees, or
+ * NULL when the view is too large for a snapshot. */
+uint8_t *view_snapshot_encode(const struct forward_view *view, uint64_t now,
+                              size_t *size);
+/* Decodes a snapshot. The caller initializes "delta" before and clears it
+ * afterwards, also on failure. Returns false when it is malformed. */
+bool view_snapshot_decode(const uint8_t *data, size_t size,
+                          struct view_delta *delta);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -28,12 +28,12 @@
 #define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
 #define EXPIRE_INTERVAL_S 1
 /* Maximum number of packets that wait for the first view, and maximum wait. A
- * view is normally received within tens of milliseconds after the start. If it
- * takes longer, neither store nor peer can be reached and the time of the
- * first view is unknown, so opening packets are reset at once from then on. A
- * caller retransmits after 200 ms. */
+ * view is normally received within tens of milliseconds after the start, from
+ * a peer within 300 ms. If it takes longer, neither store nor peer can be
+ * reached and the time of the first view is unknown, so opening packets are
+ * reset at once from then on. */
 #define EARLY_PACKETS_MAX 256
-#define EARLY_WAIT_MAX_US (150 * USEC_PER_MSEC)
+#define EARLY_WAIT_MAX_US (400 * USEC_PER_MSEC)
 
 /* Remaining time until the caller times out, by the number of the copy. A
  * caller abandons the attempt 1.4 s after the first opening packet; the copies
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -15,6 +15,7 @@
 #include "coordination/target-lapse.h"
 #include "coordination/view-freshness.h"
 #include "coordination/view-reader.h"
+#include "coordination/view-snapshot.h"
 #include "coordination/view-sync.h"
 #include "daemon/gossip-send.h"
 #include "protocol/gossip-codec.h"
@@ -44,6 +45,9 @@
  * with unknown targets. An answer takes some milliseconds. */
 #define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
 
+/* Key of the snapshot. No other system uses its prefix. */
+#define SNAPSHOT_KEY "pimentohaven/view"
+
 struct view_task {
     struct forward_settings settings;
     struct directory directory;
@@ -67,6 +71,7 @@
     struct view_sync *sync;
     struct store_client *store;
     struct view_reader *reader;
+    struct view_snapshot snapshot;
     bool stale_read_pending; /* the last read begun accepts an outdated
                               * answer */
     uint64_t next_refresh;   /* earliest next request to a peer, us */
@@ -230,11 +235,17 @@
     return names[target->presence];
 }
 
+/* Logs a change of a target, but not each target of the first view, whose
+ * number is logged when the view is ready. */
 static void
 on_target_changed(void *ctx, const struct forward_target *target)
 {
+    struct view_task *task = ctx;
     char revision[24];
 
+    if (forward_view_revision(task->view) == 0) {
+        return;
+    }
     snprintf(revision, sizeof(revision), "%" PRIu64, target->record.revision);
     log_fields(LOG_LEVEL_INFO, LOG_MODULE,
                LOG_FIELDS({"target", target->record.id},
@@ -249,6 +260,155 @@
     }
 }
 
+/* Decodes the snapshot if it is among the entries of an answer, and records
+ * that it was seen. Returns whether "delta" contains it. */
+static bool
+find_snapshot(struct view_task *task, const struct store_entry *entries,
+              size_t count, struct view_delta *delta)
+{
+    for (size_t i = 0; i < count; i++) {
+        const struct store_entry *e = &entries[i];
+        bool valid;
+
+        if (strcmp(e->key, SNAPSHOT_KEY) != 0) {
+            continue;
+        }
+        valid =
+            e->value != NULL && view_snapshot_decode((const uint8_t *)e->value,
+                                                     e->value_len, delta);
+        if (e->value != NULL && !valid) {
+            LOG_WARN("ignoring the snapshot of revision %" PRIu64
+                     ": it cannot be decoded",
+                     e->mod_revision);
+        }
+        view_snapshot_on_seen(&task->snapshot, e->mod_revision,
+                              valid ? delta : NULL);
+        return valid;
+    }
+    return false;
+}
+
+/* Records a snapshot that another balancer has written. */
+static void
+note_snapshot(struct view_task *task, const struct store_entry *entries,
+              size_t count)
+{
+    struct view_delta delta;
+
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(entries[i].key, SNAPSHOT_KEY) == 0 &&
+            entries[i].mod_revision == task->snapshot.key_revision) {
+            return;
+        }
+    }
+    view_delta_init(&delta);
+    find_snapshot(task, entries, count, &delta);
+    view_delta_clear(&delta);
+}
+
+static void
+on_snapshot_read(void *ctx, const struct status *st, uint64_t revision,
+                 const struct store_entry *entries, size_t count)
+{
+    struct view_task *task = ctx;
+    struct view_delta delta;
+    bool found;
+
+    view_delta_init(&delta);
+    found = find_snapshot(task, entries, count, &delta);
+    if (found) {
+        LOG_INFO("read the snapshot of revision %" PRIu64, delta.to);
+    }
+    else if (st->kind != ERR_NONE && st->kind != ERR_NOT_FOUND) {
+        LOG_WARN("%s", st->message);
+    }
+    view_reader_on_snapshot(task->reader, found ? &delta : NULL,
+                            clock_monotonic_us());
+    view_delta_clear(&delta);
+}
+
+static void
+read_snapshot(void *ctx)
+{
+    struct view_task *task = ctx;
+
+    store_client_range_stale(task->store, SNAPSHOT_KEY, false,
+                             on_snapshot_read, task);
+}
+
+/* Ends the read that finds out the revision of the snapshot's key. */
+static void
+on_snapshot_checked(void *ctx, const struct status *st, uint64_t revision,
+                    const struct store_entry *entries, size_t count)
+{
+    struct view_task *task = ctx;
+
+    note_snapshot(task, entries, count);
+    view_snapshot_on_read(&task->snapshot,
+                          st->kind == ERR_NONE || st->kind == ERR_NOT_FOUND,
+                          clock_monotonic_us());
+}
+
+static void
+on_snapshot_written(void *ctx, const struct status *st, uint64_t mod_revision)
+{
+    struct view_task *task = ctx;
+    enum view_snapshot_result result = VIEW_SNAPSHOT_FAILED;
+
+    if (st->kind == ERR_NONE) {
+        result = VIEW_SNAPSHOT_WRITTEN;
+        LOG_INFO("snapshot written at revision %" PRIu64
+                 " with changes up to %" PRIu64,
+                 mod_revision, task->snapshot.writing_content);
+    }
+    else if (st->kind == ERR_CONFLICT) {
+        result = VIEW_SNAPSHOT_CONFLICT;
+        LOG_INFO("snapshot not written: another balancer has written one");
+    }
+    else {
+        LOG_WARN("the snapshot may not have been written: %s", st->message);
+    }
+    view_snapshot_on_write(&task->snapshot, result, mod_revision,
+                           clock_monotonic_us());
+}
+
+static void
+write_snapshot(struct view_task *task, uint64_t now)
+{
+    size_t size;
+    uint8_t *data = view_snapshot_encode(task->view, now, &size);
+
+    if (data == NULL) {
+        LOG_WARN("no snapshot is written: the view is too large");
+        view_snapshot_on_write(&task->snapshot, VIEW_SNAPSHOT_FAILED, 0, now);
+        return;
+    }
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_SEND, size, now);
+    store_client_cas(task->store, SNAPSHOT_KEY, (const char *)data, size,
+                     task->snapshot.key_revision, on_snapshot_written, task);
+    free(data);
+}
+
+/* Keeps the snapshot up to date while this balancer watches the store. */
+static void
+update_snapshot(struct view_task *task, uint64_t now)
+{
+    if (task->leaving || !view_reader_is_watching(task->reader)) {
+        return;
+    }
+    switch (view_snapshot_due(&task->snapshot, task->view, now)) {
+    case VIEW_SNAPSHOT_READ:
+        store_client_range(task->store, SNAPSHOT_KEY, false,
+                           on_snapshot_checked, task);
+        break;
+    case VIEW_SNAPSHOT_WRITE:
+        write_snapshot(task, now);
+        break;
+    default:
+        break;
+    }
+}
+
 /* Decodes entries into a delta. An entry that cannot be decoded is logged and
  * does not affect the others. */
 static void
@@ -280,6 +440,8 @@
     if (st->kind == ERR_NONE) {
         LOG_INFO("read %zu entries at revision %" PRIu64 "%s", count, revision,
                  task->stale_read_pending ? ", possibly outdated" : "");
+        view_snapshot_on_store_answer(&task->snapshot, clock_monotonic_us());
+        note_snapshot(task, entries, count);
         decode_entries(task, &delta, entries, count);
         delta.to = revision;
         delta.targets_complete = true;
@@ -330,6 +492,8 @@
 
     view_delta_init(&delta);
     if (st->kind == ERR_NONE) {
+        view_snapshot_on_store_answer(&task->snapshot, clock_monotonic_us());
+        note_snapshot(task, entries, count);
         decode_entries(task, &delta, entries, count);
         /* 0 fits any view: since the watch began, deltas from peers may have
          * raised the revision of the view but never lowered it. */
@@ -399,6 +563,7 @@
     view_sync_tick(task->sync, now);
     forward_view_expire_lapsed(task->view, now);
     view_reader_tick(task->reader, now);
+    update_snapshot(task, now);
     gossip_endpoint_close_idle(task->gossip, now);
     if (!watching && view_reader_is_watching(task->reader)) {
         LOG_INFO("watching the store from revision %" PRIu64,
@@ -549,6 +714,7 @@
         .ctx = task,
     };
     const struct view_reader_callbacks reader_cb = {
+        .read_snapshot = read_snapshot,
         .read = read_store,
         .watch = watch_store,
         .stop_watch = stop_watch,
@@ -556,6 +722,7 @@
     };
 
     init_limits(task);
+    view_snapshot_init(&task->snapshot);
     task->view = forward_view_new(&view_cb);
     if (task->view != NULL) {
         task->sync = view_sync_new(task->view, task->members, &task->freshness,
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -595,9 +595,8 @@
         return NULL;
     }
     plain = malloc(*size);
-    if (plain != NULL &&
-        !inflate_bytes((const uint8_t *)packed->via.bin.ptr,
-                       packed->via.bin.size, plain, *size)) {
+    if (plain != NULL && !inflate_bytes((const uint8_t *)packed->via.bin.ptr,
+                                        packed->via.bin.size, plain, *size)) {
         free(plain);
         return NULL;
     }
@@ -631,7 +630,6 @@
     if (!view_is_message(data, size)) {
         return false;
     }
-    return data[1] == VIEW_FORMAT_COMPRESSED
-               ? decode_compressed(m, data, size)
-               : decode_plain(m, data, size);
+    return data[1] == VIEW_FORMAT_COMPRESSED ? decode_compressed(m, data, size)
+                                             : decode_plain(m, data, size);
 }
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -20,7 +20,8 @@
     size_t removed_target_count; /* length of "removed_targets" */
     /* Revision of the store up to which the view is complete. */
     uint64_t revision;
-    uint64_t routes_revision; /* of the current list of routes, 0: none */
+    uint64_t content_revision; /* of the newest change contained */
+    uint64_t routes_revision;  /* of the current list of routes, 0: none */
     /* Revisions of the current and former lists of routes relative to which a
      * delta can be computed, oldest first. */
     GArray *list_revisions;
@@ -113,6 +114,12 @@
     return view->revision;
 }
 
+uint64_t
+forward_view_content_revision(const struct forward_view *view)
+{
+    return view->content_revision;
+}
+
 uint64_t
 forward_view_routes_revision(const struct forward_view *view)
 {
@@ -306,12 +313,21 @@
     }
 }
 
+static void
+record_content(struct forward_view *view, uint64_t revision)
+{
+    if (revision > view->content_revision) {
+        view->content_revision = revision;
+    }
+}
+
 /* Makes "revision" that of the current list of routes and remembers it, so
  * that deltas relative to this list can be computed later. */
 static void
 record_list(struct forward_view *view, uint64_t revision)
 {
     view->routes_revision = revision;
+    record_content(view, revision);
     if (view->list_revisions->len == ROUTE_LISTS_MAX) {
         g_array_remove_index(view->list_revisions, 0);
     }
@@ -521,6 +537,7 @@
     target->seen_generation = view->generation;
     if (record->revision > target->record.revision) {
         set_target(view, target, record, now);
+        record_content(view, record->revision);
     }
 }
 
@@ -538,6 +555,7 @@
         if (target->seen_generation != view->generation &&
             !target->record.removed && target->record.revision <= revision) {
             on_entry_removed(view, target, revision, now);
+            record_content(view, revision);
         }
     }
 }
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -114,6 +114,9 @@
 /* Revision of the store up to which the view is complete; 0: the view is
  * empty. */
 uint64_t forward_view_revision(const struct forward_view *view);
+/* Revision of the newest change that the view contains; 0: none. Unlike
+ * forward_view_revision() it does not rise with changes of other keys. */
+uint64_t forward_view_content_revision(const struct forward_view *view);
 /* Revision of the list of routes; 0: none. */
 uint64_t forward_view_routes_revision(const struct forward_view *view);
 /* True when the view has at least one route and one target. */
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -468,6 +468,11 @@
         operation_retry(op, "no answer to a read");
         return;
     }
+    if (answer->status == HTTP_NOTFOUND) {
+        backoff_reset(&op->sc->backoff);
+        operation_fail(op, ERR_NOT_FOUND, "no such key");
+        return;
+    }
     if (answer->status != HTTP_OK) {
         operation_retry(op, "read refused");
         return;
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -30,7 +30,9 @@
 
 /* Result of a range read. On success "revision" is the revision of the store
  * that the entries show (see store_client_range_stale() for an exception); on
- * failure there are no entries and it is 0. */
+ * failure there are no entries and it is 0. ERR_NOT_FOUND means that a single
+ * key does not exist, with a dialect whose store says so by its HTTP
+ * status. */
 typedef void (*store_range_cb)(void *ctx, const struct status *st,
                                uint64_t revision,
                                const struct store_entry *entries,
--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -18,6 +18,7 @@
     "\"ready\":\"10.1.0.10:8167\",\"control\":\"10.1.0.10:8166\"},"
     "\"internalPorts\":[7720,7735],"
     "\"seeds\":[\"10.1.0.10:8166\",\"10.2.0.40:8166\"],"
+    "\"limits\":{\"linkMbps\":20.5},"
     "\"bounds\":{\"drainMs\":3000,\"graceS\":6,\"configApplyMs\":2500,"
     "\"maxFlowS\":60},\"platform\":{\"address\":\"10.200.1.7:8169\"}}";
 
@@ -75,6 +76,22 @@
     assert_int_equal(s.change_bound_us, 2500 * USEC_PER_MSEC);
     assert_int_equal(s.stop_timeout_us, 6 * USEC_PER_SEC);
     assert_int_equal(s.flow_max_us, 60 * USEC_PER_SEC);
+    assert_true(s.link_mbps > 20.4 && s.link_mbps < 20.6);
+}
+
+/* The rate of the link may be missing. */
+static void
+test_unknown_link(void **state)
+{
+    const char *limits = strstr(valid_text, "\"limits\"");
+    char text[sizeof(valid_text)];
+    struct forward_settings s;
+    struct status st;
+
+    snprintf(text, sizeof(text), "%.*s%s", (int)(limits - valid_text),
+             valid_text, strstr(limits, "\"bounds\""));
+    assert_true(load(text, &s, &st));
+    assert_true(s.link_mbps <= 0.0);
 }
 
 /* Each case replaces a part of the valid text. The settings are rejected with
@@ -101,6 +118,8 @@
          "configApplyMs"},
         {"\"graceS\":6", "\"graceS\":-6", "graceS"},
         {"\"maxFlowS\":60", "\"maxFlowS\":1e9", "maxFlowS"},
+        {"\"linkMbps\":20.5", "\"linkMbps\":\"fast\"", "linkMbps"},
+        {"\"linkMbps\":20.5", "\"linkMbps\":-1", "linkMbps"},
         {"{\"nodeName\"", "{\"nodeName", "line"},
     };
 
@@ -134,6 +153,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_valid_settings),
+        cmocka_unit_test(test_unknown_link),
         cmocka_unit_test(test_invalid_values),
         cmocka_unit_test(test_missing_file),
     };
