forward: end the open flows of dead and of replaced targets

Each host found out by itself, and told its neighbors only: 4,900 lines target_silent from 24.5 to 35 s. Flows between two requests were left open; the next request on them was lost, and an edit may not be repeated. 938 requests failed, 540 of them reads that were at their deadline.

Change: silence and its end are passed on by every host once. A target that is silent for 500 ms counts as dead, and one whose address a newer target has is gone for certain; their open flows are reset, also idle ones, and further packets of such flows too. A packet of a flow that was opened elsewhere, and an acknowledgement with a FIN, no longer count as signs of life.

--- a/src/coordination/passive-health.c
+++ b/src/coordination/passive-health.c
@@ -60,6 +60,7 @@
         obs->avoid_until = 0;
         obs->silent = false;
         obs->silence_due_at = 0;
+        obs->unreported_silence = false;
     }
     return refuted;
 }
@@ -70,18 +71,24 @@
     if (refute_misses(obs, sent_at)) {
         obs->unreported_answer = true;
     }
-    obs->opening_sent_at = 0;
+    if (sent_at >= obs->opening_sent_at) {
+        obs->opening_sent_at = 0;
+    }
 }
 
 void
 passive_health_on_peer_answer(struct target_observations *obs,
                               uint64_t sent_at)
 {
+    bool silent = obs->silent || obs->silence_due_at != 0;
+
     if (sent_at >= obs->alive_at) {
         /* The peers have this report already. */
         obs->unreported_answer = false;
     }
-    refute_misses(obs, sent_at);
+    if (refute_misses(obs, sent_at) && silent) {
+        obs->unreported_answer = true;
+    }
 }
 
 void
@@ -144,6 +151,7 @@
     if (!obs->silent && obs->silence_due_at == 0 &&
         obs->misses >= PASSIVE_HEALTH_SILENT_MISSES) {
         obs->silence_due_at = now + PASSIVE_HEALTH_CONFIRM_US;
+        obs->unreported_silence = true;
     }
 }
 
@@ -172,6 +180,26 @@
     return true;
 }
 
+bool
+passive_health_on_peer_silence(struct target_observations *obs,
+                               uint64_t sent_at, uint64_t now)
+{
+    if (obs->alive_at > sent_at) {
+        obs->unreported_answer = true;
+        return false;
+    }
+    if (obs->silent || obs->silence_due_at != 0) {
+        return true;
+    }
+    add_misses(obs,
+               obs->misses < PASSIVE_HEALTH_SILENT_MISSES
+                   ? PASSIVE_HEALTH_SILENT_MISSES - obs->misses
+                   : 0,
+               sent_at, now);
+    obs->unreported_silence = true;
+    return true;
+}
+
 bool
 passive_health_confirm_silence(struct target_observations *obs, uint64_t now)
 {
@@ -180,9 +208,16 @@
     }
     obs->silence_due_at = 0;
     obs->silent = true;
+    obs->silent_at = now;
     return true;
 }
 
+bool
+passive_health_is_dead(const struct target_observations *obs, uint64_t now)
+{
+    return obs->silent && now >= obs->silent_at + PASSIVE_HEALTH_DEAD_US;
+}
+
 bool
 passive_health_should_avoid(const struct target_observations *obs,
                             uint64_t now)
--- a/src/coordination/passive-health.h
+++ b/src/coordination/passive-health.h
@@ -22,6 +22,11 @@
  * forwarder has seen still prevents it. A report takes a batch of
  * view_task_report() and a few milliseconds to arrive. */
 #define PASSIVE_HEALTH_CONFIRM_US 100000ULL
+/* A silent target counts as dead after this time in which no forwarder has
+ * seen an answer. Open flows to it are then of no use to their callers, also
+ * those that wait for nothing: a request on one of them would be lost, and one
+ * that may not be repeated would fail. */
+#define PASSIVE_HEALTH_DEAD_US 500000ULL
 
 /* A copy of a packet counts as a miss only when it arrives at least this long
  * after the packet was forwarded. Callers send again after 200 ms; a copy that
@@ -66,11 +71,21 @@
 bool passive_health_on_peer_misses(struct target_observations *obs,
                                    unsigned misses, uint64_t sent_at,
                                    uint64_t now);
+/* Another forwarder regards the target as silent; the first packet without an
+ * answer was sent at "sent_at" on the clock of this host. Returns false in the
+ * same case as passive_health_on_peer_misses(). Each forwarder passes this on
+ * once, so it reaches all: one forwarder of a large fleet sees a target too
+ * seldom to find out by itself. */
+bool passive_health_on_peer_silence(struct target_observations *obs,
+                                    uint64_t sent_at, uint64_t now);
 /* Whether the target has become silent: its misses are enough, and
  * PASSIVE_HEALTH_CONFIRM_US has passed without an answer that refutes them.
  * Returns true once for each time that it becomes silent. */
 bool passive_health_confirm_silence(struct target_observations *obs,
                                     uint64_t now);
+/* Whether the target has been silent for PASSIVE_HEALTH_DEAD_US. */
+bool passive_health_is_dead(const struct target_observations *obs,
+                            uint64_t now);
 /* Whether new flows should go to other targets if there are any: for some time
  * after repeated misses, and for some time after a trial flow, which
  * passive_health_on_trial() records. */
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -25,11 +25,14 @@
  * the order in which balancers watch the store: 0 is first. */
 #define VIEW_POSITION_END 65536U
 
+#define OBSERVATION_SILENT 255U
+
 /* Observation of a target that does not answer the sender's callers, or of an
  * answer that contradicts such observations. */
 struct observation_record {
     uint32_t cookie; /* forward_cookie() of the target's id */
-    /* Unanswered requests since the last report; 0: the target answered. */
+    /* Unanswered requests since the last report; 0: the target answered;
+     * OBSERVATION_SILENT: the sender regards it as silent. */
     uint32_t misses;
     /* Time since the first request without an answer was sent, which may be
      * older than the last report; or time since the target is known to have
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -492,8 +492,8 @@
     }
 }
 
-/* Observations of a peer are not relayed: each balancer sends its own to all
- * of its peers. */
+/* Observations of a peer are not relayed here: each balancer sends its own to
+ * all of its peers, among them that it now regards a target as silent. */
 static void
 on_observations(struct view_sync *vs, const struct view_message *m,
                 uint64_t now)
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -26,7 +26,8 @@
     void (*changed)(void *ctx);
     /* A peer has reported that the target with this cookie did not answer
      * "misses" requests; the first unanswered one was sent at "sent_at". No
-     * misses: the target was alive at "sent_at". */
+     * misses: the target was alive at "sent_at"; OBSERVATION_SILENT: the peer
+     * regards it as silent. */
     void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
                      uint64_t sent_at);
     void *ctx;
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -12,6 +12,7 @@
 #include "coordination/flow-placement.h"
 #include "coordination/own-delay.h"
 #include "coordination/passive-health.h"
+#include "coordination/view-message.h"
 #include "daemon/forward-log.h"
 #include "state/flow-times.h"
 #include "state/recent-flows.h"
@@ -101,6 +102,7 @@
     [FORWARD_RESET_NO_TARGET] = "no_target",
     [FORWARD_RESET_NO_VIEW] = "no_view",
     [FORWARD_RESET_TARGET_SILENT] = "target_silent",
+    [FORWARD_RESET_TARGET_REPLACED] = "target_replaced",
 };
 
 const char *
@@ -174,10 +176,11 @@
     };
 }
 
-/* Resets an open flow whose target is considered silent, so that the caller
- * can try another target. */
+/* Resets an open flow whose target does not answer, so that the caller can try
+ * another target. */
 static void
-reset_flow(struct forward_task *task, struct recent_flow *flow)
+reset_flow(struct forward_task *task, struct recent_flow *flow,
+           enum forward_reset why)
 {
     const struct flow_packet packet = {
         .src_addr = flow->key.caller_addr,
@@ -188,7 +191,28 @@
     };
 
     flow->waiting = false;
-    reset(task, &packet, FORWARD_RESET_TARGET_SILENT);
+    reset(task, &packet, why);
+}
+
+/* Resets all open flows of a target that is known here. */
+static void
+reset_open_flows(struct forward_task *task,
+                 const struct forward_target *target, enum forward_reset why)
+{
+    for (struct recent_flow *flow = recent_flows_first(task->flows);
+         flow != NULL; flow = recent_flows_next(task->flows, flow)) {
+        if (flow->cookie == target->cookie && flow->open &&
+            (flow->waiting || !flow->closing)) {
+            reset_flow(task, flow, why);
+        }
+    }
+}
+
+void
+forward_task_target_replaced(struct forward_task *task,
+                             const struct forward_target *target)
+{
+    reset_open_flows(task, target, FORWARD_RESET_TARGET_REPLACED);
 }
 
 /* Logs that a target is silent, and resets its open flows that wait for an
@@ -203,49 +227,80 @@
          flow != NULL; flow = recent_flows_next(task->flows, flow)) {
         if (flow->cookie == target->cookie && flow->open && flow->waiting &&
             flow->repeats > 0) {
-            reset_flow(task, flow);
+            reset_flow(task, flow, FORWARD_RESET_TARGET_SILENT);
         }
     }
 }
 
-/* Schedules the confirmation of a target's silence, if it is due. */
 static void
-doubt_target(struct forward_task *task, const struct forward_target *target)
+start_confirm_timer(struct forward_task *task)
 {
     const struct timeval delay = {.tv_usec = PASSIVE_HEALTH_CONFIRM_US};
 
-    if (target->observations.silence_due_at == 0) {
+    if (task->doubted->len > 0 &&
+        !event_pending(task->confirm, EV_TIMEOUT, NULL)) {
+        event_add(task->confirm, &delay);
+    }
+}
+
+/* Has a target whose silence is due checked at intervals until it is dead or
+ * an answer was seen. */
+static void
+doubt_target(struct forward_task *task, struct forward_target *target)
+{
+    if (target->observations.silence_due_at == 0 ||
+        target->observations.doubted) {
         return;
     }
+    target->observations.doubted = true;
     g_array_append_val(task->doubted, target->cookie);
-    if (!event_pending(task->confirm, EV_TIMEOUT, NULL)) {
-        event_add(task->confirm, &delay);
+    start_confirm_timer(task);
+}
+
+/* Resets the waiting flows of a target that has become silent, and all its
+ * open flows when it counts as dead. Returns whether it has to be checked
+ * again. */
+static bool
+check_doubted(struct forward_task *task, struct forward_target *target,
+              uint64_t now)
+{
+    if (passive_health_confirm_silence(&target->observations, now)) {
+        reset_waiting_flows(task, target);
+        return true;
+    }
+    if (passive_health_is_dead(&target->observations, now)) {
+        reset_open_flows(task, target, FORWARD_RESET_TARGET_SILENT);
+        return false;
     }
+    return target->observations.silent ||
+           target->observations.silence_due_at != 0;
 }
 
-/* Resets the waiting flows of the targets that have become silent. Those that
- * became due after the timer was started are checked again. */
 static void
 on_confirm(evutil_socket_t fd, short what, void *arg)
 {
     struct forward_task *task = arg;
-    GArray *doubted = task->doubted;
     uint64_t now = clock_monotonic_us();
+    guint kept = 0;
 
-    task->doubted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    for (guint i = 0; i < doubted->len; i++) {
-        struct forward_target *target = forward_view_target(
-            task->view, g_array_index(doubted, uint32_t, i));
+    for (guint i = 0; i < task->doubted->len; i++) {
+        uint32_t cookie = g_array_index(task->doubted, uint32_t, i);
+        struct forward_target *target =
+            forward_view_target(task->view, cookie);
 
         if (target == NULL) {
             continue;
         }
-        if (passive_health_confirm_silence(&target->observations, now)) {
-            reset_waiting_flows(task, target);
+        if (check_doubted(task, target, now)) {
+            g_array_index(task->doubted, uint32_t, kept) = cookie;
+            kept++;
+        }
+        else {
+            target->observations.doubted = false;
         }
-        doubt_target(task, target);
     }
-    g_array_free(doubted, TRUE);
+    g_array_set_size(task->doubted, kept);
+    start_confirm_timer(task);
 }
 
 /* Has the peers notified of what was observed here and not reported yet. */
@@ -253,6 +308,7 @@
 report(struct forward_task *task, struct forward_target *target)
 {
     if (target->observations.unreported_misses > 0 ||
+        target->observations.unreported_silence ||
         target->observations.unreported_answer) {
         task->cb.target_observed(task->cb.ctx, target);
     }
@@ -276,30 +332,27 @@
 }
 
 void
-forward_task_misses_reported(struct forward_task *task, uint32_t cookie,
-                             unsigned misses, uint64_t sent_at)
+forward_task_reported(struct forward_task *task, uint32_t cookie,
+                      unsigned misses, uint64_t sent_at)
 {
     struct forward_target *target = forward_view_target(task->view, cookie);
+    uint64_t now = clock_monotonic_us();
 
     if (target == NULL) {
         return;
     }
-    if (passive_health_on_peer_misses(&target->observations, misses, sent_at,
-                                      clock_monotonic_us())) {
-        doubt_target(task, target);
-    }
-    report(task, target);
-}
-
-void
-forward_task_answer_reported(struct forward_task *task, uint32_t cookie,
-                             uint64_t sent_at)
-{
-    struct forward_target *target = forward_view_target(task->view, cookie);
-
-    if (target != NULL) {
+    if (misses == 0) {
         passive_health_on_peer_answer(&target->observations, sent_at);
     }
+    else if (misses >= OBSERVATION_SILENT) {
+        passive_health_on_peer_silence(&target->observations, sent_at, now);
+    }
+    else {
+        passive_health_on_peer_misses(&target->observations, misses, sent_at,
+                                      now);
+    }
+    doubt_target(task, target);
+    report(task, target);
 }
 
 /* Records a miss of the target that received the previous copy of a
@@ -385,6 +438,7 @@
     if (in->packet.ack == 0) {
         task->counters.openings++;
         flow->open = false;
+        flow->closing = false;
         flow->cookie = 0;
         flow->tried_count = 0;
         flow->repeats = 0;
@@ -476,12 +530,17 @@
 static uint64_t
 alive_time(const struct recent_flow *flow, const struct inbound_packet *in)
 {
-    return in->packet.length == 0 ? in->arrived : flow->sent_at;
+    bool at_once =
+        in->packet.length == 0 && (in->packet.flags & FLOW_FIN) == 0;
+
+    return at_once ? in->arrived : flow->sent_at;
 }
 
+/* Updates a flow whose caller has received something from the target. */
 static void
-note_answer(struct forward_task *task, struct recent_flow *flow,
-            struct forward_target *target, const struct inbound_packet *in)
+note_progress(struct forward_task *task, struct recent_flow *flow,
+              const struct forward_target *target,
+              const struct inbound_packet *in)
 {
     if (flow->waiting) {
         record_time(task, in, target, FLOW_PHASE_ANSWER, flow->sent_at);
@@ -489,13 +548,21 @@
     flow->ack = in->packet.ack;
     flow->repeats = 0;
     flow->waiting = false;
+}
+
+static void
+note_answer(struct forward_task *task, struct recent_flow *flow,
+            struct forward_target *target, const struct inbound_packet *in)
+{
+    note_progress(task, flow, target, in);
     passive_health_on_answer(&target->observations, alive_time(flow, in));
     report(task, target);
 }
 
 /* Handles the first packet after the opening packets of a flow, which shows
- * that the target answered. Flows opened through another balancer are handled
- * too, but only a flow opened here updates the opening time. */
+ * that the target answered them. Flows opened through another balancer are
+ * handled too, but show nothing about the target: they may have been open for
+ * long. */
 static void
 note_opened(struct forward_task *task, struct recent_flow *flow,
             struct forward_target *target, const struct inbound_packet *in)
@@ -505,11 +572,12 @@
     flow->open = true;
     flow->cookie = target->cookie;
     flow->seq_end = in->packet.seq;
-    note_answer(task, flow, target, in);
+    note_progress(task, flow, target, in);
     if (opened_here) {
         record_time(task, in, target, FLOW_PHASE_OPEN, flow->sent_at);
         passive_health_on_opening_answer(
             &target->observations, in->now - flow->sent_at, flow->sent_at);
+        report(task, target);
         touch_caller(task, &in->packet, in->now)->open = true;
     }
 }
@@ -563,6 +631,9 @@
     else if ((int32_t)(packet->ack - flow->ack) > 0) {
         note_answer(task, flow, target, in);
     }
+    if ((packet->flags & FLOW_FIN) != 0) {
+        flow->closing = true;
+    }
     if (packet->length == 0) {
         return flow;
     }
@@ -591,6 +662,24 @@
     return !forward_route_had_service(route, target->record.service, since);
 }
 
+/* Ends the flow of a packet whose target is dead or replaced: no answer would
+ * come. Returns false when the target may be alive. */
+static bool
+ends_at_gone_target(struct forward_task *task, const struct inbound_packet *in,
+                    const struct forward_target *target)
+{
+    if (!target->replaced &&
+        !passive_health_is_dead(&target->observations, in->now)) {
+        return false;
+    }
+    if ((in->packet.flags & FLOW_RST) == 0) {
+        reset(task, &in->packet,
+              target->replaced ? FORWARD_RESET_TARGET_REPLACED
+                               : FORWARD_RESET_TARGET_SILENT);
+    }
+    return true;
+}
+
 static void
 handle_open_flow(struct forward_task *task, struct inbound_packet *in)
 {
@@ -623,9 +712,12 @@
         return;
     }
     in->route = route;
+    if (ends_at_gone_target(task, in, target)) {
+        return;
+    }
     flow = track_packet(task, in, target);
     if (target->observations.silent && flow->waiting && flow->repeats > 0) {
-        reset_flow(task, flow);
+        reset_flow(task, flow, FORWARD_RESET_TARGET_SILENT);
         return;
     }
     send_to_target(task, in, target);
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -50,6 +50,7 @@
     FORWARD_RESET_NO_TARGET,
     FORWARD_RESET_NO_VIEW, /* no view within the wait after the start */
     FORWARD_RESET_TARGET_SILENT,
+    FORWARD_RESET_TARGET_REPLACED, /* another target has its address now */
     FORWARD_RESET_COUNT,
 };
 
@@ -86,15 +87,14 @@
  * and frees the task. Does nothing for NULL. */
 void forward_task_destroy(struct forward_task *task);
 
-/* Records a peer's report of misses of a target. "sent_at" is when the first
- * unanswered request was sent, in microseconds of this host's monotonic
+/* Records a peer's report on a target, as described at struct
+ * observation_record. "sent_at" is in microseconds of this host's monotonic
  * clock. */
-void forward_task_misses_reported(struct forward_task *task, uint32_t cookie,
-                                  unsigned misses, uint64_t sent_at);
-/* Records a peer's report that a target has answered a packet that was sent at
- * "sent_at", or that it was alive then, on this host's monotonic clock. */
-void forward_task_answer_reported(struct forward_task *task, uint32_t cookie,
-                                  uint64_t sent_at);
+void forward_task_reported(struct forward_task *task, uint32_t cookie,
+                           unsigned misses, uint64_t sent_at);
+/* Ends the open flows of a target whose address has another target now. */
+void forward_task_target_replaced(struct forward_task *task,
+                                  const struct forward_target *target);
 /* Handles the packets that were queued before the view became usable. */
 void forward_task_view_ready(struct forward_task *task);
 
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -80,23 +80,22 @@
 }
 
 static void
-on_misses_reported(void *ctx, uint32_t cookie, unsigned misses,
-                   uint64_t sent_at)
+on_reported(void *ctx, uint32_t cookie, unsigned misses, uint64_t sent_at)
 {
     struct forwarder *f = ctx;
 
     if (f->forward != NULL) {
-        forward_task_misses_reported(f->forward, cookie, misses, sent_at);
+        forward_task_reported(f->forward, cookie, misses, sent_at);
     }
 }
 
 static void
-on_answer_reported(void *ctx, uint32_t cookie, uint64_t sent_at)
+on_target_replaced(void *ctx, struct forward_target *target)
 {
     struct forwarder *f = ctx;
 
     if (f->forward != NULL) {
-        forward_task_answer_reported(f->forward, cookie, sent_at);
+        forward_task_target_replaced(f->forward, target);
     }
 }
 
@@ -249,8 +248,8 @@
                                          .ctx = f};
     const struct view_task_callbacks view_cb = {
         .changed = on_view_changed,
-        .misses_reported = on_misses_reported,
-        .answer_reported = on_answer_reported,
+        .reported = on_reported,
+        .target_replaced = on_target_replaced,
         .ctx = f,
     };
     char address[ADDRESS_TEXT_SIZE];
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -201,12 +201,7 @@
 {
     struct view_task *task = ctx;
 
-    if (misses == 0) {
-        task->cb.answer_reported(task->cb.ctx, cookie, sent_at);
-    }
-    else {
-        task->cb.misses_reported(task->cb.ctx, cookie, misses, sent_at);
-    }
+    task->cb.reported(task->cb.ctx, cookie, misses, sent_at);
 }
 
 /* Returns the time until which a target whose entry was removed from the store
@@ -229,6 +224,9 @@
         [TARGET_GONE] = "gone",
     };
 
+    if (target->replaced) {
+        return "replaced";
+    }
     if (target->presence == TARGET_PRESENT && target->record.draining) {
         return "draining";
     }
@@ -238,11 +236,14 @@
 /* Logs a change of a target, but not each target of the first view, whose
  * number is logged when the view is ready. */
 static void
-on_target_changed(void *ctx, const struct forward_target *target)
+on_target_changed(void *ctx, struct forward_target *target)
 {
     struct view_task *task = ctx;
     char revision[24];
 
+    if (target->replaced) {
+        task->cb.target_replaced(task->cb.ctx, target);
+    }
     if (forward_view_revision(task->view) == 0) {
         return;
     }
@@ -660,8 +661,9 @@
     struct observation_record record = {.cookie = cookie};
 
     obs->report_scheduled = false;
-    if (obs->unreported_misses > 0) {
-        record.misses = obs->unreported_misses;
+    if (obs->unreported_silence || obs->unreported_misses > 0) {
+        record.misses = obs->unreported_silence ? OBSERVATION_SILENT
+                                                : obs->unreported_misses;
         record.sent_age_us = now - obs->first_miss_sent_at;
         g_array_append_val(records, record);
     }
@@ -670,6 +672,7 @@
         g_array_append_val(records, record);
     }
     obs->unreported_misses = 0;
+    obs->unreported_silence = false;
     obs->unreported_answer = false;
 }
 
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -33,14 +33,14 @@
 struct view_task_callbacks {
     /* The view has changed, or was confirmed to be current. */
     void (*changed)(void *ctx);
-    /* A peer has reported misses (unanswered requests) of a target. "sent_at"
-     * is when the first of them was sent, in microseconds of this host's
+    /* A peer has reported an observation of a target, as described at struct
+     * observation_record. "sent_at" is in microseconds of this host's
      * monotonic clock. */
-    void (*misses_reported)(void *ctx, uint32_t cookie, unsigned misses,
-                            uint64_t sent_at);
-    /* A peer has reported that a target has answered a packet that was sent
-     * then, on the same clock. */
-    void (*answer_reported)(void *ctx, uint32_t cookie, uint64_t sent_at);
+    void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
+                     uint64_t sent_at);
+    /* Another target has taken over the address of this one, so it is gone for
+     * certain. */
+    void (*target_replaced)(void *ctx, struct forward_target *target);
     void *ctx;
 };
 
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -13,6 +13,9 @@
     GHashTable *targets;  /* id -> struct forward_target */
     GHashTable *cookies;  /* cookie -> struct forward_target */
     GHashTable *services; /* interned name -> struct forward_service */
+    /* Addresses of the targets that a delta adds, while it is applied: key of
+     * addr and port -> revision that created the target */
+    GHashTable *new_addresses;
     struct list removed_routes;  /* oldest first */
     struct list removed_targets; /* oldest first */
     struct list lapsed;          /* struct forward_target */
@@ -87,6 +90,8 @@
     view->cookies = g_hash_table_new(g_direct_hash, g_direct_equal);
     view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                            service_free);
+    view->new_addresses =
+        g_hash_table_new_full(route_key_hash, g_int64_equal, g_free, g_free);
     view->list_revisions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     list_init(&view->removed_routes);
     list_init(&view->removed_targets);
@@ -104,6 +109,7 @@
     g_hash_table_destroy(view->cookies);
     g_hash_table_destroy(view->targets);
     g_hash_table_destroy(view->services);
+    g_hash_table_destroy(view->new_addresses);
     g_array_free(view->list_revisions, TRUE);
     free(view);
 }
@@ -441,7 +447,7 @@
 }
 
 static void
-notify_changed(struct forward_view *view, const struct forward_target *target)
+notify_changed(struct forward_view *view, struct forward_target *target)
 {
     if (view->cb.target_changed != NULL) {
         view->cb.target_changed(view->cb.ctx, target);
@@ -513,6 +519,7 @@
         /* A new entry uses the id of a removed target. */
         memset(&target->observations, 0, sizeof(target->observations));
     }
+    target->replaced = false;
     target->record = *record;
     target->cold_until = now + record->cold_ms * USEC_PER_MSEC;
     set_presence(view, target, TARGET_PRESENT);
@@ -521,6 +528,50 @@
     notify_changed(view, target);
 }
 
+/* Records the address of a new target, for mark_replaced(). */
+static void
+add_new_address(struct forward_view *view, const struct target_record *record)
+{
+    uint64_t *key;
+    uint64_t *created;
+
+    if (record->addr == 0) {
+        return;
+    }
+    key = g_new(uint64_t, 1);
+    created = g_new(uint64_t, 1);
+    *key = route_key(record->addr, record->port);
+    *created = record->created;
+    g_hash_table_replace(view->new_addresses, key, created);
+}
+
+/* Marks the targets whose address a new target has taken over. Two processes
+ * cannot use one address, so the older one no longer runs. */
+static void
+mark_replaced(struct forward_view *view)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (g_hash_table_size(view->new_addresses) == 0) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, view->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct forward_target *target = value;
+        uint64_t key = route_key(target->record.addr, target->record.port);
+        const uint64_t *created =
+            g_hash_table_lookup(view->new_addresses, &key);
+
+        if (created != NULL && *created > target->record.created &&
+            !target->replaced) {
+            target->replaced = true;
+            notify_changed(view, target);
+        }
+    }
+    g_hash_table_remove_all(view->new_addresses);
+}
+
 static void
 apply_target(struct forward_view *view, const struct target_record *record,
              uint64_t now)
@@ -533,6 +584,7 @@
             return;
         }
         target = add_target(view, record);
+        add_new_address(view, record);
     }
     target->seen_generation = view->generation;
     if (record->revision > target->record.revision) {
@@ -572,6 +624,7 @@
     if (delta->targets_complete) {
         remove_unlisted_targets(view, delta->to, now);
     }
+    mark_replaced(view);
 }
 
 static void
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -68,6 +68,8 @@
     uint8_t presence;      /* enum target_presence */
     bool cookie_conflict; /* an older target has the same cookie: this one gets
                            * no new flows */
+    bool replaced; /* a newer target has its address: this one is gone, even if
+                    * its entry is still there */
     /* Generation of the last applied delta that contained the target. */
     uint64_t seen_generation;
     struct target_observations observations;
@@ -81,8 +83,9 @@
      * TARGET_GONE at once. */
     uint64_t (*retain_until)(void *ctx, const struct forward_target *target,
                              uint64_t now);
-    /* Called after a target was added, changed or removed; may be NULL. */
-    void (*target_changed)(void *ctx, const struct forward_target *target);
+    /* Called after a target was added, changed, removed or replaced; may be
+     * NULL. */
+    void (*target_changed)(void *ctx, struct forward_target *target);
     void *ctx;
 };
 
--- a/src/state/recent-flows.h
+++ b/src/state/recent-flows.h
@@ -36,6 +36,7 @@
     uint32_t ack;     /* highest acknowledgement number of the caller */
     bool open;        /* the caller received an answer to its opening packet */
     bool waiting;     /* the request sent at "sent_at" is not answered yet */
+    bool closing;     /* the caller has sent its last byte (FIN) */
     uint8_t repeats;  /* retransmissions of that request */
     uint8_t tried_count;
     uint32_t tried[RECENT_TRIED_MAX]; /* cookies of the targets tried so far */
--- a/src/state/target-observations.h
+++ b/src/state/target-observations.h
@@ -23,6 +23,8 @@
     /* When the target becomes silent unless an answer is seen before; 0: no
      * such time is set. */
     uint64_t silence_due_at;
+    /* When the target became silent; valid while "silent" is set. */
+    uint64_t silent_at;
     /* Time until which new flows avoid the target; 0: not avoided. */
     uint64_t avoid_until;
     /* When a new flow was last sent to the target although it was avoided. */
@@ -42,6 +44,12 @@
     /* An answer contradicts misses that peers may count; they have not been
      * notified of it yet. */
     bool unreported_answer;
+    /* The peers have not been notified yet that the target is silent, or is
+     * about to become so. */
+    bool unreported_silence;
     /* A report about the target to the peers is scheduled. */
     bool report_scheduled;
+    /* The forward task checks the target until it is either dead or not silent
+     * any more. */
+    bool doubted;
 };
--- a/tests/standins/standin-flow-caller.c
+++ b/tests/standins/standin-flow-caller.c
@@ -38,16 +38,19 @@
 
 enum result {
     ANSWERED,
-    REFUSED,  /* reset before the flow was open */
-    UNOPENED, /* no answer to the opening packets */
-    RESET,    /* an open flow was reset */
+    REFUSED,    /* reset before the flow was open */
+    UNOPENED,   /* no answer to the opening packets */
+    RESET,      /* an open flow was reset that waits for an answer */
+    IDLE_RESET, /* an open flow was reset between two requests; not the result
+                 * of a request */
     TIMED_OUT,
     WRONG, /* malformed, from another service or to another request */
     RESULT_COUNT,
 };
 
-static const char *const result_names[] = {"answered", "refused",   "unopened",
-                                           "reset",    "timed-out", "wrong"};
+static const char *const result_names[] = {
+    "answered",   "refused",   "unopened", "reset",
+    "idle-reset", "timed-out", "wrong"};
 
 /* A caller that has one flow at a time. */
 struct flow {
@@ -239,6 +242,18 @@
     }
 }
 
+/* Replaces a flow that was reset between two requests. The next request is
+ * sent on the new flow, after the pause. */
+static void
+replace_idle_flow(struct flow *flow, uint64_t now)
+{
+    uint64_t next = flow->state_since_us + (uint64_t)gap_ms * 1000;
+
+    print_event(flow, RESET, now);
+    results[IDLE_RESET]++;
+    open_flow(flow, next > now ? next : now);
+}
+
 static void
 send_request(struct flow *flow, uint64_t now)
 {
@@ -285,6 +300,10 @@
         if (flow->port != p->dport || flow->state == ENDED) {
             continue;
         }
+        if ((p->flags & WIRE_RST) != 0 && flow->state == IDLE) {
+            replace_idle_flow(flow, now);
+            return;
+        }
         if ((p->flags & WIRE_RST) != 0) {
             end_request(flow, flow->state == OPENING ? REFUSED : RESET, now);
             return;
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -557,6 +557,32 @@
     }
 }
 
+/* A target whose address a newer target has is gone, even if its entry is
+ * still there. The order in which the two entries arrive does not matter for
+ * the older one; a target with its own address is not concerned. */
+static void
+test_replaced_target(void **state)
+{
+    struct target_record old = target("i-1", "s", 5);
+    struct target_record other = target("i-2", "s", 6);
+    struct target_record newer = target("i-3", "t", 9);
+
+    old.addr = newer.addr = 0x0a000001;
+    old.port = newer.port = other.port = 8080;
+    other.addr = 0x0a000002;
+    apply_target(0, old, NOW_US);
+    apply_target(5, other, NOW_US);
+    assert_false(forward_view_target(view, forward_cookie("i-1"))->replaced);
+    apply_target(6, newer, NOW_US);
+    assert_true(forward_view_target(view, forward_cookie("i-1"))->replaced);
+    assert_false(forward_view_target(view, forward_cookie("i-2"))->replaced);
+    assert_false(forward_view_target(view, forward_cookie("i-3"))->replaced);
+    old.removed = true;
+    old.revision = 10;
+    apply_target(9, old, NOW_US);
+    assert_true(forward_view_target(view, forward_cookie("i-1"))->replaced);
+}
+
 int
 main(void)
 {
@@ -572,6 +598,7 @@
         cmocka_unit_test_setup_teardown(test_equal_cookies, setup, teardown),
         cmocka_unit_test_setup_teardown(test_removals_are_bounded, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_replaced_target, setup, teardown),
         cmocka_unit_test(test_convergence),
     };
 
--- a/tests/unit/test-passive-health.c
+++ b/tests/unit/test-passive-health.c
@@ -26,6 +26,8 @@
     OLD_ANSWER,  /* a caller shows an answer to a packet sent at the start */
     PEER_ANSWER, /* a peer saw that the target was alive 10 ms ago */
     PEER_ANSWER_OLD, /* a peer saw that the target was alive at the start */
+    PEER_SILENT,     /* a peer regards the target as silent */
+    PEER_SILENT_OLD, /* the same, of packets before the last answer */
     PEER_MISS,       /* a peer reported one miss */
     PEER_MISSES_2,   /* a peer reported two misses */
     PEER_MISSES_OLD, /* a peer reported three misses, of packets that were sent
@@ -64,6 +66,12 @@
     case PEER_ANSWER_OLD:
         passive_health_on_peer_answer(obs, START_US - 1);
         break;
+    case PEER_SILENT:
+        passive_health_on_peer_silence(obs, sent, *now);
+        break;
+    case PEER_SILENT_OLD:
+        passive_health_on_peer_silence(obs, START_US - 1, *now);
+        break;
     case PEER_MISS:
         passive_health_on_peer_misses(obs, 1, sent, *now);
         break;
@@ -127,6 +135,11 @@
         {{MISS, PEER_ANSWER, PEER_MISSES_2}, true, false, 0},
         {{PEER_ANSWER, PEER_MISSES_OLD}, false, false, 0},
         {{MISS, MISS, MISS, PEER_ANSWER}, false, false, 1},
+        {{PEER_SILENT}, true, true, 1},
+        {{PEER_SILENT, MISS, PEER_SILENT}, true, true, 1},
+        {{PEER_SILENT, PEER_ANSWER}, false, false, 1},
+        {{PEER_SILENT, AT_ONCE, PEER_ANSWER}, false, false, 0},
+        {{ANSWER, PEER_SILENT_OLD}, false, false, 0},
         /* Three hosts whose links are busy report a miss each within 100 ms; a
          * fourth has seen an answer meanwhile. */
         {{MISS, AT_ONCE, PEER_MISSES_2, AT_ONCE, PEER_ANSWER},
@@ -160,6 +173,59 @@
     }
 }
 
+/* A forwarder notifies its peers once of a silence, and of an answer that ends
+ * it, also when it has learned of them from a peer itself. */
+static void
+test_reports(void **state)
+{
+    static const struct {
+        enum step steps[8];
+        bool silence; /* to be reported after the steps */
+        bool answer;
+    } cases[] = {
+        {{MISS, MISS, STEP_END}, false, false},
+        {{MISS, MISS, MISS}, true, false},
+        {{PEER_SILENT}, true, false},
+        {{PEER_MISSES_2, PEER_MISS}, true, false},
+        {{MISS, ANSWER}, false, true},
+        {{PEER_MISS, PEER_ANSWER}, false, false},
+        {{PEER_SILENT, PEER_ANSWER}, false, true},
+        {{ANSWER, PEER_SILENT_OLD}, false, true},
+        {{ANSWER, PEER_MISSES_OLD}, false, true},
+        {{ANSWER, PEER_MISSES_OLD, PEER_ANSWER}, false, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct target_observations obs = {0};
+        uint64_t now = START_US;
+
+        for (const enum step *s = cases[i].steps; *s != STEP_END; s++) {
+            run_step(&obs, *s, &now);
+        }
+        if (obs.unreported_silence != cases[i].silence ||
+            obs.unreported_answer != cases[i].answer) {
+            fail_msg("case %zu: silence %d, answer %d", i,
+                     obs.unreported_silence, obs.unreported_answer);
+        }
+    }
+}
+
+/* A silent target counts as dead after 500 ms without an answer. */
+static void
+test_dead(void **state)
+{
+    struct target_observations obs = {0};
+    uint64_t now = START_US;
+
+    run_step(&obs, PEER_SILENT, &now);
+    assert_true(becomes_silent(&obs, now));
+    now += PASSIVE_HEALTH_CONFIRM_US;
+    assert_false(passive_health_is_dead(&obs, now + 499 * MS));
+    assert_true(passive_health_is_dead(&obs, now + 500 * MS));
+    passive_health_on_peer_answer(&obs, now + 400 * MS);
+    assert_false(passive_health_is_dead(&obs, now + 600 * MS));
+}
+
 /* Some time after its misses new flows no longer have to avoid a target, but
  * only one flow per second is sent to it, as a trial. */
 static void
@@ -251,6 +317,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_sequences),
+        cmocka_unit_test(test_reports),
+        cmocka_unit_test(test_dead),
         cmocka_unit_test(test_trial_flows),
         cmocka_unit_test(test_suspicion),
         cmocka_unit_test(test_suspicion_after_another_opening),
