forward: decode large answers of the store in a thread

Change: an answer with 16 KB of values or more is decoded in a thread of its own; packets are forwarded meanwhile.

--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -56,7 +56,8 @@
 void view_reader_on_snapshot(struct view_reader *reader,
                              const struct view_delta *delta, uint64_t now);
 /* The read or the watch has ended at "now", in microseconds. "delta" contains
- * the answer; it is used only with VIEW_READER_ANSWERED. */
+ * the answer; it is used only with VIEW_READER_ANSWERED and may else be
+ * NULL. */
 void view_reader_on_read(struct view_reader *reader,
                          enum view_reader_result result,
                          const struct view_delta *delta, uint64_t now);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -17,6 +17,7 @@
 #include "coordination/view-reader.h"
 #include "coordination/view-snapshot.h"
 #include "coordination/view-sync.h"
+#include "daemon/entry-decoder.h"
 #include "daemon/gossip-send.h"
 #include "protocol/gossip-codec.h"
 #include "protocol/view-codec.h"
@@ -45,6 +46,10 @@
  * with unknown targets. An answer takes some milliseconds. */
 #define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
 
+/* Minimum size in bytes of the values in an answer of the store that is
+ * decoded in a thread of its own. A smaller one takes a few milliseconds of a
+ * small share of a core. */
+#define DECODER_SIZE_MIN 16384
 /* Key of the snapshot. No other system uses its prefix. */
 #define SNAPSHOT_KEY "pimentohaven/view"
 
@@ -72,6 +77,12 @@
     struct store_client *store;
     struct view_reader *reader;
     struct view_snapshot snapshot;
+    uint64_t snapshot_writes; /* successful ones */
+    struct entry_decoder *decoder;
+    /* The answer that is being decoded: of a read or of a watch, and up to
+     * which revision it is complete. */
+    bool answer_is_read;
+    uint64_t answer_revision;
     bool stale_read_pending; /* the last read begun accepts an outdated
                               * answer */
     uint64_t next_refresh;   /* earliest next request to a peer, us */
@@ -358,6 +369,7 @@
 
     if (st->kind == ERR_NONE) {
         result = VIEW_SNAPSHOT_WRITTEN;
+        task->snapshot_writes++;
         LOG_INFO("snapshot written at revision %" PRIu64
                  " with changes up to %" PRIu64,
                  mod_revision, task->snapshot.writing_content);
@@ -411,23 +423,83 @@
 }
 
 /* Decodes entries into a delta. An entry that cannot be decoded is logged and
- * does not affect the others. */
+ * does not affect the others. Also called in the thread of the decoder. */
 static void
-decode_entries(struct view_task *task, struct view_delta *delta,
+decode_entries(void *ctx, struct view_delta *delta,
                const struct store_entry *entries, size_t count)
 {
-    size_t bytes = 0;
+    const struct view_task *task = ctx;
 
     for (size_t i = 0; i < count; i++) {
-        bytes += entries[i].value_len;
         if (!task->directory.add_entry(delta, &entries[i])) {
             LOG_WARN("ignoring entry %s at revision %" PRIu64
                      " in whole or in part: it cannot be decoded",
                      entries[i].key, entries[i].mod_revision);
         }
     }
-    own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, bytes,
-                          clock_monotonic_us());
+}
+
+/* Reports an answer to the read or watch to the reader, and ends the watch
+ * unless the reader has begun the next one. */
+static void
+finish_answer(struct view_task *task, struct view_delta *delta)
+{
+    uint64_t now = clock_monotonic_us();
+
+    delta->to = task->answer_revision;
+    if (task->answer_is_read) {
+        delta->targets_complete = true;
+        view_reader_on_read(task->reader, VIEW_READER_ANSWERED, delta, now);
+        return;
+    }
+    /* 0 fits any view: since the watch began, deltas from peers may have
+     * raised the revision of the view but never lowered it. */
+    delta->from = 0;
+    view_reader_on_watch(task->reader, VIEW_READER_ANSWERED, delta, now);
+    if (!view_reader_is_watching(task->reader)) {
+        store_client_watch_stop(task->store);
+    }
+}
+
+static void
+on_decoded(void *ctx, struct view_delta *delta)
+{
+    finish_answer(ctx, delta);
+}
+
+/* Decodes an answer to a read or watch: a large one in the decoder's thread,
+ * during which no further call is made. */
+static void
+handle_answer(struct view_task *task, bool is_read, uint64_t revision,
+              const struct store_entry *entries, size_t count)
+{
+    uint64_t now = clock_monotonic_us();
+    struct view_delta delta;
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        bytes += entries[i].value_len;
+    }
+    own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, bytes, now);
+    view_snapshot_on_store_answer(&task->snapshot, now);
+    note_snapshot(task, entries, count);
+    task->answer_is_read = is_read;
+    task->answer_revision = revision;
+    if (bytes >= DECODER_SIZE_MIN &&
+        entry_decoder_start(task->decoder, entries, count)) {
+        store_client_watch_stop(task->store);
+        return;
+    }
+    view_delta_init(&delta);
+    decode_entries(task, &delta, entries, count);
+    finish_answer(task, &delta);
+    view_delta_clear(&delta);
+}
+
+static enum view_reader_result
+to_reader_result(enum error_kind kind)
+{
+    return kind == ERR_NOT_FOUND ? VIEW_READER_COMPACTED : VIEW_READER_FAILED;
 }
 
 static void
@@ -435,26 +507,16 @@
          const struct store_entry *entries, size_t count)
 {
     struct view_task *task = ctx;
-    struct view_delta delta;
 
-    view_delta_init(&delta);
     if (st->kind == ERR_NONE) {
         LOG_INFO("read %zu entries at revision %" PRIu64 "%s", count, revision,
                  task->stale_read_pending ? ", possibly outdated" : "");
-        view_snapshot_on_store_answer(&task->snapshot, clock_monotonic_us());
-        note_snapshot(task, entries, count);
-        decode_entries(task, &delta, entries, count);
-        delta.to = revision;
-        delta.targets_complete = true;
-    }
-    else {
-        LOG_WARN("%s", st->message);
+        handle_answer(task, true, revision, entries, count);
+        return;
     }
-    view_reader_on_read(task->reader,
-                        st->kind == ERR_NONE ? VIEW_READER_ANSWERED
-                                             : VIEW_READER_FAILED,
-                        &delta, clock_monotonic_us());
-    view_delta_clear(&delta);
+    LOG_WARN("%s", st->message);
+    view_reader_on_read(task->reader, VIEW_READER_FAILED, NULL,
+                        clock_monotonic_us());
 }
 
 static void
@@ -473,40 +535,19 @@
     }
 }
 
-static enum view_reader_result
-to_reader_result(enum error_kind kind)
-{
-    if (kind == ERR_NONE) {
-        return VIEW_READER_ANSWERED;
-    }
-    return kind == ERR_NOT_FOUND ? VIEW_READER_COMPACTED : VIEW_READER_FAILED;
-}
-
-/* Reports an answer to the reader, and ends the watch unless the reader has
- * begun the next one. */
 static void
 on_watch(void *ctx, const struct status *st, uint64_t revision,
          const struct store_entry *entries, size_t count)
 {
     struct view_task *task = ctx;
-    struct view_delta delta;
 
-    view_delta_init(&delta);
     if (st->kind == ERR_NONE) {
-        view_snapshot_on_store_answer(&task->snapshot, clock_monotonic_us());
-        note_snapshot(task, entries, count);
-        decode_entries(task, &delta, entries, count);
-        /* 0 fits any view: since the watch began, deltas from peers may have
-         * raised the revision of the view but never lowered it. */
-        delta.from = 0;
-        delta.to = revision;
-    }
-    else {
-        LOG_WARN("%s", st->message);
+        handle_answer(task, false, revision, entries, count);
+        return;
     }
-    view_reader_on_watch(task->reader, to_reader_result(st->kind), &delta,
+    LOG_WARN("%s", st->message);
+    view_reader_on_watch(task->reader, to_reader_result(st->kind), NULL,
                          clock_monotonic_us());
-    view_delta_clear(&delta);
     if (!view_reader_is_watching(task->reader)) {
         store_client_watch_stop(task->store);
     }
@@ -639,7 +680,9 @@
     options.attempts = 1;
     store_client_set_options(task->store, &options);
     store_client_set_dialect(task->store, task->directory.dialect);
-    return true;
+    task->decoder =
+        entry_decoder_new(task->base, decode_entries, on_decoded, task, st);
+    return task->decoder != NULL;
 }
 
 static void
@@ -791,6 +834,7 @@
         event_free(task->report);
         g_ptr_array_free(task->unreported, TRUE);
     }
+    entry_decoder_destroy(task->decoder);
     store_client_destroy(task->store);
     view_reader_destroy(task->reader);
     view_sync_destroy(task->sync);
@@ -874,4 +918,6 @@
                  member_table_count(membership_table(task->members),
                                     MEMBER_ALIVE, false);
     c->view_age_us = view_task_age_us(task);
+    c->snapshot_writes = task->snapshot_writes;
+    c->loop_lag_max_us = task->own_delay->max_lag_us;
 }
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -83,7 +83,10 @@
     uint64_t store_calls;
     uint64_t gossip_bytes_out;
     uint64_t gossip_messages_out;
-    uint64_t members;     /* live peers, without this balancer */
-    uint64_t view_age_us; /* UINT64_MAX: unknown */
+    uint64_t members;            /* live peers, without this balancer */
+    uint64_t view_age_us;        /* UINT64_MAX: unknown */
+    uint64_t snapshot_writes;
+    /* Largest delay of the event loop since the start */
+    uint64_t loop_lag_max_us;
 };
 void view_task_counters(struct view_task *task, struct view_task_counters *c);
