gossip: never use the id of a connection again

When a peer connects again under the id of its earlier connection, the ROUTER socket takes the earlier one's pipe away; data that still comes in on it stops its engine, and when the connection breaks then, the next heartbeat meets the assertion.

Change: the id has a random number besides the peer's address, so nothing is taken over.

--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <sodium.h>
 #include <zmq.h>
 
 #include "base/address.h"
@@ -40,9 +41,19 @@
 /* Time after which an incoming connection without messages is forgotten. */
 #define INCOMING_FORGET_US (10 * USEC_PER_SEC)
 /* Routing id of a connection: a mark that ids chosen by ZeroMQ do not begin
- * with, and the opener's address and port in network byte order. */
+ * with, the opener's address and port in network byte order, and a random
+ * number. An id is never used again: libzmq 4.3.4 stops at an assertion when a
+ * connection whose id a newer one has taken over breaks. */
 #define ROUTING_ID_MARK 'P'
-#define ROUTING_ID_SIZE 7
+#define ROUTING_ID_PEER_SIZE 7
+#define ROUTING_ID_NONCE_SIZE 8
+#define ROUTING_ID_SIZE (ROUTING_ID_PEER_SIZE + ROUTING_ID_NONCE_SIZE)
+
+/* The newest connection that a peer has opened. */
+struct incoming_connection {
+    uint8_t id[ROUTING_ID_SIZE];
+    uint64_t received_at; /* time of the last message, us */
+};
 
 /* A connection that this balancer has opened to one peer. */
 struct peer_connection {
@@ -64,8 +75,8 @@
     struct event_base *base;
     void *zmq_ctx;
     void *router; /* ZeroMQ ROUTER socket of the connections from peers */
-    /* Connections that peers have opened: key of address and port -> time of
-     * the last message, us */
+    /* Connections that peers have opened: key of address and port -> struct
+     * incoming_connection */
     GHashTable *incoming;
     struct zmq_watch *watch;
     gossip_endpoint_cb cb;
@@ -109,15 +120,17 @@
     return (uint64_t)addr << 16 | port;
 }
 
+/* Makes the routing id of a new connection. */
 static void
-write_routing_id(uint8_t id[ROUTING_ID_SIZE], uint32_t addr, uint16_t port)
+make_routing_id(const struct gossip_endpoint *ep, uint8_t id[ROUTING_ID_SIZE])
 {
-    uint64_t key = peer_key(addr, port);
+    uint64_t key = peer_key(ep->public_addr, ep->public_port);
 
     id[0] = ROUTING_ID_MARK;
-    for (int i = 1; i < ROUTING_ID_SIZE; i++) {
-        id[i] = (uint8_t)(key >> (8 * (ROUTING_ID_SIZE - 1 - i)));
+    for (int i = 1; i < ROUTING_ID_PEER_SIZE; i++) {
+        id[i] = (uint8_t)(key >> (8 * (ROUTING_ID_PEER_SIZE - 1 - i)));
     }
+    randombytes_buf(id + ROUTING_ID_PEER_SIZE, ROUTING_ID_NONCE_SIZE);
 }
 
 /* Records that a message has arrived on the connection with a routing id. An
@@ -126,19 +139,22 @@
 static void
 note_incoming(struct gossip_endpoint *ep, const uint8_t *id, size_t size)
 {
-    uint64_t *key;
-    uint64_t *at;
+    struct incoming_connection *in;
+    uint64_t key = 0;
 
     if (size != ROUTING_ID_SIZE || id[0] != ROUTING_ID_MARK) {
         return;
     }
-    key = g_new0(uint64_t, 1);
-    at = g_new(uint64_t, 1);
-    for (int i = 1; i < ROUTING_ID_SIZE; i++) {
-        *key = *key << 8 | id[i];
+    for (int i = 1; i < ROUTING_ID_PEER_SIZE; i++) {
+        key = key << 8 | id[i];
     }
-    *at = clock_monotonic_us();
-    g_hash_table_replace(ep->incoming, key, at);
+    in = g_hash_table_lookup(ep->incoming, &key);
+    if (in == NULL) {
+        in = g_new(struct incoming_connection, 1);
+        g_hash_table_insert(ep->incoming, g_memdup2(&key, sizeof(key)), in);
+    }
+    memcpy(in->id, id, ROUTING_ID_SIZE);
+    in->received_at = clock_monotonic_us();
 }
 
 static void
@@ -236,8 +252,6 @@
         return false;
     }
     set_options(ep->router);
-    /* A peer that opens a new connection has given up the old one. */
-    set_option(ep->router, ZMQ_ROUTER_HANDOVER, 1);
     /* Reports a message to a peer that is not connected. */
     set_option(ep->router, ZMQ_ROUTER_MANDATORY, 1);
     if (zmq_bind(ep->router, endpoint) < 0) {
@@ -358,7 +372,7 @@
         return NULL;
     }
     set_options(socket);
-    write_routing_id(id, ep->public_addr, ep->public_port);
+    make_routing_id(ep, id);
     zmq_setsockopt(socket, ZMQ_ROUTING_ID, id, sizeof(id));
     set_option(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
     set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
@@ -414,9 +428,10 @@
               uint64_t now)
 {
     uint64_t key = peer_key(addr, port);
-    const uint64_t *at = g_hash_table_lookup(ep->incoming, &key);
+    const struct incoming_connection *in =
+        g_hash_table_lookup(ep->incoming, &key);
 
-    if (at == NULL || (now > *at && now - *at > INCOMING_FRESH_US)) {
+    if (in == NULL || now > in->received_at + INCOMING_FRESH_US) {
         return false;
     }
     return conn == NULL || key < peer_key(ep->public_addr, ep->public_port);
@@ -427,13 +442,13 @@
 send_on_incoming(struct gossip_endpoint *ep, uint32_t addr, uint16_t port,
                  const uint8_t *data, size_t size)
 {
-    uint8_t id[ROUTING_ID_SIZE];
-    bool sent;
+    uint64_t key = peer_key(addr, port);
+    const struct incoming_connection *in =
+        g_hash_table_lookup(ep->incoming, &key);
+    bool sent = zmq_send(ep->router, in->id, ROUTING_ID_SIZE,
+                         ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
+                zmq_send(ep->router, data, size, ZMQ_DONTWAIT) >= 0;
 
-    write_routing_id(id, addr, port);
-    sent = zmq_send(ep->router, id, sizeof(id), ZMQ_SNDMORE | ZMQ_DONTWAIT) >=
-               0 &&
-           zmq_send(ep->router, data, size, ZMQ_DONTWAIT) >= 0;
     zmq_watch_schedule_check(ep->watch);
     return sent;
 }
@@ -487,7 +502,9 @@
 static gboolean
 is_forgotten(gpointer key, gpointer value, gpointer now)
 {
-    return *(uint64_t *)value + INCOMING_FORGET_US < *(uint64_t *)now;
+    const struct incoming_connection *in = value;
+
+    return in->received_at + INCOMING_FORGET_US < *(uint64_t *)now;
 }
 
 void
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -185,6 +185,51 @@
     zmq_ctx_term(zmq_ctx);
 }
 
+/* A connection that is replaced by a newer one of the same peer, and then
+ * breaks, must not end the process: with ids of connections that are used
+ * again, the library stopped at an assertion at its next heartbeat (seen on
+ * minhkhoa-estimates trouble-2). "first" and "second" are two connections of a
+ * peer that has the address of the first. */
+static void
+test_replaced_connection(void **state)
+{
+    void *zmq_ctx = zmq_ctx_new();
+    struct event_base *base = event_base_new();
+    struct peer_endpoint first = {0};
+    struct peer_endpoint second = {0};
+    struct peer_endpoint b = {0};
+    const size_t never = SIZE_MAX;
+    uint8_t data[100] = {1};
+    struct status st;
+
+    first.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message,
+                                   &first, &st);
+    second.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT + 3,
+                                    on_message, &second, &st);
+    b.ep =
+        gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b, &st);
+    gossip_endpoint_set_public(second.ep, ADDR_A, PORT);
+    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
+    run_loop_until(base, &b.received, 1);
+    gossip_endpoint_send(second.ep, ADDR_B, PORT, data, 10, 1);
+    run_loop_until(base, &b.received, 2);
+    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
+    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
+    run_loop_until(base, &b.received, 4);
+    gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 20, 1);
+    run_loop_until(base, &second.received, 1);
+    gossip_endpoint_destroy(first.ep);
+    run_loop_until(base, &b.received, never);
+    run_loop_until(base, &b.received, never);
+    gossip_endpoint_send(second.ep, ADDR_B, PORT, data, 10, 1);
+    run_loop_until(base, &b.received, 5);
+    assert_int_equal(b.received, 5);
+    gossip_endpoint_destroy(second.ep);
+    gossip_endpoint_destroy(b.ep);
+    event_base_free(base);
+    zmq_ctx_term(zmq_ctx);
+}
+
 /* The source address of connections to peers is the address of the endpoint,
  * not one that the operating system selects. */
 static void
@@ -228,6 +273,7 @@
         cmocka_unit_test(test_two_endpoints),
         cmocka_unit_test(test_one_connection_for_two),
         cmocka_unit_test(test_restarted_peer),
+        cmocka_unit_test(test_replaced_connection),
         cmocka_unit_test(test_source_address),
     };
 
