--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -19,6 +19,10 @@
  * in effect. */
 #define WATCH_MIN_INTERVAL_US (200 * USEC_PER_MSEC)
 
+/* Time for which a balancer that has started from an outdated snapshot waits
+ * for its peers. */
+#define CATCH_UP_DELAY_US (100 * USEC_PER_MSEC)
+
 struct view_reader {
     struct forward_view *view;
     struct freshness *freshness;
@@ -27,6 +31,7 @@
     struct view_reader_callbacks cb;
     struct backoff backoff;
     uint64_t not_before;  /* earliest next call, us */
+    uint64_t catch_up_at; /* when to read what the snapshot lacks, 0: never */
     bool watching;        /* a watch is running */
     bool reading;         /* a read is running */
     bool reading_stale;   /* the read may return data some seconds old */
@@ -86,7 +91,8 @@
 
 void
 view_reader_on_snapshot(struct view_reader *reader,
-                        const struct view_delta *delta, uint64_t now)
+                        const struct view_delta *delta, bool outdated,
+                        uint64_t now)
 {
     reader->reading = false;
     if (delta == NULL) {
@@ -94,6 +100,7 @@
         return;
     }
     reader->first_read_done = true;
+    reader->catch_up_at = outdated ? now + CATCH_UP_DELAY_US : 0;
     view_sync_store_answered(reader->sync, delta, false, now);
 }
 
@@ -140,6 +147,18 @@
                                   attempt_cycle_us(reader, now), now);
 }
 
+/* Whether this balancer has started from a snapshot that lacks changes, and no
+ * peer has sent them. After a restart of all balancers no peer has them. */
+static bool
+should_catch_up(struct view_reader *reader, uint64_t now)
+{
+    if (reader->catch_up_at == 0 || now < reader->catch_up_at) {
+        return false;
+    }
+    reader->catch_up_at = 0;
+    return freshness_age(reader->freshness, now) == UINT64_MAX;
+}
+
 static void
 start_watch(struct view_reader *reader, uint64_t now)
 {
@@ -186,7 +205,7 @@
         read_all(reader);
         return;
     }
-    if (!should_watch(reader, now)) {
+    if (!should_catch_up(reader, now) && !should_watch(reader, now)) {
         return;
     }
     if (forward_view_revision(reader->view) == 0) {
--- a/src/coordination/view-snapshot.c
+++ b/src/coordination/view-snapshot.c
@@ -6,7 +6,13 @@
 #include "protocol/view-codec.h"
 
 /* Minimum interval between two writes. Changes within it share a write. */
-#define WRITE_INTERVAL_US (2 * USEC_PER_SEC)
+#define WRITE_INTERVAL_US (1 * USEC_PER_SEC)
+/* Size of the entries that a balancer would read without a snapshot, from
+ * which on there is one, and the usual size of an entry with its encoding. A
+ * smaller configuration is read as fast, and needs no writes. */
+#define ENTRIES_SIZE_MIN 48000
+#define ROUTE_SIZE 250
+#define TARGET_SIZE 350
 /* Time after an answer of the store in which it counts as available: the wait
  * of a watch for the longest bounds of the users, and the time of a call. */
 #define STORE_ANSWER_MAX_AGE_US (4 * USEC_PER_SEC)
@@ -25,6 +31,17 @@
     s->answered_at = now;
 }
 
+/* Whether the view is large enough for a snapshot. An existing one is kept up
+ * to date also when the view has become smaller. */
+static bool
+is_worthwhile(const struct view_snapshot *s, const struct forward_view *view)
+{
+    return (s->key_known && s->key_revision != 0) ||
+           forward_view_route_count(view) * ROUTE_SIZE +
+                   forward_view_target_count(view) * TARGET_SIZE >=
+               ENTRIES_SIZE_MIN;
+}
+
 enum view_snapshot_call
 view_snapshot_due(struct view_snapshot *s, const struct forward_view *view,
                   uint64_t now)
@@ -33,7 +50,8 @@
 
     if (s->calling || now < s->not_before || s->answered_at == 0 ||
         now - s->answered_at > STORE_ANSWER_MAX_AGE_US ||
-        !forward_view_usable(view) || content <= s->content_revision) {
+        !forward_view_usable(view) || content <= s->content_revision ||
+        (s->key_known && !is_worthwhile(s, view))) {
         return VIEW_SNAPSHOT_NONE;
     }
     s->calling = true;
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -335,6 +335,8 @@
         LOG_WARN("%s", st->message);
     }
     view_reader_on_snapshot(task->reader, found ? &delta : NULL,
+                            store_client_revision(task->store) >
+                                task->snapshot.key_revision,
                             clock_monotonic_us());
     view_delta_clear(&delta);
 }
@@ -859,6 +861,12 @@
     return freshness_age(&task->freshness, clock_monotonic_us());
 }
 
+double
+view_task_forwarder_count(struct view_task *task)
+{
+    return view_sync_estimate_reachable(task->sync, clock_monotonic_us());
+}
+
 void
 view_task_reload(struct view_task *task,
                  const struct forward_settings *settings)
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -63,6 +63,8 @@
 /* Time since the store last confirmed the view, in microseconds; UINT64_MAX:
  * unknown. */
 uint64_t view_task_age_us(struct view_task *task);
+/* Estimated number of forwarders that reach each other, this one included. */
+double view_task_forwarder_count(struct view_task *task);
 /* Applies the seeds and the maximum age of the view from changed settings. */
 void view_task_reload(struct view_task *task,
                       const struct forward_settings *settings);
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -86,6 +86,7 @@
     /* Incremented when a watch starts or stops, so that a function can detect
      * that a callback has freed the watch it works on. */
     uint64_t watch_sequence;
+    uint64_t revision; /* newest one that the store has reported */
 };
 
 void
@@ -456,6 +457,14 @@
     }
 }
 
+static void
+note_revision(struct store_client *sc, uint64_t revision)
+{
+    if (revision > sc->revision) {
+        sc->revision = revision;
+    }
+}
+
 static void
 handle_range_answer(struct operation *op,
                     const struct http_call_answer *answer)
@@ -483,6 +492,7 @@
         return;
     }
     backoff_reset(&op->sc->backoff);
+    note_revision(op->sc, range.revision);
     update_complete_revision(op, old_count, range.revision);
     if (range.more && op->entries.count > old_count) {
         read_next_page(op);
@@ -641,6 +651,7 @@
     }
     else {
         backoff_reset(&w->sc->backoff);
+        note_revision(w->sc, line.revision);
         status_set_ok(&st);
         w->next_revision = line.revision + 1;
         w->cb(w->ctx, &st, line.revision, entries.items, entries.count);
@@ -799,3 +810,9 @@
     sc->watch_sequence++;
     schedule_event(w->start, sc->backoff.last_us);
 }
+
+uint64_t
+store_client_revision(const struct store_client *sc)
+{
+    return sc->revision;
+}
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -126,6 +126,10 @@
 /* Ends the watch, if there is one, without running its callback. */
 void store_client_watch_stop(struct store_client *sc);
 
+/* Returns the newest revision that the store has reported with any answer; 0:
+ * none. Unlike the revision of a stale read it may be newer than the entries
+ * read. */
+uint64_t store_client_revision(const struct store_client *sc);
 /* Returns the number of HTTP requests started so far. A watch counts as one,
  * or as one per poll if the dialect polls. */
 uint64_t store_client_call_count(const struct store_client *sc);
