forward: fewer trials of silent targets

Cause: each host sends a silent target one new flow a second, and a silent target has the lowest load.

Change: all hosts together send a silent target one trial a second; copies are never trials.

test_trial_rate, and cases of test_choice_of_two, fail without it.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -56,7 +56,10 @@
     if (passive_health_is_suspect(&target->observations, r->now)) {
         value += SUSPECT_PENALTY;
     }
-    if (passive_health_should_avoid(&target->observations, r->now)) {
+    if (passive_health_should_avoid(&target->observations, r->now,
+                                    r->trial_interval_us) ||
+        (r->tried_count > 0 &&
+         passive_health_needs_trial(&target->observations))) {
         value += AVOID_PENALTY;
     }
     if (was_tried(r, target->cookie)) {
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -20,10 +20,17 @@
     size_t tried_count;
     /* Monotonic clock, us */
     uint64_t now;
+    /* See passive_health_trial_interval() */
+    uint64_t trial_interval_us;
 };
 
 /* Returns a target, owned by the view, or NULL when no target may take a new
- * flow. A target that was tried before is chosen only if there is no other. */
+ * flow. A target that was tried before is chosen only if there is no other.
+ * Only the first copy of an opening packet is used as a trial of a target that
+ * did not answer lately: the caller has waited for long enough already.
+ *
+ * Answers the load of many targets that die at once, a quarter of a service
+ * and more, while their entries are still in the store. */
 struct forward_target *
 placement_choose_target(const struct placement_request *r,
                         struct random *random);
--- a/src/coordination/passive-health.c
+++ b/src/coordination/passive-health.c
@@ -13,7 +13,8 @@
  * AVOID_STEPS_MAX. */
 #define AVOID_STEP_US (1 * USEC_PER_SEC)
 #define AVOID_STEPS_MAX 4
-/* Time after a trial flow during which new flows avoid the target */
+/* Time after a trial flow during which new flows avoid the target; for a
+ * silent one, the time between two trial flows of all forwarders. */
 #define TRIAL_INTERVAL_US (1 * USEC_PER_SEC)
 /* An opening packet is answered after a round trip between caller and target,
  * however busy the target is. The target is suspect when an answer takes
@@ -218,15 +219,29 @@
     return obs->silent && now >= obs->silent_at + PASSIVE_HEALTH_DEAD_US;
 }
 
+uint64_t
+passive_health_trial_interval(double forwarders)
+{
+    return (uint64_t)((forwarders < 1.0 ? 1.0 : forwarders) *
+                      (double)TRIAL_INTERVAL_US);
+}
+
+bool
+passive_health_needs_trial(const struct target_observations *obs)
+{
+    return obs->misses >= AVOID_MISSES;
+}
+
 bool
 passive_health_should_avoid(const struct target_observations *obs,
-                            uint64_t now)
+                            uint64_t now, uint64_t trial_interval_us)
 {
-    if (obs->misses < AVOID_MISSES) {
+    uint64_t interval = obs->silent ? trial_interval_us : TRIAL_INTERVAL_US;
+
+    if (!passive_health_needs_trial(obs)) {
         return false;
     }
-    return now < obs->avoid_until ||
-           now < obs->last_trial_at + TRIAL_INTERVAL_US;
+    return now < obs->avoid_until || now < obs->last_trial_at + interval;
 }
 
 void
@@ -234,3 +249,12 @@
 {
     obs->last_trial_at = now;
 }
+
+void
+passive_health_spread_trials(struct target_observations *obs, uint64_t now,
+                             uint64_t trial_interval_us, double share)
+{
+    uint64_t passed = (uint64_t)((1.0 - share) * (double)trial_interval_us);
+
+    obs->last_trial_at = now > passed ? now - passed : 0;
+}
--- a/src/coordination/passive-health.h
+++ b/src/coordination/passive-health.h
@@ -86,13 +86,27 @@
 /* Whether the target has been silent for PASSIVE_HEALTH_DEAD_US. */
 bool passive_health_is_dead(const struct target_observations *obs,
                             uint64_t now);
+/* Returns the interval between two trial flows that each of "forwarders"
+ * forwarders sends to a silent target, so that it gets one a second from all
+ * of them. Whoever sees an answer tells the others. */
+uint64_t passive_health_trial_interval(double forwarders);
 /* Whether new flows should go to other targets if there are any: for some time
  * after repeated misses, and for some time after a trial flow, which
- * passive_health_on_trial() records. */
+ * passive_health_on_trial() records. For a silent target that is
+ * "trial_interval_us". */
 bool passive_health_should_avoid(const struct target_observations *obs,
-                                 uint64_t now);
+                                 uint64_t now, uint64_t trial_interval_us);
+/* Whether a flow to the target would be a trial, because nothing was received
+ * from it since its last misses. */
+bool passive_health_needs_trial(const struct target_observations *obs);
 /* A new flow was sent to the target as a trial. */
 void passive_health_on_trial(struct target_observations *obs, uint64_t now);
+/* The target has become silent. "share", from 0 up to 1, is the part of the
+ * interval after which this forwarder sends its first trial flow; different
+ * shares spread the trial flows of all forwarders. */
+void passive_health_spread_trials(struct target_observations *obs,
+                                  uint64_t now, uint64_t trial_interval_us,
+                                  double share);
 /* Number of packets counted by passive_health_on_forward(), decayed over the
  * last seconds. */
 double passive_health_load(const struct target_observations *obs,
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -59,8 +59,9 @@
     uint64_t flow_max_us; /* maximum lifetime of a flow */
     /* Maximum age of a view that justifies a reset of an open flow. */
     uint64_t change_bound_us;
-    uint64_t started;     /* start of the task, us */
-    uint16_t return_port; /* port at which callers receive resets */
+    uint64_t trial_interval_us; /* see passive_health_trial_interval() */
+    uint64_t started;           /* start of the task, us */
+    uint16_t return_port;       /* port at which callers receive resets */
     struct udp_socket *socket;
     struct event *expire; /* once a second: removes idle flows */
     /* Confirms the silence of the targets in "doubted". */
@@ -265,6 +266,9 @@
               uint64_t now)
 {
     if (passive_health_confirm_silence(&target->observations, now)) {
+        passive_health_spread_trials(&target->observations, now,
+                                     task->trial_interval_us,
+                                     random_unit(&task->random));
         reset_waiting_flows(task, target);
         return true;
     }
@@ -472,7 +476,9 @@
     const struct forward_route *route = forward_view_route(
         task->view, in->packet.dst_addr, in->packet.dst_port);
     struct placement_request request = {.domain = task->domain,
-                                        .now = in->now};
+                                        .now = in->now,
+                                        .trial_interval_us =
+                                            task->trial_interval_us};
     struct recent_flow *flow;
     struct forward_target *target;
     struct forward_view_info view_info;
@@ -499,7 +505,7 @@
         reset(task, &in->packet, FORWARD_RESET_NO_TARGET);
         return;
     }
-    if (passive_health_should_avoid(&target->observations, in->now)) {
+    if (passive_health_needs_trial(&target->observations)) {
         passive_health_on_trial(&target->observations, in->now);
     }
     view_info = get_view_info(task);
@@ -836,12 +842,20 @@
     }
 }
 
+static void
+update_trial_interval(struct forward_task *task)
+{
+    task->trial_interval_us =
+        passive_health_trial_interval(task->cb.forwarder_count(task->cb.ctx));
+}
+
 static void
 on_expire(evutil_socket_t fd, short what, void *arg)
 {
     struct forward_task *task = arg;
     uint64_t now = clock_monotonic_us();
 
+    update_trial_interval(task);
     recent_flows_expire(task->flows, now - RECENT_FLOW_IDLE_US);
     forward_log_tick(&task->log);
 }
@@ -893,6 +907,7 @@
     task->change_bound_us = settings->change_bound_us;
     forward_log_init(&task->log);
     list_init(&task->early);
+    update_trial_interval(task);
     task->started = clock_monotonic_us();
     task->return_port = settings->packets.port;
     random_seed(&task->random, randombytes_random());
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -24,6 +24,9 @@
      * missing route in a view that is too old does not prove that the route
      * was removed. */
     uint64_t (*view_age_us)(void *ctx);
+    /* Returns the estimated number of forwarders that reach each other, this
+     * one included. */
+    double (*forwarder_count)(void *ctx);
     /* Called when requests to a target have gone unanswered (misses), or an
      * answer contradicts such misses, and the peers have not been notified
      * yet. */
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -115,6 +115,14 @@
     return view_task_age_us(f->view);
 }
 
+static double
+on_forwarder_count(void *ctx)
+{
+    struct forwarder *f = ctx;
+
+    return view_task_forwarder_count(f->view);
+}
+
 static void
 reply_metrics(struct forwarder *f, struct http_exchange *x)
 {
@@ -244,6 +252,7 @@
 {
     const struct forward_callbacks cb = {.unknown_target = on_unknown_target,
                                          .view_age_us = on_view_age,
+                                         .forwarder_count = on_forwarder_count,
                                          .target_observed = on_target_observed,
                                          .ctx = f};
     const struct view_task_callbacks view_cb = {
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -78,6 +78,7 @@
     REMOTE,          /* in another failure domain */
     COLD,            /* in its cold start */
     TRIED,           /* an earlier copy of the opening packet was sent to it */
+    DUE_FOR_TRIAL,   /* silent, and the next flow to it may be a trial */
 };
 
 static void
@@ -116,6 +117,12 @@
     case COLD:
         t->cold_until = NOW_US + 1;
         break;
+    case DUE_FOR_TRIAL:
+        passive_health_on_peer_silence(&t->observations,
+                                       NOW_US - 10 * USEC_PER_SEC,
+                                       NOW_US - 10 * USEC_PER_SEC);
+        passive_health_confirm_silence(&t->observations, NOW_US);
+        break;
     default:
         break;
     }
@@ -156,6 +163,10 @@
         {SUSPECTED, LOADED, 1},
         {SUSPECTED, DRAINING, 0},
         {REMOTE, DRAINING, 0},
+        {DUE_FOR_TRIAL, LOADED, 0},
+        {DUE_FOR_TRIAL, DRAINING, 0},
+        /* A copy is no trial. */
+        {DUE_FOR_TRIAL, TRIED, 0},
     };
     struct random random;
 
--- a/tests/unit/test-passive-health.c
+++ b/tests/unit/test-passive-health.c
@@ -11,6 +11,7 @@
 
 #define START_US (100 * USEC_PER_SEC)
 #define MS USEC_PER_MSEC
+#define TRIAL_US USEC_PER_SEC /* interval of trial flows of one forwarder */
 
 /* Each step takes 200 ms. WAIT_3S and WAIT_6S take 3 s or 6 s longer. */
 enum step {
@@ -165,10 +166,11 @@
         }
         if (obs.silent != cases[i].silent ||
             silent_count != cases[i].silent_count ||
-            passive_health_should_avoid(&obs, now) != cases[i].avoid) {
+            passive_health_should_avoid(&obs, now, TRIAL_US) !=
+                cases[i].avoid) {
             fail_msg("case %zu: silent %d, became silent %u times, avoided %d",
                      i, obs.silent, silent_count,
-                     passive_health_should_avoid(&obs, now));
+                     passive_health_should_avoid(&obs, now, TRIAL_US));
         }
     }
 }
@@ -237,11 +239,54 @@
     run_step(&obs, MISS, &now);
     run_step(&obs, MISS, &now);
     run_step(&obs, WAIT_3S, &now);
-    assert_false(passive_health_should_avoid(&obs, now));
+    assert_false(passive_health_should_avoid(&obs, now, TRIAL_US));
     passive_health_on_trial(&obs, now);
-    assert_true(passive_health_should_avoid(&obs, now));
+    assert_true(passive_health_should_avoid(&obs, now, TRIAL_US));
     now += USEC_PER_SEC;
-    assert_false(passive_health_should_avoid(&obs, now));
+    assert_false(passive_health_should_avoid(&obs, now, TRIAL_US));
+}
+
+/* A silent target gets one trial flow a second from all forwarders, each of
+ * which begins at another time. */
+static void
+test_trial_rate(void **state)
+{
+    const unsigned forwarders = 40;
+    const unsigned seconds = 120;
+    const uint64_t interval = passive_health_trial_interval(forwarders);
+    unsigned trials = 0;
+    unsigned most_in_a_second = 0;
+    struct target_observations obs[40];
+    uint64_t start = START_US;
+
+    memset(obs, 0, sizeof(obs));
+    for (unsigned i = 0; i < forwarders; i++) {
+        uint64_t now = START_US;
+
+        run_step(&obs[i], PEER_SILENT, &now);
+        assert_true(becomes_silent(&obs[i], now));
+        start = now + 10 * USEC_PER_SEC;
+        passive_health_spread_trials(&obs[i], start, interval,
+                                     (double)i / forwarders);
+    }
+    for (unsigned s = 0; s < seconds; s++) {
+        unsigned in_second = 0;
+
+        for (uint64_t now = start + s * USEC_PER_SEC;
+             now < start + (s + 1) * USEC_PER_SEC; now += 100 * MS) {
+            for (unsigned i = 0; i < forwarders; i++) {
+                if (!passive_health_should_avoid(&obs[i], now, interval)) {
+                    passive_health_on_trial(&obs[i], now);
+                    in_second++;
+                }
+            }
+        }
+        trials += in_second;
+        most_in_a_second =
+            in_second > most_in_a_second ? in_second : most_in_a_second;
+    }
+    assert_in_range(trials, seconds * 9 / 10, seconds + 1);
+    assert_true(most_in_a_second <= 3);
 }
 
 /* An opening packet (SYN) that is not answered for too long makes its target
@@ -320,6 +365,7 @@
         cmocka_unit_test(test_reports),
         cmocka_unit_test(test_dead),
         cmocka_unit_test(test_trial_flows),
+        cmocka_unit_test(test_trial_rate),
         cmocka_unit_test(test_suspicion),
         cmocka_unit_test(test_suspicion_after_another_opening),
         cmocka_unit_test(test_load_decays),
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -56,6 +56,12 @@
 {
 }
 
+static double
+one_forwarder(void *ctx)
+{
+    return 1.0;
+}
+
 static uint64_t
 zero_view_age(void *ctx)
 {
@@ -236,6 +242,7 @@
     const struct forward_callbacks cb = {
         .unknown_target = ignore_unknown_target,
         .view_age_us = zero_view_age,
+        .forwarder_count = one_forwarder,
         .target_observed = ignore_observed_target};
     struct event_base *base = event_base_new();
     struct forward_view *view = make_view(targets, routes);
