--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -52,9 +52,8 @@
 /* Starts the first read. */
 void view_reader_start(struct view_reader *reader);
 /* The read of the snapshot has ended at "now". "delta" contains it; NULL when
- * there is none or it cannot be read. With "outdated" set, the store has
- * changed since the snapshot was written; if no peer brings these changes,
- * they are read. */
+ * there is none or it cannot be read. With "outdated" set, it lacks many
+ * changes; if no peer brings them soon, they are read. */
 void view_reader_on_snapshot(struct view_reader *reader,
                              const struct view_delta *delta, bool outdated,
                              uint64_t now);
--- a/src/coordination/view-snapshot.c
+++ b/src/coordination/view-snapshot.c
@@ -5,6 +5,11 @@
 #include "base/clock.h"
 #include "protocol/view-codec.h"
 
+/* Number of changes since a snapshot was written from which on it is outdated:
+ * at least the minimum, and this part of the targets. Fewer come from the
+ * peers soon enough, and cost each balancer a call otherwise. */
+#define OUTDATED_CHANGES_MIN 4
+#define OUTDATED_TARGETS_PART 16
 /* Minimum interval between two writes. Changes within it share a write. */
 #define WRITE_INTERVAL_US (1 * USEC_PER_SEC)
 /* Size of the entries that a balancer would read without a snapshot, from
@@ -120,6 +125,18 @@
     s->content_revision = delta == NULL ? 0 : newest_record(delta);
 }
 
+bool
+view_snapshot_is_outdated(const struct view_snapshot *s, size_t targets,
+                          uint64_t store_revision)
+{
+    uint64_t changes_min = targets / OUTDATED_TARGETS_PART;
+
+    if (changes_min < OUTDATED_CHANGES_MIN) {
+        changes_min = OUTDATED_CHANGES_MIN;
+    }
+    return store_revision >= s->key_revision + changes_min;
+}
+
 uint8_t *
 view_snapshot_encode(const struct forward_view *view, uint64_t now,
                      size_t *size)
--- a/src/coordination/view-snapshot.h
+++ b/src/coordination/view-snapshot.h
@@ -65,6 +65,12 @@
 void view_snapshot_on_seen(struct view_snapshot *s, uint64_t key_revision,
                            const struct view_delta *delta);
 
+/* Whether the snapshot that was seen lacks so many changes that they have to
+ * be fetched at once: the store is at "store_revision" now, and the snapshot
+ * has "targets" targets. */
+bool view_snapshot_is_outdated(const struct view_snapshot *s, size_t targets,
+                               uint64_t store_revision);
+
 /* Encodes the view. Returns a buffer of *size bytes that the caller frees, or
  * NULL when the view is too large for a snapshot. */
 uint8_t *view_snapshot_encode(const struct forward_view *view, uint64_t now,
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -411,8 +411,9 @@
     view_delta_clear(&m.delta);
 }
 
-static void
-send_pull(struct view_sync *vs, uint32_t addr, uint16_t port, uint64_t now)
+void
+view_sync_pull_from(struct view_sync *vs, uint32_t addr, uint16_t port,
+                    uint64_t now)
 {
     vs->next_pull = now + PULL_TIMEOUT_US;
     send_without_records(vs, VIEW_PULL, addr, port);
@@ -474,7 +475,7 @@
     if (!apply_delta(vs, &m->delta, m->confirmed, at, now)) {
         vs->behind = true;
         if (now >= vs->next_pull) {
-            send_pull(vs, m->sender_addr, m->sender_port, now);
+            view_sync_pull_from(vs, m->sender_addr, m->sender_port, now);
         }
         return;
     }
@@ -569,7 +570,8 @@
         return;
     }
     drawn = random_below(vs->random, (uint32_t)count);
-    send_pull(vs, peers[drawn]->info.addr, peers[drawn]->info.port, now);
+    view_sync_pull_from(vs, peers[drawn]->info.addr, peers[drawn]->info.port,
+                        now);
 }
 
 void
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -59,6 +59,9 @@
                                  size_t count, uint64_t now);
 /* Asks a random live peer for all changes that this view lacks. */
 void view_sync_pull(struct view_sync *vs, uint64_t now);
+/* Asks one peer, which need not be a known member, for the same. */
+void view_sync_pull_from(struct view_sync *vs, uint32_t addr, uint16_t port,
+                         uint64_t now);
 /* Sends announcements that are due, and pulls when the view is overdue. */
 void view_sync_tick(struct view_sync *vs, uint64_t now);
 
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -318,12 +318,33 @@
     view_delta_clear(&delta);
 }
 
+/* Asks a seed for the changes since the snapshot. After a restart of this
+ * balancer alone that is the quickest way to them. */
+static void
+pull_from_seed(struct view_task *task, uint64_t now)
+{
+    const struct forward_settings *settings = &task->settings;
+    const struct endpoint *seed;
+
+    if (settings->seed_count == 0) {
+        return;
+    }
+    seed = &settings->seeds[random_below(&task->random,
+                                         (uint32_t)settings->seed_count)];
+    if (seed->addr != settings->gossip_public.addr ||
+        seed->port != settings->gossip_public.port) {
+        view_sync_pull_from(task->sync, seed->addr, seed->port, now);
+    }
+}
+
 static void
 on_snapshot_read(void *ctx, const struct status *st, uint64_t revision,
                  const struct store_entry *entries, size_t count)
 {
     struct view_task *task = ctx;
+    uint64_t now = clock_monotonic_us();
     struct view_delta delta;
+    bool outdated;
     bool found;
 
     view_delta_init(&delta);
@@ -334,10 +355,14 @@
     else if (st->kind != ERR_NONE && st->kind != ERR_NOT_FOUND) {
         LOG_WARN("%s", st->message);
     }
-    view_reader_on_snapshot(task->reader, found ? &delta : NULL,
-                            store_client_revision(task->store) >
-                                task->snapshot.key_revision,
-                            clock_monotonic_us());
+    outdated =
+        found && view_snapshot_is_outdated(&task->snapshot, delta.targets->len,
+                                           store_client_revision(task->store));
+    view_reader_on_snapshot(task->reader, found ? &delta : NULL, outdated,
+                            now);
+    if (outdated) {
+        pull_from_seed(task, now);
+    }
     view_delta_clear(&delta);
 }
 
