--- a/src/coordination/own-delay.c
+++ b/src/coordination/own-delay.c
@@ -20,10 +20,7 @@
 static void
 add_interval(struct own_delay *d, uint64_t from, uint64_t until)
 {
-    if (from > d->until || d->until == 0) {
-        d->from = from;
-    }
-    else if (from < d->from) {
+    if (d->until == 0 || from > d->until || from < d->from) {
         d->from = from;
     }
     if (until > d->until) {
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -132,10 +132,10 @@
 {
     z_stream stream = {.next_in = (uint8_t *)plain,
                        .avail_in = (uInt)plain_size,
-                       .next_out = out,
                        .avail_out = (uInt)out_size};
     int result;
 
+    stream.next_out = out;
     if (deflateInit2(&stream, COMPRESS_LEVEL, Z_DEFLATED, COMPRESS_WINDOW_BITS,
                      COMPRESS_MEMORY_LEVEL, Z_DEFAULT_STRATEGY) != Z_OK) {
         return 0;
@@ -153,10 +153,10 @@
 {
     z_stream stream = {.next_in = (uint8_t *)in,
                        .avail_in = (uInt)in_size,
-                       .next_out = plain,
                        .avail_out = (uInt)plain_size};
     int result;
 
+    stream.next_out = plain;
     if (inflateInit2(&stream, COMPRESS_WINDOW_BITS) != Z_OK) {
         return false;
     }
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -47,6 +47,54 @@
     }
 }
 
+/* Two endpoints in one process. */
+struct pair {
+    void *zmq_ctx;
+    struct event_base *base;
+    struct peer_endpoint a;
+    struct peer_endpoint b;
+};
+
+static struct gossip_endpoint *
+open_endpoint(struct pair *p, struct peer_endpoint *peer, uint32_t addr,
+              uint16_t port)
+{
+    struct status st;
+    struct gossip_endpoint *ep = gossip_endpoint_new(
+        p->zmq_ctx, p->base, addr, port, on_message, peer, &st);
+
+    assert_non_null(ep);
+    return ep;
+}
+
+static void
+pair_open(struct pair *p)
+{
+    memset(p, 0, sizeof(*p));
+    p->zmq_ctx = zmq_ctx_new();
+    p->base = event_base_new();
+    p->a.ep = open_endpoint(p, &p->a, ADDR_A, PORT);
+    p->b.ep = open_endpoint(p, &p->b, ADDR_B, PORT);
+}
+
+static void
+pair_close(struct pair *p)
+{
+    gossip_endpoint_destroy(p->a.ep);
+    gossip_endpoint_destroy(p->b.ep);
+    event_base_free(p->base);
+    zmq_ctx_term(p->zmq_ctx);
+}
+
+/* Sends a message of "size" bytes. */
+static bool
+send_bytes(struct gossip_endpoint *ep, uint32_t addr, size_t size)
+{
+    static const uint8_t data[100] = {1};
+
+    return gossip_endpoint_send(ep, addr, PORT, data, size, 1);
+}
+
 /* Messages arrive in both directions, also after a connection was closed and
  * opened again. Messages to a peer that does not exist are lost, but the
  * others still arrive. */
@@ -112,42 +160,30 @@
     } cases[] = {{false}, {true}};
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-        void *zmq_ctx = zmq_ctx_new();
-        struct event_base *base = event_base_new();
-        struct peer_endpoint a = {0};
-        struct peer_endpoint b = {0};
-        uint8_t data[100] = {1};
-        struct status st;
-
-        a.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a,
-                                   &st);
-        b.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b,
-                                   &st);
-        assert_true(gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 10, 1));
+        size_t first = cases[i].both ? 1 : 0;
+        struct pair p;
+
+        pair_open(&p);
+        assert_true(send_bytes(p.a.ep, ADDR_B, 10));
         if (cases[i].both) {
-            gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 10, 1);
+            send_bytes(p.b.ep, ADDR_A, 10);
         }
-        run_loop_until(base, &b.received, 1);
-        run_loop_until(base, &a.received, cases[i].both ? 1 : 0);
-        assert_int_equal(gossip_endpoint_connection_count(b.ep),
-                         cases[i].both ? 1 : 0);
-        gossip_endpoint_close_idle(b.ep, 6000000);
-        assert_true(gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 20, 1));
-        run_loop_until(base, &a.received, cases[i].both ? 2 : 1);
-        assert_int_equal(a.bytes, cases[i].both ? 30 : 20);
-        assert_int_equal(gossip_endpoint_connection_count(a.ep), 1);
-        assert_int_equal(gossip_endpoint_connection_count(b.ep), 0);
-
-        gossip_endpoint_disconnect(b.ep, ADDR_A, PORT);
-        assert_true(gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 30, 1));
-        assert_int_equal(gossip_endpoint_connection_count(b.ep), 1);
-        run_loop_until(base, &a.received, cases[i].both ? 3 : 2);
-        assert_int_equal(a.bytes, cases[i].both ? 60 : 50);
-
-        gossip_endpoint_destroy(a.ep);
-        gossip_endpoint_destroy(b.ep);
-        event_base_free(base);
-        zmq_ctx_term(zmq_ctx);
+        run_loop_until(p.base, &p.b.received, 1);
+        run_loop_until(p.base, &p.a.received, first);
+        assert_int_equal(gossip_endpoint_connection_count(p.b.ep), first);
+        gossip_endpoint_close_idle(p.b.ep, 6000000);
+        assert_true(send_bytes(p.b.ep, ADDR_A, 20));
+        run_loop_until(p.base, &p.a.received, first + 1);
+        assert_int_equal(p.a.bytes, 10 * first + 20);
+        assert_int_equal(gossip_endpoint_connection_count(p.a.ep), 1);
+        assert_int_equal(gossip_endpoint_connection_count(p.b.ep), 0);
+
+        gossip_endpoint_disconnect(p.b.ep, ADDR_A, PORT);
+        assert_true(send_bytes(p.b.ep, ADDR_A, 30));
+        assert_int_equal(gossip_endpoint_connection_count(p.b.ep), 1);
+        run_loop_until(p.base, &p.a.received, first + 2);
+        assert_int_equal(p.a.bytes, 10 * first + 50);
+        pair_close(&p);
     }
 }
 
@@ -157,77 +193,54 @@
 static void
 test_restarted_peer(void **state)
 {
-    void *zmq_ctx = zmq_ctx_new();
-    struct event_base *base = event_base_new();
-    struct peer_endpoint a = {0};
-    struct peer_endpoint b = {0};
-    uint8_t data[100] = {1};
-    struct status st;
+    struct pair p;
 
-    a.ep =
-        gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a, &st);
-    b.ep =
-        gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b, &st);
-    gossip_endpoint_send(a.ep, ADDR_B, PORT, data, 10, 1);
-    run_loop_until(base, &b.received, 1);
-    gossip_endpoint_destroy(a.ep);
-    run_loop_until(base, &b.received, SIZE_MAX);
-    a.ep =
-        gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message, &a, &st);
-    assert_non_null(a.ep);
-    assert_true(gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 20, 1));
-    run_loop_until(base, &a.received, 1);
-    assert_int_equal(a.bytes, 20);
-    assert_int_equal(gossip_endpoint_connection_count(b.ep), 1);
-    gossip_endpoint_destroy(a.ep);
-    gossip_endpoint_destroy(b.ep);
-    event_base_free(base);
-    zmq_ctx_term(zmq_ctx);
+    pair_open(&p);
+    send_bytes(p.a.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 1);
+    gossip_endpoint_destroy(p.a.ep);
+    run_loop_until(p.base, &p.b.received, SIZE_MAX);
+    p.a.ep = open_endpoint(&p, &p.a, ADDR_A, PORT);
+    assert_true(send_bytes(p.b.ep, ADDR_A, 20));
+    run_loop_until(p.base, &p.a.received, 1);
+    assert_int_equal(p.a.bytes, 20);
+    assert_int_equal(gossip_endpoint_connection_count(p.b.ep), 1);
+    pair_close(&p);
 }
 
 /* A connection that is replaced by a newer one of the same peer, and then
  * breaks, must not end the process: with ids of connections that are used
  * again, the library stopped at an assertion at its next heartbeat (seen on
- * minhkhoa-estimates trouble-2). "first" and "second" are two connections of a
- * peer that has the address of the first. */
+ * minhkhoa-estimates trouble-2). "second" is another connection of the peer
+ * with the address of "a". */
 static void
 test_replaced_connection(void **state)
 {
-    void *zmq_ctx = zmq_ctx_new();
-    struct event_base *base = event_base_new();
-    struct peer_endpoint first = {0};
     struct peer_endpoint second = {0};
-    struct peer_endpoint b = {0};
-    const size_t never = SIZE_MAX;
-    uint8_t data[100] = {1};
-    struct status st;
+    struct pair p;
 
-    first.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT, on_message,
-                                   &first, &st);
-    second.ep = gossip_endpoint_new(zmq_ctx, base, ADDR_A, PORT + 3,
-                                    on_message, &second, &st);
-    b.ep =
-        gossip_endpoint_new(zmq_ctx, base, ADDR_B, PORT, on_message, &b, &st);
+    pair_open(&p);
+    second.ep = open_endpoint(&p, &second, ADDR_A, PORT + 3);
     gossip_endpoint_set_public(second.ep, ADDR_A, PORT);
-    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
-    run_loop_until(base, &b.received, 1);
-    gossip_endpoint_send(second.ep, ADDR_B, PORT, data, 10, 1);
-    run_loop_until(base, &b.received, 2);
-    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
-    gossip_endpoint_send(first.ep, ADDR_B, PORT, data, 10, 1);
-    run_loop_until(base, &b.received, 4);
-    gossip_endpoint_send(b.ep, ADDR_A, PORT, data, 20, 1);
-    run_loop_until(base, &second.received, 1);
-    gossip_endpoint_destroy(first.ep);
-    run_loop_until(base, &b.received, never);
-    run_loop_until(base, &b.received, never);
-    gossip_endpoint_send(second.ep, ADDR_B, PORT, data, 10, 1);
-    run_loop_until(base, &b.received, 5);
-    assert_int_equal(b.received, 5);
+    send_bytes(p.a.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 1);
+    send_bytes(second.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 2);
+    send_bytes(p.a.ep, ADDR_B, 10);
+    send_bytes(p.a.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 4);
+    send_bytes(p.b.ep, ADDR_A, 20);
+    run_loop_until(p.base, &second.received, 1);
+    gossip_endpoint_destroy(p.a.ep);
+    p.a.ep = NULL;
+    /* Twice 2 s, longer than the interval of the library's heartbeats. */
+    run_loop_until(p.base, &p.b.received, SIZE_MAX);
+    run_loop_until(p.base, &p.b.received, SIZE_MAX);
+    send_bytes(second.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 5);
+    assert_int_equal(p.b.received, 5);
     gossip_endpoint_destroy(second.ep);
-    gossip_endpoint_destroy(b.ep);
-    event_base_free(base);
-    zmq_ctx_term(zmq_ctx);
+    pair_close(&p);
 }
 
 /* The source address of connections to peers is the address of the endpoint,
