--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -278,26 +278,23 @@
 find_snapshot(struct view_task *task, const struct store_entry *entries,
               size_t count, struct view_delta *delta)
 {
-    for (size_t i = 0; i < count; i++) {
-        const struct store_entry *e = &entries[i];
-        bool valid;
+    const struct store_entry *e =
+        store_entries_find_newest(entries, count, SNAPSHOT_KEY);
+    bool valid;
 
-        if (strcmp(e->key, SNAPSHOT_KEY) != 0) {
-            continue;
-        }
-        valid =
-            e->value != NULL && view_snapshot_decode((const uint8_t *)e->value,
+    if (e == NULL) {
+        return false;
+    }
+    valid = e->value != NULL && view_snapshot_decode((const uint8_t *)e->value,
                                                      e->value_len, delta);
-        if (e->value != NULL && !valid) {
-            LOG_WARN("ignoring the snapshot of revision %" PRIu64
-                     ": it cannot be decoded",
-                     e->mod_revision);
-        }
-        view_snapshot_on_seen(&task->snapshot, e->mod_revision,
-                              valid ? delta : NULL);
-        return valid;
+    if (e->value != NULL && !valid) {
+        LOG_WARN("ignoring the snapshot of revision %" PRIu64
+                 ": it cannot be decoded",
+                 e->mod_revision);
     }
-    return false;
+    view_snapshot_on_seen(&task->snapshot, e->mod_revision,
+                          valid ? delta : NULL);
+    return valid;
 }
 
 /* Records a snapshot that another balancer has written. */
@@ -305,13 +302,12 @@
 note_snapshot(struct view_task *task, const struct store_entry *entries,
               size_t count)
 {
+    const struct store_entry *e =
+        store_entries_find_newest(entries, count, SNAPSHOT_KEY);
     struct view_delta delta;
 
-    for (size_t i = 0; i < count; i++) {
-        if (strcmp(entries[i].key, SNAPSHOT_KEY) == 0 &&
-            entries[i].mod_revision == task->snapshot.key_revision) {
-            return;
-        }
+    if (e == NULL || e->mod_revision == task->snapshot.key_revision) {
+        return;
     }
     view_delta_init(&delta);
     find_snapshot(task, entries, count, &delta);
@@ -382,6 +378,9 @@
 {
     struct view_task *task = ctx;
 
+    if (st->kind != ERR_NONE && st->kind != ERR_NOT_FOUND) {
+        LOG_WARN("the snapshot cannot be checked: %s", st->message);
+    }
     note_snapshot(task, entries, count);
     view_snapshot_on_read(&task->snapshot,
                           st->kind == ERR_NONE || st->kind == ERR_NOT_FOUND,
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -816,3 +816,19 @@
 {
     return sc->revision;
 }
+
+const struct store_entry *
+store_entries_find_newest(const struct store_entry *entries, size_t count,
+                          const char *key)
+{
+    const struct store_entry *newest = NULL;
+
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(entries[i].key, key) == 0 &&
+            (newest == NULL ||
+             entries[i].mod_revision > newest->mod_revision)) {
+            newest = &entries[i];
+        }
+    }
+    return newest;
+}
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -28,6 +28,12 @@
     size_t value_len;
 };
 
+/* Returns the entry of a key with the highest revision, NULL when there is
+ * none. The answer to a watch may contain several changes of a key. */
+const struct store_entry *
+store_entries_find_newest(const struct store_entry *entries, size_t count,
+                          const char *key);
+
 /* Result of a range read. On success "revision" is the revision of the store
  * that the entries show (see store_client_range_stale() for an exception); on
  * failure there are no entries and it is 0. ERR_NOT_FOUND means that a single
--- a/tests/unit/test-store-client.c
+++ b/tests/unit/test-store-client.c
@@ -615,10 +615,36 @@
     assert_null(store_client_new(f->base, NULL, 0, &st));
 }
 
+/* Of several changes of a key the newest counts, in whatever order they come.
+ */
+static void
+test_newest_entry(void **state)
+{
+    static const struct store_entry entries[] = {
+        {.key = "a", .mod_revision = 3},   {.key = "b", .mod_revision = 4},
+        {.key = "a", .mod_revision = 9},   {.key = "a", .mod_revision = 7},
+        {.key = "ab", .mod_revision = 10},
+    };
+    static const struct {
+        const char *key;
+        size_t count;
+        uint64_t revision; /* 0: none */
+    } cases[] = {{"a", 5, 9}, {"a", 1, 3},  {"b", 5, 4},
+                 {"c", 5, 0}, {"ab", 4, 0}, {"a", 0, 0}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct store_entry *e =
+            store_entries_find_newest(entries, cases[i].count, cases[i].key);
+
+        assert_int_equal(e == NULL ? 0 : e->mod_revision, cases[i].revision);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_newest_entry),
         cmocka_unit_test(test_cas),
         cmocka_unit_test_setup_teardown(test_cas_without_connection, setup,
                                         teardown),
