--- a/src/coordination/own-delay.c
+++ b/src/coordination/own-delay.c
@@ -2,15 +2,15 @@
 
 #include <string.h>
 
-/* Bits per byte divided by bits per microsecond and Mbit/s. */
-#define BYTES_PER_US_AND_MBPS 0.125
+/* Bytes per microsecond at 1 Mbit/s. */
+#define BYTES_PER_US_PER_MBPS 0.125
 
 void
 own_delay_init(struct own_delay *d, double link_mbps,
                uint64_t tick_interval_us, uint64_t now)
 {
     memset(d, 0, sizeof(*d));
-    d->bytes_per_us = link_mbps * BYTES_PER_US_AND_MBPS;
+    d->bytes_per_us = link_mbps * BYTES_PER_US_PER_MBPS;
     d->tick_interval_us = tick_interval_us;
     d->last_tick = now;
 }
--- a/src/coordination/own-delay.h
+++ b/src/coordination/own-delay.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include <stdbool.h>
-
 /* Times in which this host may have delayed the packets of callers itself:
  * its process stood still, or its link was busy with bulk data. A caller
  * repeats a packet that was delayed for long enough, as it does when the
--- a/src/coordination/passive-health.h
+++ b/src/coordination/passive-health.h
@@ -19,8 +19,8 @@
  * answers some requests, and one or two misses may be lost datagrams. */
 #define PASSIVE_HEALTH_SILENT_MISSES 3
 /* Time after the last of these misses in which an answer that another
- * forwarder has seen still prevents it. A report takes a batch of
- * view_task_report() and a few milliseconds to arrive. */
+ * forwarder has seen still prevents the silence. Reports are collected for
+ * 20 ms and take a few milliseconds to arrive. */
 #define PASSIVE_HEALTH_CONFIRM_US 100000ULL
 /* A silent target counts as dead after this time in which no forwarder has
  * seen an answer. Open flows to it are then of no use to their callers, also
--- a/src/coordination/view-snapshot.c
+++ b/src/coordination/view-snapshot.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "protocol/view-codec.h"
 
 /* Number of changes since a snapshot was written from which on it is outdated:
  * at least the minimum, and this part of the targets. Fewer come from the
@@ -136,31 +135,3 @@
     }
     return store_revision >= s->key_revision + changes_min;
 }
-
-uint8_t *
-view_snapshot_encode(const struct forward_view *view, uint64_t now,
-                     size_t *size)
-{
-    struct view_message m;
-    uint8_t *data;
-
-    memset(&m, 0, sizeof(m));
-    m.kind = VIEW_DELTA;
-    view_delta_init(&m.delta);
-    forward_view_delta_since(view, 0, 0, now, &m.delta);
-    data = view_encode(&m, size);
-    view_delta_clear(&m.delta);
-    return data;
-}
-
-bool
-view_snapshot_decode(const uint8_t *data, size_t size,
-                     struct view_delta *delta)
-{
-    struct view_message m = {.delta = *delta};
-    bool valid = view_decode(&m, data, size);
-
-    *delta = m.delta;
-    return valid && m.kind == VIEW_DELTA && delta->targets_complete &&
-           delta->routes_complete;
-}
--- a/src/coordination/view-snapshot.h
+++ b/src/coordination/view-snapshot.h
@@ -70,12 +70,3 @@
  * has "targets" targets. */
 bool view_snapshot_is_outdated(const struct view_snapshot *s, size_t targets,
                                uint64_t store_revision);
-
-/* Encodes the view. Returns a buffer of *size bytes that the caller frees, or
- * NULL when the view is too large for a snapshot. */
-uint8_t *view_snapshot_encode(const struct forward_view *view, uint64_t now,
-                              size_t *size);
-/* Decodes a snapshot. The caller initializes "delta" before and clears it
- * afterwards, also on failure. Returns false when it is malformed. */
-bool view_snapshot_decode(const uint8_t *data, size_t size,
-                          struct view_delta *delta);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -20,6 +20,7 @@
 #include "daemon/entry-decoder.h"
 #include "daemon/gossip-send.h"
 #include "protocol/gossip-codec.h"
+#include "protocol/snapshot-codec.h"
 #include "protocol/view-codec.h"
 #include "transport/gossip-endpoint.h"
 
@@ -285,8 +286,8 @@
     if (e == NULL) {
         return false;
     }
-    valid = e->value != NULL && view_snapshot_decode((const uint8_t *)e->value,
-                                                     e->value_len, delta);
+    valid = e->value != NULL &&
+            snapshot_decode((const uint8_t *)e->value, e->value_len, delta);
     if (e->value != NULL && !valid) {
         LOG_WARN("ignoring the snapshot of revision %" PRIu64
                  ": it cannot be decoded",
@@ -415,7 +416,7 @@
 write_snapshot(struct view_task *task, uint64_t now)
 {
     size_t size;
-    uint8_t *data = view_snapshot_encode(task->view, now, &size);
+    uint8_t *data = snapshot_encode(task->view, now, &size);
 
     if (data == NULL) {
         LOG_WARN("no snapshot is written: the view is too large");
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "protocol/gossip-codec.h"
+#include "protocol/snapshot-codec.h"
 #include "protocol/view-codec.h"
 
 /* Delay of a message: the minimum plus a random part below the range */
@@ -283,9 +284,8 @@
     bool valid;
 
     view_delta_init(&delta);
-    valid =
-        fleet->snapshot != NULL &&
-        view_snapshot_decode(fleet->snapshot, fleet->snapshot_size, &delta);
+    valid = fleet->snapshot != NULL &&
+            snapshot_decode(fleet->snapshot, fleet->snapshot_size, &delta);
     if (fleet->snapshot != NULL) {
         view_snapshot_on_seen(&node->snapshot, fleet->snapshot_revision,
                               valid ? &delta : NULL);
@@ -312,8 +312,7 @@
         return;
     }
     view_delta_init(&delta);
-    valid =
-        view_snapshot_decode(fleet->snapshot, fleet->snapshot_size, &delta);
+    valid = snapshot_decode(fleet->snapshot, fleet->snapshot_size, &delta);
     view_snapshot_on_seen(&node->snapshot, fleet->snapshot_revision,
                           valid ? &delta : NULL);
     view_delta_clear(&delta);
@@ -447,7 +446,7 @@
     node->snapshot_expected = node->snapshot.key_revision;
     if (node->snapshot_call == VIEW_SNAPSHOT_WRITE) {
         node->snapshot_data =
-            view_snapshot_encode(node->view, now, &node->snapshot_size);
+            snapshot_encode(node->view, now, &node->snapshot_size);
     }
 }
 
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "fake-fleet.h"
+#include "protocol/snapshot-codec.h"
 
 #define SEED 20261203
 /* Time within which every balancer has to apply a change. */
@@ -632,8 +633,8 @@
                       (unsigned long long)seconds);
         assert_true(writes <= seconds * (split[c] ? 2 : 1) + 1);
         view_delta_init(&delta);
-        assert_true(view_snapshot_decode(fleet->snapshot, fleet->snapshot_size,
-                                         &delta));
+        assert_true(
+            snapshot_decode(fleet->snapshot, fleet->snapshot_size, &delta));
         assert_true(delta.to >= last_change);
         view_delta_clear(&delta);
         fleet_destroy(fleet);
