--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -14,8 +14,11 @@
 
 #include "transport/gossip-endpoint.h"
 
-#define ADDR_A 0x7f480101 /* 127.72.1.1 */
-#define ADDR_B 0x7f480102 /* 127.72.1.2 */
+/* Loopback addresses of this process, so that several runs of the test on one
+ * machine do not meet: 127.72.0.0/16, four for each process id. */
+#define ADDR_BASE (0x7f480000U | ((uint32_t)getpid() & 0x3fffU) << 2)
+#define ADDR_A (ADDR_BASE + 1)
+#define ADDR_B (ADDR_BASE + 2)
 #define PORT 27402
 
 /* One of the endpoints, and the messages that it has received. */
