forward: a target taken for dead serves again after a trial

Cause: the first packet of a caller after the handshake of a trial shows that the target answered, but was answered with a reset before it was looked at, as the target counted as dead. So a target that had only stood still, or been cut off, for more than 0.8 s was never used again, and each trial broke a flow of a living target.

Change: what a packet shows is looked at first. A flow that this balancer sees for the first time is not reset at its first packet: another balancer may have opened it as a trial. If the target is dead, the repeat is.

soak: the store restored from a copy, as a fault of its own.

--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -621,17 +621,19 @@
 /* Updates the state of a flow and the health of its target from a packet of an
  * open flow. The first packet of the caller shows that the target answered the
  * opening packet; a higher acknowledgement shows that it has answered since;
- * repeated data shows that it has not. */
+ * repeated data shows that it has not. Stores in "first" whether this is the
+ * first packet of the open flow that this balancer sees. */
 static struct recent_flow *
 track_packet(struct forward_task *task, const struct inbound_packet *in,
-             struct forward_target *target)
+             struct forward_target *target, bool *first)
 {
     struct recent_flow_key key = flow_key(&in->packet);
     struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
     const struct flow_packet *packet = &in->packet;
     uint32_t seq_end = packet->seq + packet->length;
 
-    if (!flow->open || flow->cookie != target->cookie) {
+    *first = !flow->open || flow->cookie != target->cookie;
+    if (*first) {
         note_opened(task, flow, target, in);
     }
     else if ((int32_t)(packet->ack - flow->ack) > 0) {
@@ -669,13 +671,15 @@
 }
 
 /* Ends the flow of a packet whose target is dead or replaced: no answer would
- * come. Returns false when the target may be alive. */
+ * come. Returns false when the target may be alive. Another balancer may just
+ * have opened the flow as a trial of a dead target, so it is not ended by a
+ * packet that this balancer has seen "first". */
 static bool
 ends_at_gone_target(struct forward_task *task, const struct inbound_packet *in,
-                    const struct forward_target *target)
+                    const struct forward_target *target, bool first)
 {
     if (!target->replaced &&
-        !passive_health_is_dead(&target->observations, in->now)) {
+        (first || !passive_health_is_dead(&target->observations, in->now))) {
         return false;
     }
     if ((in->packet.flags & FLOW_RST) == 0) {
@@ -694,6 +698,7 @@
         forward_view_route(task->view, packet->dst_addr, packet->dst_port);
     struct forward_target *target;
     struct recent_flow *flow;
+    bool first;
 
     if (route == NULL) {
         /* An open flow is not reset because of an outdated view. */
@@ -718,10 +723,12 @@
         return;
     }
     in->route = route;
-    if (ends_at_gone_target(task, in, target)) {
+    /* First what the packet shows: the caller's answer to a handshake that was
+     * tried with a silent target shows that it lives. */
+    flow = track_packet(task, in, target, &first);
+    if (ends_at_gone_target(task, in, target, first)) {
         return;
     }
-    flow = track_packet(task, in, target);
     if (target->observations.silent && flow->waiting && flow->repeats > 0) {
         reset_flow(task, flow, FORWARD_RESET_TARGET_SILENT);
         return;
--- a/tests/standins/platform-text.c
+++ b/tests/standins/platform-text.c
@@ -74,7 +74,7 @@
                      target->domain, "version", "v1", "slots",
                      (int)target->slots, "state",
                      target->draining ? "draining" : "ready", "coldLeftMs", 0,
-                     "sequence", 1);
+                     "sequence", (int)target->sequence);
 }
 
 char *
--- a/tests/standins/platform-text.h
+++ b/tests/standins/platform-text.h
@@ -37,6 +37,7 @@
     const char *domain;
     unsigned slots;
     bool draining;
+    unsigned sequence; /* number of this write of the target */
 };
 
 /* Writes a settings file. Returns false if it cannot be written. */
--- a/tools/soak/directory.c
+++ b/tools/soak/directory.c
@@ -181,6 +181,7 @@
         .domain = soak_domain(t->target_addr->index / SOAK_SERVICES),
         .slots = TARGET_SLOTS,
         .draining = t->draining,
+        .sequence = ++t->writes,
     };
     char *key = platform_text_target_key(t->id);
 
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -27,6 +27,8 @@
 /* Time after the return of the store until targets write their expired entries
  * again. */
 #define LAPSE_RESTORE_DELAY_MS 1000
+/* Age of the copy from which the store is restored. */
+#define STORE_COPY_AGE_MS 4000
 /* Interval between the stops of two balancers in a rolling restart; a stop
  * takes about two seconds. */
 #define ROLL_INTERVAL_MS 2500
@@ -272,6 +274,61 @@
                active, active_fault_free);
 }
 
+/* The entries that were removed before the store returned expire again. */
+static void
+remove_entries_again(void *ctx)
+{
+    struct active_fault *active = ctx;
+    struct soak *soak = active->soak;
+
+    for (guint i = 0; i < soak->targets->len && !soak->ending; i++) {
+        struct target_process *t = g_ptr_array_index(soak->targets, i);
+
+        if (!t->registered) {
+            directory_remove_target(t, false);
+        }
+    }
+    mark_store_disturbed(active, false);
+    active_fault_free(active);
+}
+
+/* The operator and the targets write again what the store has lost. */
+static void
+write_entries_again(void *ctx)
+{
+    struct active_fault *active = ctx;
+    struct soak *soak = active->soak;
+
+    for (guint i = 0; i < soak->targets->len && !soak->ending; i++) {
+        struct target_process *t = g_ptr_array_index(soak->targets, i);
+
+        if (t->registered && t->child.pid != 0) {
+            directory_write_target(t);
+        }
+    }
+    if (!soak->ending) {
+        directory_write_config(soak);
+    }
+    soak_after(soak, HEARTBEAT_EXPIRY_MS - LAPSE_RESTORE_DELAY_MS,
+               remove_entries_again, active, active_fault_free);
+}
+
+static void
+begin_store_restored(struct active_fault *active)
+{
+    char json[96];
+
+    mark_store_disturbed(active, true);
+    snprintf(json, sizeof(json),
+             "{\"restore\":{\"back_ms\":%d,\"away_ms\":%d,\"late_ms\":%d}}",
+             STORE_COPY_AGE_MS, (int)active->fault.duration_ms,
+             (int)(active->fault.subject % 2) * LAPSE_RESTORE_DELAY_MS / 2);
+    directory_control_store(active->soak, json);
+    soak_after(active->soak,
+               active->fault.duration_ms + LAPSE_RESTORE_DELAY_MS,
+               write_entries_again, active, active_fault_free);
+}
+
 static void
 end_store_one(struct active_fault *active)
 {
@@ -652,6 +709,9 @@
     case FAULT_STORE_LAPSE:
         begin_store_lapse(active);
         break;
+    case FAULT_STORE_RESTORED:
+        begin_store_restored(active);
+        break;
     default:
         begin_store_one(active);
         break;
--- a/tools/soak/plan.c
+++ b/tools/soak/plan.c
@@ -32,6 +32,7 @@
     [FAULT_STORE_COMPACT] = {"store-compact", 2, 0, 0},
     [FAULT_STORE_STALE] = {"store-stale", 2, 2000, 8000},
     [FAULT_STORE_LAPSE] = {"store-lapse", 2, 2000, 6000},
+    [FAULT_STORE_RESTORED] = {"store-restored", 3, 300, 3000},
     [FAULT_STORE_ONE] = {"store-one", 4, 1000, 10000},
     [FAULT_GOSSIP_CUT] = {"gossip-cut", 4, 1000, 10000},
     [FAULT_GOSSIP_DEAF] = {"gossip-deaf", 3, 1000, 10000},
--- a/tools/soak/plan.h
+++ b/tools/soak/plan.h
@@ -24,19 +24,22 @@
     FAULT_STORE_STALE,   /* serializable reads return old data */
     FAULT_STORE_LAPSE,   /* no connection to the store passes data, and the
                             entries of all targets expire meanwhile */
-    FAULT_STORE_ONE,     /* the connections of one balancer to the store pass
-                            no data */
-    FAULT_GOSSIP_CUT,    /* one balancer and its peers cannot reach each other
-                          */
-    FAULT_GOSSIP_DEAF,   /* one balancer receives nothing on the connections
-                            that its peers opened */
-    FAULT_GOSSIP_MUTE,   /* peers receive nothing on the connections that one
-                            balancer opened */
-    FAULT_GOSSIP_QUIET,  /* open connections between peers pass no more data;
-                            new ones work */
-    FAULT_GOSSIP_SLOW,   /* connections between peers pass data late */
-    FAULT_HOST_CUT,      /* one balancer reaches neither its peers nor the
-                            store */
+    FAULT_STORE_RESTORED, /* the store is silent and then returns from a copy
+                             that is some seconds old; what was written since
+                             is written again later */
+    FAULT_STORE_ONE,      /* the connections of one balancer to the store pass
+                             no data */
+    FAULT_GOSSIP_CUT,     /* one balancer and its peers cannot reach each other
+                           */
+    FAULT_GOSSIP_DEAF,    /* one balancer receives nothing on the connections
+                             that its peers opened */
+    FAULT_GOSSIP_MUTE,    /* peers receive nothing on the connections that one
+                             balancer opened */
+    FAULT_GOSSIP_QUIET,   /* open connections between peers pass no more data;
+                             new ones work */
+    FAULT_GOSSIP_SLOW,    /* connections between peers pass data late */
+    FAULT_HOST_CUT,       /* one balancer reaches neither its peers nor the
+                             store */
     FAULT_PACKETS_HARMED, /* packets from callers to one balancer are lost,
                              duplicated and reordered */
     FAULT_TARGET_HARMED,  /* packets from balancers to one target are lost,
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -155,6 +155,7 @@
     bool registered; /* its entry was written to the store and not deleted
                        since */
     bool draining;   /* its entry says that it is draining */
+    unsigned writes; /* of its entry */
     bool leaving;    /* a fault ends it: other faults must not choose it */
     bool paused;     /* stopped with SIGSTOP */
 };
