forward: requests that may not be repeated outlast a short silence

Hypothesis: a silent target's waiting flows are reset 0.3 s after the first miss, so that callers try another target. A caller whose request may not be repeated cannot; the reset of its flow loses the answer of a target that only stood still, or was cut off, for part of a second.

Change: routes say whether their requests may be repeated (the kinds safe and download). Where they may not, a waiting flow is reset when the target is dead, 0.5 s later, as it was before for flows that wait for nothing. The decision is passive_health_ends_request().

--- a/src/coordination/passive-health.c
+++ b/src/coordination/passive-health.c
@@ -219,6 +219,13 @@
     return obs->silent && now >= obs->silent_at + PASSIVE_HEALTH_DEAD_US;
 }
 
+bool
+passive_health_ends_request(const struct target_observations *obs,
+                            bool repeatable, uint64_t now)
+{
+    return obs->silent && (repeatable || passive_health_is_dead(obs, now));
+}
+
 uint64_t
 passive_health_trial_interval(double forwarders)
 {
--- a/src/coordination/passive-health.h
+++ b/src/coordination/passive-health.h
@@ -86,6 +86,14 @@
 /* Whether the target has been silent for PASSIVE_HEALTH_DEAD_US. */
 bool passive_health_is_dead(const struct target_observations *obs,
                             uint64_t now);
+/* Whether a request that the target has not answered, although its caller has
+ * retransmitted it, is ended with a reset. One that may be repeated is, as
+ * soon as the target is silent: another target answers it sooner. One that may
+ * not is lost by the reset, so it waits until the target is dead. This answers
+ * the load of targets that stand still, or are cut off, for part of a second.
+ */
+bool passive_health_ends_request(const struct target_observations *obs,
+                                 bool repeatable, uint64_t now);
 /* Returns the interval between two trial flows that each of "forwarders"
  * forwarders sends to a silent target, so that it gets one a second from all
  * of them. Whoever sees an answer tells the others. */
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -216,18 +216,35 @@
     reset_open_flows(task, target, FORWARD_RESET_TARGET_REPLACED);
 }
 
+/* Whether a flow is ended because its target has not answered its request,
+ * which the caller has already retransmitted. */
+static bool
+ends_unanswered(const struct forward_task *task,
+                const struct recent_flow *flow,
+                const struct forward_target *target, uint64_t now)
+{
+    const struct forward_route *route = forward_view_route(
+        task->view, flow->key.route_addr, flow->key.route_port);
+
+    return flow->waiting && flow->repeats > 0 &&
+           passive_health_ends_request(
+               &target->observations,
+               route != NULL && route->record.repeatable, now);
+}
+
 /* Logs that a target is silent, and resets its open flows that wait for an
- * answer and whose callers have already retransmitted. */
+ * answer and whose callers have already retransmitted, where their requests
+ * may be repeated. */
 static void
 reset_waiting_flows(struct forward_task *task,
-                    const struct forward_target *target)
+                    const struct forward_target *target, uint64_t now)
 {
     log_fields(LOG_LEVEL_WARN, LOG_MODULE,
                LOG_FIELDS({"target", target->record.id}), "target_silent");
     for (struct recent_flow *flow = recent_flows_first(task->flows);
          flow != NULL; flow = recent_flows_next(task->flows, flow)) {
-        if (flow->cookie == target->cookie && flow->open && flow->waiting &&
-            flow->repeats > 0) {
+        if (flow->cookie == target->cookie && flow->open &&
+            ends_unanswered(task, flow, target, now)) {
             reset_flow(task, flow, FORWARD_RESET_TARGET_SILENT);
         }
     }
@@ -269,7 +286,7 @@
         passive_health_spread_trials(&target->observations, now,
                                      task->trial_interval_us,
                                      random_unit(&task->random));
-        reset_waiting_flows(task, target);
+        reset_waiting_flows(task, target, now);
         return true;
     }
     if (passive_health_is_dead(&target->observations, now)) {
@@ -729,7 +746,7 @@
     if (ends_at_gone_target(task, in, target, first)) {
         return;
     }
-    if (target->observations.silent && flow->waiting && flow->repeats > 0) {
+    if (ends_unanswered(task, flow, target, in->now)) {
         reset_flow(task, flow, FORWARD_RESET_TARGET_SILENT);
         return;
     }
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -9,7 +9,7 @@
 /* Number of msgpack array elements that encode one object of each type. */
 #define MESSAGE_FIELD_COUNT 15
 #define OBSERVATION_FIELD_COUNT 3
-#define ROUTE_FIELD_COUNT 7
+#define ROUTE_FIELD_COUNT 8
 #define TARGET_FIELD_COUNT 14
 
 /* Number of array elements of a compressed message: the version, the size of
@@ -72,6 +72,7 @@
         put_text(pk, r->shares[i].service);
         put_number(pk, r->shares[i].weight);
     }
+    put_bool(pk, r->repeatable);
 }
 
 static void
@@ -367,6 +368,7 @@
     route->latency_objective_ms = (uint32_t)take_number(&fields, UINT32_MAX);
     route->priority = (uint8_t)take_number(&fields, UINT8_MAX);
     take_shares(&fields, route);
+    route->repeatable = take_added_number(&fields) == 1;
     r->failed = r->failed || fields.failed;
 }
 
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -259,7 +259,8 @@
 {
     if (a->removed != b->removed || a->timeout_ms != b->timeout_ms ||
         a->latency_objective_ms != b->latency_objective_ms ||
-        a->priority != b->priority || a->share_count != b->share_count) {
+        a->priority != b->priority || a->repeatable != b->repeatable ||
+        a->share_count != b->share_count) {
         return false;
     }
     for (size_t i = 0; i < a->share_count; i++) {
--- a/src/state/view-delta.h
+++ b/src/state/view-delta.h
@@ -37,6 +37,7 @@
     uint16_t port; /* port for callers */
     bool removed;
     uint8_t priority; /* 0 is the most urgent */
+    bool repeatable;  /* its requests may be run more than once */
     /* Request timeout and latency objective of the route. A forwarder only
      * compares them and passes them on to peers. */
     uint32_t timeout_ms;
--- a/tests/e2e/forward-lib.sh
+++ b/tests/e2e/forward-lib.sh
@@ -60,9 +60,9 @@
     platform_order "$(jq -nc --arg k "$1" --arg v "$2" '{put: $k, value: $v}')"
 }
 
-# Usage: add_route PORT SERVICE
+# Usage: add_route PORT SERVICE [KIND]
 add_route() {
-    CONFIG_ROUTES+="{\"name\":\"r-$1\",\"host\":\"$FLOW_ROUTE\",\"prefix\":\"/$1/\",\"kind\":\"safe\",\"timeoutMs\":500,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"$2\"},"
+    CONFIG_ROUTES+="{\"name\":\"r-$1\",\"host\":\"$FLOW_ROUTE\",\"prefix\":\"/$1/\",\"kind\":\"${3:-safe}\",\"timeoutMs\":500,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"$2\"},"
 }
 
 # Prints the newest configuration.
--- a/tests/unit/test-passive-health.c
+++ b/tests/unit/test-passive-health.c
@@ -228,6 +228,40 @@
     assert_false(passive_health_is_dead(&obs, now + 600 * MS));
 }
 
+/* A request that may be repeated is ended when its target is silent, one that
+ * may not when the target is dead, and neither after an answer. */
+static void
+test_ends_request(void **state)
+{
+    static const struct {
+        uint64_t silent_ms; /* time since the target became silent */
+        bool repeatable;
+        bool answered; /* meanwhile */
+        bool ends;
+    } cases[] = {
+        {0, true, false, true},     {0, false, false, false},
+        {499, false, false, false}, {500, false, false, true},
+        {500, true, true, false},   {500, false, true, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct target_observations obs = {0};
+        uint64_t now = START_US;
+
+        run_step(&obs, PEER_SILENT, &now);
+        assert_false(passive_health_ends_request(&obs, true, now));
+        assert_true(becomes_silent(&obs, now));
+        now += PASSIVE_HEALTH_CONFIRM_US;
+        if (cases[i].answered) {
+            passive_health_on_peer_answer(&obs, now);
+        }
+        assert_int_equal(
+            passive_health_ends_request(&obs, cases[i].repeatable,
+                                        now + cases[i].silent_ms * MS),
+            cases[i].ends);
+    }
+}
+
 /* Some time after its misses new flows no longer have to avoid a target, but
  * only one flow per second is sent to it, as a trial. */
 static void
@@ -364,6 +398,7 @@
         cmocka_unit_test(test_sequences),
         cmocka_unit_test(test_reports),
         cmocka_unit_test(test_dead),
+        cmocka_unit_test(test_ends_request),
         cmocka_unit_test(test_trial_flows),
         cmocka_unit_test(test_trial_rate),
         cmocka_unit_test(test_suspicion),
--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -74,6 +74,7 @@
     assert_int_equal(r->timeout_ms, 600);
     assert_int_equal(r->latency_objective_ms, 120);
     assert_int_equal(r->priority, 1);
+    assert_false(r->repeatable);
     assert_int_equal(r->share_count, 1);
     assert_string_equal(r->shares[0].service, "huvo11a");
     r = &g_array_index(delta.routes, struct route_record, 1);
@@ -81,6 +82,37 @@
     assert_int_equal(r->shares[1].weight, 10);
 }
 
+/* Only the kinds whose requests may be repeated make a route repeatable. */
+static void
+test_kinds(void **state)
+{
+    static const struct {
+        const char *kind;
+        bool repeatable;
+    } cases[] = {
+        {"\"kind\":\"safe\",", true},
+        {"\"kind\":\"download\",", true},
+        {"\"kind\":\"unsafe\",", false},
+        {"\"kind\":\"upload\",", false},
+        {"\"kind\":\"whatever\",", false},
+        {"\"kind\":7,", false},
+        {"", false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char value[160];
+
+        snprintf(value, sizeof(value),
+                 "{\"routes\":[{%s\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+                 "\"service\":\"s\"}]}",
+                 cases[i].kind);
+        assert_true(add_entry("op/config", value));
+        assert_int_equal(
+            g_array_index(delta.routes, struct route_record, 0).repeatable,
+            cases[i].repeatable);
+    }
+}
+
 /* When a delta has two configurations, the later list of routes replaces the
  * earlier one. */
 static void
@@ -297,6 +329,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_config, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_kinds, setup, teardown),
         cmocka_unit_test_setup_teardown(test_later_config_replaces_earlier,
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_target, setup, teardown),
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -25,6 +25,7 @@
         .timeout_ms = 600,
         .latency_objective_ms = 120,
         .priority = 1,
+        .repeatable = true,
         .share_count = 2,
         .shares = {{g_intern_string("s"), 90}, {g_intern_string("t"), 10}},
     };
