--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "transport/http-call.h"
 #include "transport/store-dialect.h"
+#include "transport/store-era.h"
 
 /* Defaults of the fields of struct store_client_options. */
 #define CALL_TIMEOUT_US (2 * USEC_PER_SEC)
@@ -380,37 +381,6 @@
     sc->newest = store_position_max(sc->newest, position);
 }
 
-/* Parses the value of the header with the era. */
-static bool
-parse_era(const char *text, uint64_t *era)
-{
-    *era = 0;
-    for (const char *p = text; *p != '\0'; p++) {
-        if (*p < '0' || *p > '9') {
-            return false;
-        }
-        *era = *era * 10 + (uint64_t)(*p - '0');
-        if (*era > STORE_ERA_MAX) {
-            return false;
-        }
-    }
-    return text[0] != '\0';
-}
-
-/* Why an answer cannot be used because of its era. */
-enum era_error {
-    ERA_OK,
-    ERA_MALFORMED,
-    ERA_EARLIER, /* than the one known: the answer was delayed */
-};
-
-static const char *
-era_error_text(enum era_error error)
-{
-    return error == ERA_MALFORMED ? "the era of an answer is malformed"
-                                  : "an answer is of an earlier era";
-}
-
 /* Returns the text of the header with the era, NULL when there is none. */
 static const char *
 find_era(const struct store_client *sc, const struct http_call_answer *answer)
@@ -422,49 +392,43 @@
                : evhttp_find_header(answer->headers, name);
 }
 
-/* Determines the era of an answer from its headers. Without one it is the
- * known era. */
-static enum era_error
+/* Determines the era of an answer. Counts and logs one of an earlier era. */
+static enum store_era_result
 read_era(struct store_client *sc, const struct http_call_answer *answer,
          uint64_t *era)
 {
-    const char *text = find_era(sc, answer);
+    enum store_era_result result =
+        store_era_read(find_era(sc, answer), sc->newest, era);
 
-    *era = sc->newest.era;
-    if (text == NULL) {
-        return ERA_OK;
-    }
-    if (!parse_era(text, era)) {
-        return ERA_MALFORMED;
-    }
-    if (*era < sc->newest.era) {
+    if (result == STORE_ERA_EARLIER) {
         sc->dropped_answers++;
         LOG_WARN("dropping an answer of the store: it is of era %u, and era "
                  "%u is known",
                  (unsigned)*era, (unsigned)sc->newest.era);
-        return ERA_EARLIER;
     }
-    return ERA_OK;
+    return result;
 }
 
-/* Returns the position of an answer of the given era. A current answer to a
- * call that began after the store had reported "known" cannot be older. When
- * it is, and the store announces no eras, the store was restored, and a new
- * era begins. */
+/* Returns the position of the answer to a read. Only a current read tells by
+ * its revision that the store was restored. */
 static struct store_position
-to_position(const struct store_client *sc,
-            const struct http_call_answer *answer, uint64_t era,
-            struct store_position known, uint64_t revision)
+range_position(const struct operation *op,
+               const struct http_call_answer *answer, uint64_t era,
+               uint64_t revision)
 {
-    if (sc->dialect->era_header != NULL && era == known.era &&
-        revision < known.revision && era < STORE_ERA_MAX &&
+    const struct store_client *sc = op->sc;
+    struct store_position position = {.era = era, .revision = revision};
+
+    if (!op->stale && sc->dialect->era_header != NULL &&
         find_era(sc, answer) == NULL) {
+        position = store_era_infer(op->newest_at_start, era, revision);
+    }
+    if (position.era > era) {
         LOG_WARN("the store's revision has gone back from %llu to %llu",
-                 (unsigned long long)known.revision,
+                 (unsigned long long)op->newest_at_start.revision,
                  (unsigned long long)revision);
-        era++;
     }
-    return (struct store_position){.era = era, .revision = revision};
+    return position;
 }
 
 static void
@@ -499,7 +463,7 @@
     struct store_position modified = {.era = op->era};
     struct status st;
     uint64_t era;
-    enum era_error error;
+    enum store_era_result era_result;
 
     if (answer->outcome == HTTP_CALL_NOT_SENT) {
         operation_retry(op, "no connection");
@@ -510,14 +474,15 @@
         operation_fail(op, ERR_STORE_UNKNOWN, "answer to a write was lost");
         return;
     }
-    error = read_era(op->sc, answer, &era);
-    if (error == ERA_OK) {
+    era_result = read_era(op->sc, answer, &era);
+    if (era_result == STORE_ERA_USABLE) {
         note_position(op->sc, (struct store_position){.era = era});
     }
-    if (error != ERA_OK || era != op->era) {
+    if (era_result != STORE_ERA_USABLE || era != op->era) {
         operation_fail(op, ERR_STORE_UNKNOWN,
-                       error != ERA_OK ? era_error_text(error)
-                                       : "a write met a new era");
+                       era_result != STORE_ERA_USABLE
+                           ? store_era_error(era_result)
+                           : "a write met a new era");
         return;
     }
     if (answer->status == op->sc->dialect->conflict_status) {
@@ -618,15 +583,15 @@
     struct status st;
     size_t old_count = op->entries.count;
     uint64_t era;
-    enum era_error error;
+    enum store_era_result era_result;
 
     if (answer->outcome != HTTP_CALL_ANSWERED) {
         operation_retry(op, "no answer to a read");
         return;
     }
-    error = read_era(op->sc, answer, &era);
-    if (error != ERA_OK) {
-        operation_retry(op, era_error_text(error));
+    era_result = read_era(op->sc, answer, &era);
+    if (era_result != STORE_ERA_USABLE) {
+        operation_retry(op, store_era_error(era_result));
         return;
     }
     if (answer->status == HTTP_NOTFOUND) {
@@ -645,10 +610,7 @@
         return;
     }
     backoff_reset(&op->sc->backoff);
-    position = op->stale ? (struct store_position){.era = era,
-                                                   .revision = range.revision}
-                         : to_position(op->sc, answer, era,
-                                       op->newest_at_start, range.revision);
+    position = range_position(op, answer, era, range.revision);
     note_position(op->sc, position);
     if (old_count > 0 && position.era != op->era) {
         restart_range(op, position.era);
@@ -798,13 +760,13 @@
 }
 
 /* Whether a store that could announce its era, but does not, has gone back to
- * a revision before that of the watch: it was restored, and a new era
- * begins. */
+ * a revision before that of the watch. */
 static bool
 went_back(const struct watch *w, uint64_t revision)
 {
     return w->sc->dialect->era_header != NULL && !w->era_announced &&
-           revision < w->reported.revision && w->reported.era < STORE_ERA_MAX;
+           store_era_infer(w->reported, w->reported.era, revision).era >
+               w->reported.era;
 }
 
 /* Passes the changes in one line of a streamed watch, or in the answer to a
@@ -919,10 +881,10 @@
     struct store_client *sc = w->sc;
     uint64_t sequence = sc->watch_sequence;
     uint64_t era;
-    enum era_error error = read_era(sc, answer, &era);
+    enum store_era_result era_result = read_era(sc, answer, &era);
 
-    if (error != ERA_OK) {
-        watch_fail(w, ERR_STORE_DOWN, era_error_text(error));
+    if (era_result != STORE_ERA_USABLE) {
+        watch_fail(w, ERR_STORE_DOWN, store_era_error(era_result));
         return;
     }
     if (era != w->reported.era) {
