forward: no route lookup for packets whose flows do not wait

Cause: the check whether a waiting flow is ended looked up the flow's route before anything else, for each packet of an open flow. It is now looked up for a silent target only. No other change.

--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -223,13 +223,15 @@
                 const struct recent_flow *flow,
                 const struct forward_target *target, uint64_t now)
 {
-    const struct forward_route *route = forward_view_route(
-        task->view, flow->key.route_addr, flow->key.route_port);
+    const struct forward_route *route;
 
-    return flow->waiting && flow->repeats > 0 &&
-           passive_health_ends_request(
-               &target->observations,
-               route != NULL && route->record.repeatable, now);
+    if (!flow->waiting || flow->repeats == 0 || !target->observations.silent) {
+        return false;
+    }
+    route = forward_view_route(task->view, flow->key.route_addr,
+                               flow->key.route_port);
+    return passive_health_ends_request(
+        &target->observations, route != NULL && route->record.repeatable, now);
 }
 
 /* Logs that a target is silent, and resets its open flows that wait for an
