state: orders to empty a failure domain, regions of routes, limits of cold starts

Placing passes over the targets of such a domain. Routes carry the regions in which they may run and the limits of cold starts of their services; messages without either stay as they were, byte for byte. Placing takes shares of failure domains (domain-load.h, interface only so far).

--- /dev/null
+++ b/src/coordination/domain-load.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/forward-view.h"
+
+/* Load of the services by failure domain, as the fleet knows it, and the
+ * shares of new flows that each domain gets. Each balancer counts the requests
+ * that it forwards, and tells its peers what its own failure domain sends to
+ * the targets of each domain. It has no socket and no clock. Times are
+ * monotonic, in microseconds.
+ *
+ * Answers the load of callers of one failure domain that exceeds the room of
+ * its targets while those of other domains are idle. */
+
+/* Maximum number of records in one message, and of records that a table keeps
+ * for all services and pairs of failure domains. */
+#define DOMAIN_LOAD_RECORDS_MAX 128
+
+/* Requests a second that the callers of one failure domain send to the targets
+ * of a service in another, or in the same one. */
+struct domain_load_record {
+    uint32_t key;    /* hash of the service and the two domains */
+    uint32_t rate;   /* requests per 1000 s */
+    uint32_t age_ms; /* time since the rate was measured */
+};
+
+/* Share of the new flows of a service that the targets of a failure domain
+ * get. */
+struct domain_share {
+    const char *domain; /* interned */
+    double share;       /* 0 to 1; the shares of a service add up to 1 */
+};
+
+struct domain_load;
+
+/* "domain" is the failure domain of this balancer, interned. Returns NULL when
+ * out of memory. */
+struct domain_load *domain_load_new(const char *domain);
+void domain_load_destroy(struct domain_load *dl);
+
+/* A request, or the opening packet (SYN) of a new flow, was forwarded to a
+ * target. Copies of an opening packet count too. */
+void domain_load_on_forward(struct domain_load *dl,
+                            const struct forward_target *target, bool opening,
+                            uint64_t now);
+/* A request was answered "took_us" after it was forwarded. */
+void domain_load_on_answer(struct domain_load *dl,
+                           const struct forward_target *target,
+                           uint64_t took_us, uint64_t now);
+
+/* Updates the rates and the shares. To be called every DOMAIN_LOAD_TICK_US.
+ * "domain_hosts" is the number of live balancers in this failure domain, this
+ * one included: the routers spread the callers evenly over them. */
+#define DOMAIN_LOAD_TICK_US 100000ULL
+void domain_load_tick(struct domain_load *dl, const struct forward_view *view,
+                      double domain_hosts, uint64_t now);
+
+/* Fills "out" with the records that the peers may lack, at most "max", and
+ * returns their number. */
+size_t domain_load_export(const struct domain_load *dl,
+                          struct domain_load_record *out, size_t max,
+                          uint64_t now);
+/* Takes over the records of a peer that are newer than those known here. */
+void domain_load_receive(struct domain_load *dl,
+                         const struct domain_load_record *records,
+                         size_t count, uint64_t now);
+
+/* Returns the shares of the failure domains in the new flows of a service that
+ * enter through this balancer, and their number. They are owned by "dl" and
+ * valid until the next tick. Returns NULL when the load of the own domain does
+ * not call for other domains, or nothing is known: the own domain is then
+ * preferred. */
+const struct domain_share *
+domain_load_shares(const struct domain_load *dl,
+                   const struct forward_service *service, size_t *count);
+/* Requests of the callers of all failure domains, divided by the number that
+ * the targets of the service can run in the same time; 0 when nothing is
+ * known. */
+double domain_load_utilization(const struct domain_load *dl,
+                               const struct forward_service *service);
+/* The same for the targets of one failure domain. */
+double domain_load_domain_utilization(const struct domain_load *dl,
+                                      const struct forward_service *service,
+                                      const char *domain);
--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -36,7 +36,8 @@
 takes_flows(const struct forward_target *target)
 {
     return target->presence != TARGET_GONE && !target->record.draining &&
-           !target->cookie_conflict && !target->replaced;
+           !target->cookie_conflict && !target->replaced &&
+           (target->domain == NULL || !target->domain->emptied);
 }
 
 /* Rates a target for a new flow; the lowest score wins. */
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "base/random.h"
+#include "coordination/domain-load.h"
 #include "state/forward-view.h"
 
 /* Chooses the target of a new flow from what this forwarder knows: the
@@ -18,6 +19,12 @@
      * were sent to */
     const uint32_t *tried;
     size_t tried_count;
+    /* Regions that the flow may go to, see struct route_record; NULL: any */
+    const char *regions;
+    /* Shares of the failure domains in the new flows of the service; NULL: the
+     * own failure domain is preferred. */
+    const struct domain_share *shares;
+    size_t share_count;
     /* Monotonic clock, us */
     uint64_t now;
     /* See passive_health_trial_interval() */
--- a/src/daemon/forward-settings.h
+++ b/src/daemon/forward-settings.h
@@ -10,6 +10,13 @@
  * file. */
 
 #define FORWARD_SEEDS_MAX 8
+#define FORWARD_DOMAINS_MAX 64
+
+/* A failure domain and the region in which it is; interned. */
+struct forward_domain_region {
+    const char *domain;
+    const char *region;
+};
 
 struct forward_settings {
     char host[ID_SIZE];      /* id of this host */
@@ -27,4 +34,11 @@
                                * configuration is applied */
     uint64_t stop_timeout_us; /* maximum duration of a planned stop */
     uint64_t flow_max_us;     /* maximum lifetime of a flow */
+    size_t region_count;      /* elements in "regions" */
+    struct forward_domain_region regions[FORWARD_DOMAINS_MAX];
+    /* All hosts together open at most limit x "cold_overage" + "cold_slack"
+     * flows to a cold target in any second, where "limit" is that of its
+     * service in flows per second. */
+    double cold_overage;
+    double cold_slack;
 };
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -254,6 +254,17 @@
     return target_lapse_keep_until(&task->lapse, target->record.draining, now);
 }
 
+static void
+on_domain_changed(void *ctx, const struct forward_domain *domain)
+{
+    log_fields(LOG_LEVEL_WARN, LOG_MODULE,
+               LOG_FIELDS({"domain", domain->name},
+                          {"state", domain->emptied ? "emptied" : "in use"},
+                          {"revision",
+                           store_position_format(domain->emptied_by).text}),
+               "domain_changed");
+}
+
 static const char *
 target_state_name(const struct forward_target *target)
 {
@@ -707,6 +718,16 @@
     }
 }
 
+static void
+set_regions(struct view_task *task)
+{
+    for (size_t i = 0; i < task->settings.region_count; i++) {
+        const struct forward_domain_region *r = &task->settings.regions[i];
+
+        forward_view_set_region(task->view, r->domain, r->region);
+    }
+}
+
 static void
 add_seeds(struct view_task *task)
 {
@@ -847,6 +868,7 @@
     const struct forward_view_callbacks view_cb = {
         .retain_until = on_retain_until,
         .target_changed = on_target_changed,
+        .domain_changed = on_domain_changed,
         .ctx = task,
     };
     const struct view_sync_callbacks sync_cb = {
@@ -913,6 +935,7 @@
         view_task_destroy(task);
         return NULL;
     }
+    set_regions(task);
     event_add(task->tick, &interval);
     view_reader_start(task->reader);
     return task;
@@ -972,6 +995,7 @@
         init_limits(task);
     }
     add_seeds(task);
+    set_regions(task);
 }
 
 void
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -10,7 +10,12 @@
 #define MESSAGE_FIELD_COUNT 15
 #define OBSERVATION_FIELD_COUNT 3
 #define ROUTE_FIELD_COUNT 8
+/* Further elements of a route that has regions or limits of cold starts, and
+ * of a record that describes no target. Balancers that do not know them ignore
+ * them. */
+#define ROUTE_EXTRA_FIELD_COUNT 2
 #define TARGET_FIELD_COUNT 14
+#define TARGET_EXTRA_FIELD_COUNT 1
 
 /* Number of array elements of a compressed message: the version, the size of
  * the plain message and its compressed bytes. */
@@ -57,10 +62,25 @@
     msgpack_pack_str_body(pk, text == NULL ? "" : text, len);
 }
 
+/* Whether a route needs the elements that most routes do not have. */
+static bool
+has_extra_fields(const struct route_record *r)
+{
+    for (size_t i = 0; i < r->share_count; i++) {
+        if (r->shares[i].cold_limit > 0) {
+            return true;
+        }
+    }
+    return r->regions != NULL;
+}
+
 static void
 put_route(msgpack_packer *pk, const struct route_record *r)
 {
-    msgpack_pack_array(pk, ROUTE_FIELD_COUNT);
+    bool extra = has_extra_fields(r);
+
+    msgpack_pack_array(pk, ROUTE_FIELD_COUNT +
+                               (extra ? ROUTE_EXTRA_FIELD_COUNT : 0));
     put_number(pk, r->addr);
     put_number(pk, r->port);
     put_bool(pk, r->removed);
@@ -73,12 +93,22 @@
         put_number(pk, r->shares[i].weight);
     }
     put_bool(pk, r->repeatable);
+    if (extra) {
+        put_text(pk, r->regions);
+        msgpack_pack_array(pk, r->share_count);
+        for (size_t i = 0; i < r->share_count; i++) {
+            put_number(pk, r->shares[i].cold_limit);
+        }
+    }
 }
 
 static void
 put_target(msgpack_packer *pk, const struct target_record *t)
 {
-    msgpack_pack_array(pk, TARGET_FIELD_COUNT);
+    bool extra = t->kind != RECORD_TARGET;
+
+    msgpack_pack_array(pk, TARGET_FIELD_COUNT +
+                               (extra ? TARGET_EXTRA_FIELD_COUNT : 0));
     put_text(pk, t->id);
     put_text(pk, t->service);
     put_text(pk, t->domain);
@@ -94,6 +124,9 @@
     put_position(pk, t->position);
     put_number(pk, t->born);
     put_number(pk, t->sequence);
+    if (extra) {
+        put_number(pk, t->kind);
+    }
 }
 
 /* Appends the observations and, as one more with the cookie 0, which no target
@@ -355,6 +388,27 @@
     r->failed = r->failed || shares.failed;
 }
 
+/* Takes the regions and the limits of cold starts of a route, which most
+ * routes do not have. */
+static void
+take_extra_fields(struct array_reader *fields, struct route_record *route)
+{
+    char regions[ROUTE_REGIONS_SIZE];
+    struct array_reader limits;
+
+    if (fields->left == 0) {
+        return;
+    }
+    take_text(fields, regions, sizeof(regions));
+    route->regions = regions[0] == '\0' ? NULL : g_intern_string(regions);
+    limits = take_array(fields);
+    for (size_t i = 0; i < route->share_count; i++) {
+        route->shares[i].cold_limit =
+            (uint32_t)take_number(&limits, UINT32_MAX);
+    }
+    fields->failed = fields->failed || limits.failed;
+}
+
 static void
 take_route(struct array_reader *r, struct route_record *route)
 {
@@ -369,6 +423,7 @@
     route->priority = (uint8_t)take_number(&fields, UINT8_MAX);
     take_shares(&fields, route);
     route->repeatable = take_added_number(&fields) == 1;
+    take_extra_fields(&fields, route);
     r->failed = r->failed || fields.failed;
 }
 
@@ -404,8 +459,12 @@
     t->position = take_position(&fields);
     t->born = take_added_number(&fields);
     t->sequence = take_added_number(&fields);
+    t->kind = fields.left == 0
+                  ? RECORD_TARGET
+                  : (uint8_t)take_number(&fields, RECORD_KIND_END - 1);
     r->failed = r->failed || fields.failed || t->id[0] == '\0' ||
-                t->service == NULL || store_position_is_none(t->position);
+                t->service == NULL || store_position_is_none(t->position) ||
+                (t->kind == RECORD_EMPTIED_DOMAIN && t->domain == NULL);
 }
 
 static void
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -13,6 +13,7 @@
     GHashTable *targets;  /* id -> struct forward_target */
     GHashTable *cookies;  /* cookie -> struct forward_target */
     GHashTable *services; /* interned name -> struct forward_service */
+    GHashTable *domains;  /* interned name -> struct forward_domain */
     /* Addresses of the targets that a delta adds, while it is applied: key of
      * addr and port -> position that created the target */
     GHashTable *new_addresses;
@@ -22,6 +23,7 @@
     struct list lapsed;          /* struct forward_target */
     size_t removed_route_count;  /* length of "removed_routes" */
     size_t removed_target_count; /* length of "removed_targets" */
+    size_t order_count;          /* orders in "targets" that are in effect */
     /* Position up to which the view is complete. */
     struct store_position position;
     struct store_position
@@ -100,6 +102,8 @@
     view->cookies = g_hash_table_new(g_direct_hash, g_direct_equal);
     view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                            service_free);
+    view->domains =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     view->new_addresses =
         g_hash_table_new_full(route_key_hash, g_int64_equal, g_free, g_free);
     view->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -120,6 +124,7 @@
     g_hash_table_destroy(view->cookies);
     g_hash_table_destroy(view->targets);
     g_hash_table_destroy(view->services);
+    g_hash_table_destroy(view->domains);
     g_hash_table_destroy(view->new_addresses);
     g_hash_table_destroy(view->held);
     g_array_free(view->lists, TRUE);
@@ -165,7 +170,8 @@
 size_t
 forward_view_target_count(const struct forward_view *view)
 {
-    return g_hash_table_size(view->targets) - view->removed_target_count;
+    return g_hash_table_size(view->targets) - view->removed_target_count -
+           view->order_count;
 }
 
 bool
@@ -198,6 +204,51 @@
     return g_hash_table_lookup(view->services, name);
 }
 
+struct forward_domain *
+forward_view_domain(const struct forward_view *view, const char *name)
+{
+    return g_hash_table_lookup(view->domains, name);
+}
+
+static struct forward_domain *
+domain_get(struct forward_view *view, const char *name)
+{
+    struct forward_domain *domain = g_hash_table_lookup(view->domains, name);
+
+    if (domain == NULL) {
+        domain = g_new0(struct forward_domain, 1);
+        domain->name = name;
+        g_hash_table_insert(view->domains, (gpointer)name, domain);
+    }
+    return domain;
+}
+
+void
+forward_view_set_region(struct forward_view *view, const char *domain,
+                        const char *region)
+{
+    domain_get(view, domain)->region = region;
+}
+
+void
+forward_view_each_emptied(const struct forward_view *view,
+                          void (*cb)(void *ctx,
+                                     const struct forward_domain *domain),
+                          void *ctx)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->domains);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct forward_domain *domain = value;
+
+        if (domain->emptied) {
+            cb(ctx, domain);
+        }
+    }
+}
+
 struct forward_target *
 forward_view_target(const struct forward_view *view, uint32_t cookie)
 {
@@ -260,12 +311,13 @@
     if (a->removed != b->removed || a->timeout_ms != b->timeout_ms ||
         a->latency_objective_ms != b->latency_objective_ms ||
         a->priority != b->priority || a->repeatable != b->repeatable ||
-        a->share_count != b->share_count) {
+        a->regions != b->regions || a->share_count != b->share_count) {
         return false;
     }
     for (size_t i = 0; i < a->share_count; i++) {
         if (a->shares[i].service != b->shares[i].service ||
-            a->shares[i].weight != b->shares[i].weight) {
+            a->shares[i].weight != b->shares[i].weight ||
+            a->shares[i].cold_limit != b->shares[i].cold_limit) {
             return false;
         }
     }
@@ -288,6 +340,35 @@
     route->record = *record;
 }
 
+static struct forward_service *
+service_get(struct forward_view *view, const char *name)
+{
+    struct forward_service *service =
+        g_hash_table_lookup(view->services, name);
+
+    if (service == NULL) {
+        service = g_new0(struct forward_service, 1);
+        service->name = name;
+        service->targets = g_ptr_array_new();
+        g_hash_table_insert(view->services, (gpointer)name, service);
+    }
+    return service;
+}
+
+/* Takes over the limits of the services that a route names. */
+static void
+set_cold_limits(struct forward_view *view, const struct route_record *record)
+{
+    for (size_t i = 0; i < record->share_count; i++) {
+        const struct route_share *share = &record->shares[i];
+
+        if (share->cold_limit > 0 ||
+            g_hash_table_contains(view->services, share->service)) {
+            service_get(view, share->service)->cold_limit = share->cold_limit;
+        }
+    }
+}
+
 static struct forward_route *
 add_route(struct forward_view *view, const struct route_record *record)
 {
@@ -321,6 +402,9 @@
         set_route(view, route, record, now);
         route->position = list;
     }
+    if (!record->removed) {
+        set_cold_limits(view, record);
+    }
 }
 
 /* Removes the routes that are not in the complete list just applied. */
@@ -438,21 +522,6 @@
     record_list(view, delta);
 }
 
-static struct forward_service *
-service_get(struct forward_view *view, const char *name)
-{
-    struct forward_service *service =
-        g_hash_table_lookup(view->services, name);
-
-    if (service == NULL) {
-        service = g_new0(struct forward_service, 1);
-        service->name = name;
-        service->targets = g_ptr_array_new();
-        g_hash_table_insert(view->services, (gpointer)name, service);
-    }
-    return service;
-}
-
 static void
 set_service(struct forward_view *view, struct forward_target *target,
             const char *name)
@@ -502,6 +571,12 @@
     }
 }
 
+static bool
+is_order(const struct target_record *record)
+{
+    return record->kind != RECORD_TARGET;
+}
+
 static void
 set_presence(struct forward_view *view, struct forward_target *target,
              enum target_presence presence)
@@ -524,6 +599,30 @@
     }
 }
 
+/* Puts the order of a record into effect, or with "emptied" false ends it. */
+static void
+set_emptied(struct forward_view *view, struct forward_target *order,
+            bool emptied, uint64_t now)
+{
+    struct forward_domain *domain = order->domain;
+
+    if (domain->emptied != emptied) {
+        domain->emptied = emptied;
+        domain->emptied_at = now;
+        domain->emptied_by = order->record.position;
+        if (emptied) {
+            view->order_count++;
+        }
+        else {
+            view->order_count--;
+        }
+        if (view->cb.domain_changed != NULL) {
+            view->cb.domain_changed(view->cb.ctx, domain);
+        }
+    }
+    set_presence(view, order, emptied ? TARGET_PRESENT : TARGET_GONE);
+}
+
 /* Handles the removal of a target's entry from the store at "position". */
 static void
 on_entry_removed(struct forward_view *view, struct forward_target *target,
@@ -531,6 +630,10 @@
 {
     target->record.removed = true;
     target->record.position = position;
+    if (is_order(&target->record)) {
+        set_emptied(view, target, false, now);
+        return;
+    }
     target->lapsed_until = view->cb.retain_until(view->cb.ctx, target, now);
     set_presence(view, target,
                  target->lapsed_until > now ? TARGET_LAPSED : TARGET_GONE);
@@ -570,6 +673,12 @@
     }
     target->replaced = false;
     target->record = *record;
+    target->domain =
+        record->domain == NULL ? NULL : domain_get(view, record->domain);
+    if (is_order(record)) {
+        set_emptied(view, target, true, now);
+        return;
+    }
     target->cold_until = now + record->cold_ms * USEC_PER_MSEC;
     set_presence(view, target, TARGET_PRESENT);
     set_service(view, target, record->service);
@@ -642,7 +751,8 @@
 replaces_earlier_era(const struct target_record *later,
                      const struct target_record *earlier)
 {
-    return later->removed || stated_later(later, earlier, !earlier->removed);
+    return later->removed || is_order(later) ||
+           stated_later(later, earlier, !earlier->removed);
 }
 
 static bool
@@ -683,8 +793,13 @@
 
     target->record = *record;
     target->seen_generation = view->generation;
+    if (record->domain != NULL) {
+        target->domain = domain_get(view, record->domain);
+    }
     set_presence(view, target, TARGET_GONE);
-    assign_cookie(view, target);
+    if (!is_order(record)) {
+        assign_cookie(view, target);
+    }
 }
 
 /* Applies a record, or holds it when it is of a later era than the known one
@@ -732,6 +847,16 @@
     apply_record(view, target, record, now);
 }
 
+/* Whether a record that a complete list of the position "list" lacks stays:
+ * an order that a restored store has lost is in effect until the operator
+ * writes it again and takes it back, because a domain may be switched off on
+ * the strength of it. */
+static bool
+outlasts_era(const struct target_record *record, struct store_position list)
+{
+    return is_order(record) && record->position.era < list.era;
+}
+
 static void
 remove_unlisted_targets(struct forward_view *view,
                         struct store_position position, uint64_t now)
@@ -748,6 +873,7 @@
         }
         if (target->seen_generation != view->generation &&
             !target->record.removed &&
+            !outlasts_era(&target->record, position) &&
             !store_position_is_after(target->record.position, position)) {
             on_entry_removed(view, target, position, now);
             record_content(view, position);
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -40,6 +40,19 @@
 struct forward_service {
     const char *name;   /* interned */
     GPtrArray *targets; /* struct forward_target, present or lapsed */
+    /* See struct route_share; 0: there is no limit. */
+    uint32_t cold_limit;
+};
+
+/* A failure domain of targets. */
+struct forward_domain {
+    const char *name;   /* interned */
+    const char *region; /* interned; NULL: unknown */
+    /* The operator has ordered to send no new flows to its targets, since
+     * "emptied_at" on the clock of this host, by the change "emptied_by". */
+    bool emptied;
+    uint64_t emptied_at;
+    struct store_position emptied_by;
 };
 
 /* A service that a route no longer has. */
@@ -87,6 +100,7 @@
     uint64_t seen_generation;
     struct target_observations observations;
     struct forward_service *service; /* NULL while gone */
+    struct forward_domain *domain;   /* NULL: unknown */
 };
 
 struct forward_view_callbacks {
@@ -99,6 +113,9 @@
     /* Called after a target was added, changed, removed or replaced; may be
      * NULL. */
     void (*target_changed)(void *ctx, struct forward_target *target);
+    /* Called after the order to empty a failure domain was given or taken
+     * back; may be NULL. */
+    void (*domain_changed)(void *ctx, const struct forward_domain *domain);
     void *ctx;
 };
 
@@ -160,6 +177,18 @@
  * interned. */
 struct forward_service *forward_view_service(const struct forward_view *view,
                                              const char *name);
+/* Returns NULL when the domain is neither that of a target nor known by
+ * forward_view_set_region() or an order. "name" must be interned. */
+struct forward_domain *forward_view_domain(const struct forward_view *view,
+                                           const char *name);
+/* Sets the region of a failure domain. Both names must be interned. */
+void forward_view_set_region(struct forward_view *view, const char *domain,
+                             const char *region);
+/* Calls "cb" for each emptied failure domain. */
+void forward_view_each_emptied(const struct forward_view *view,
+                               void (*cb)(void *ctx,
+                                          const struct forward_domain *domain),
+                               void *ctx);
 /* Finds a target by its cookie, including lapsed and removed ones. Returns
  * NULL when there is none. */
 struct forward_target *forward_view_target(const struct forward_view *view,
--- a/src/state/view-delta.c
+++ b/src/state/view-delta.c
@@ -1,7 +1,14 @@
 #include "state/view-delta.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#include <xxhash.h>
+
+/* First character of the id of an order, which is no printable character. */
+#define ORDER_ID_MARK '\x01'
+
 void
 view_delta_init(struct view_delta *delta)
 {
@@ -17,3 +24,27 @@
     g_array_free(delta->targets, TRUE);
     memset(delta, 0, sizeof(*delta));
 }
+
+bool
+region_list_contains(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+
+    for (const char *item = list; item != NULL;) {
+        const char *end = strchr(item, ',');
+        size_t item_length = end == NULL ? strlen(item) : (size_t)(end - item);
+
+        if (item_length == length && memcmp(item, name, length) == 0) {
+            return true;
+        }
+        item = end == NULL ? NULL : end + 1;
+    }
+    return false;
+}
+
+void
+emptied_domain_id(const char *domain, char id[TARGET_ID_SIZE])
+{
+    snprintf(id, TARGET_ID_SIZE, "%cemptied-%016" PRIx64, ORDER_ID_MARK,
+             (uint64_t)XXH64(domain, strlen(domain), 0));
+}
--- a/src/state/view-delta.h
+++ b/src/state/view-delta.h
@@ -23,6 +23,8 @@
 /* Maximum number of services that share the flows of a route. */
 #define ROUTE_SHARES_MAX 8
 #define TARGET_TAG_SIZE 8 /* bytes */
+/* Bytes of the list of a route's regions with the final NUL. */
+#define ROUTE_REGIONS_SIZE 256
 /* Bytes of a target id with the final NUL; a UUID with a prefix fits. */
 #define TARGET_ID_SIZE 40
 
@@ -30,6 +32,10 @@
 struct route_share {
     const char *service; /* interned */
     uint32_t weight;     /* relative to the other shares of the route */
+    /* Openings that a target of the service bears during its cold start, in
+     * openings per 1000 s; 0: no limit is configured. The same in all shares
+     * of a service. */
+    uint32_t cold_limit;
 };
 
 struct route_record {
@@ -44,6 +50,21 @@
     uint32_t latency_objective_ms;
     size_t share_count;
     struct route_share shares[ROUTE_SHARES_MAX];
+    /* Regions in which the requests of the route may run: names separated by
+     * commas, interned; NULL: any. */
+    const char *regions;
+};
+
+/* What a record describes. */
+enum record_kind {
+    RECORD_TARGET,
+    /* The operator's order to send no new flows to the targets of the failure
+     * domain "domain". It is in effect until it is removed. Its "id" is that
+     * of emptied_domain_id(), its "service" a placeholder, and no field that
+     * describes a target is set. It is a target record because it needs the
+     * same history of positions, removals and eras. */
+    RECORD_EMPTIED_DOMAIN,
+    RECORD_KIND_END,
 };
 
 struct target_record {
@@ -56,6 +77,7 @@
     uint32_t slots;   /* requests that the target runs at the same time */
     uint32_t cold_ms; /* remaining time of the target's cold start */
     uint16_t port;
+    uint8_t kind; /* enum record_kind */
     bool draining;
     bool removed;
     /* When the target's entry was created, and its last change. */
@@ -93,6 +115,11 @@
 /* Initializes a delta without records. The caller frees the records with
  * view_delta_clear(). */
 void view_delta_init(struct view_delta *delta);
+/* Returns whether "list", names separated by commas, contains "name". */
+bool region_list_contains(const char *list, const char *name);
+/* Makes the id of the order to empty a failure domain. It begins with a
+ * character that no id of a target contains. */
+void emptied_domain_id(const char *domain, char id[TARGET_ID_SIZE]);
 /* Frees the records. The delta has to be initialized again before its next
  * use. */
 void view_delta_clear(struct view_delta *delta);
