load: a watch of more than a million readings a second is refused

Its interval in whole microseconds is 0 and was divided by (tools/load run-watch.c). test-load fails without the check. Constants, a field and a function that nothing used are removed.

--- a/src/base/status.c
+++ b/src/base/status.c
@@ -25,7 +25,6 @@
     [ERR_STOPPING] = "stopping",
     [ERR_STALE_VIEW] = "stale_view",
     [ERR_TOO_LARGE] = "too_large",
-    [ERR_CANCELLED] = "cancelled",
     [ERR_INVALID] = "invalid",
     [ERR_NOT_FOUND] = "not_found",
     [ERR_CONFLICT] = "conflict",
--- a/src/base/status.h
+++ b/src/base/status.h
@@ -23,7 +23,6 @@
     ERR_STOPPING,          /* balancer is stopping: no new requests */
     ERR_STALE_VIEW,        /* no up-to-date view, for example after a pause */
     ERR_TOO_LARGE,         /* request body over the limit */
-    ERR_CANCELLED,         /* cancelled by the caller */
     ERR_INVALID,           /* operator input fails validation */
     ERR_NOT_FOUND,         /* no such resource */
     ERR_CONFLICT,          /* another write changed the key first */
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -91,9 +91,6 @@
     /* Modulo SEEDS_MAX: index of the seed to replace next when the list is
      * full */
     size_t replaced_seed;
-    /* Set by a refutation but not used: every message carries this balancer's
-     * incarnation as that of its sender */
-    unsigned self_rumors;
     bool neighbors_stale; /* the members changed since the last choice */
     uint64_t next_neighbor_choice; /* earliest next choice of neighbors, us */
     uint64_t neighbor_interval;    /* between the next two choices, us */
@@ -323,7 +320,6 @@
 
     if (ms->self.state != MEMBER_LEFT && (newer || not_alive)) {
         ms->self.incarnation = info->incarnation + 1;
-        ms->self_rumors = rumor_count(ms);
     }
 }
 
--- a/src/daemon/answer.c
+++ b/src/daemon/answer.c
@@ -18,7 +18,6 @@
 /* Maximum number of separate answers that wait for an ACK. Further answers are
  * sent once. */
 #define PENDING_ANSWERS_MAX 10000
-#define NO_TOKEN_RETRY_MS 1000
 
 /* Maximum ratio between the length of an answer and the length of the request,
  * for a caller whose address is not verified (RFC 9175 section 2.4). */
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -28,7 +28,6 @@
     /* data -> control */
     MSG_VIEW_APPLIED,  /* struct msg_view_applied */
     MSG_EVENT,         /* struct msg_event */
-    MSG_TARGET_HEALTH, /* struct msg_target_health; not sent at present */
     MSG_STOPPED,       /* the planned stop is complete; no payload */
     MSG_PAUSED,        /* the process was paused and the view may be out of
                         * date; requests a refresh; no payload */
@@ -74,8 +73,3 @@
     char cause[128];       /* readable text, cut off when it is too long */
 };
 
-struct msg_target_health {
-    char service[ID_SIZE];
-    char target[ID_SIZE];
-    bool healthy;
-};
--- a/src/protocol/error-table.c
+++ b/src/protocol/error-table.c
@@ -48,7 +48,6 @@
                         "configuration not yet refreshed after a pause"},
     [ERR_TOO_LARGE] = {CODE_TOO_LARGE, 413, OUTCOME_NONE,
                        "body over the limit"},
-    [ERR_CANCELLED] = {0, 408, OUTCOME_NONE, "cancelled by the caller"},
     [ERR_INVALID] = {CODE_BAD_REQUEST, 400, OUTCOME_NONE, "invalid input"},
     [ERR_NOT_FOUND] = {CODE_NOT_FOUND, 404, OUTCOME_NONE, "no such resource"},
     [ERR_CONFLICT] = {CODE_CONFLICT, 409, OUTCOME_NONE,
--- a/src/protocol/flow-packet.h
+++ b/src/protocol/flow-packet.h
@@ -31,8 +31,6 @@
 
 /* Maximum size of a packet, bytes, header included. */
 #define FLOW_PACKET_SIZE_MAX 1500
-/* Size of the tag in front of a packet, bytes. The tag names the target. */
-#define FLOW_TAG_SIZE 8
 
 struct flow_packet_format {
     /* Decodes a packet. Returns false when "data" is not exactly one packet.
--- a/src/transport/target-client.c
+++ b/src/transport/target-client.c
@@ -463,15 +463,6 @@
     release_connection(call->conn, false);
 }
 
-void
-target_client_close_idle(struct target_client *tc)
-{
-    list_for_each_safe (it, &tc->idle) {
-        end_connection(container_of(it, struct connection, link));
-    }
-    tc->idle_count = 0;
-}
-
 uint32_t
 target_client_open_count(const struct target_client *tc)
 {
--- a/src/transport/target-client.h
+++ b/src/transport/target-client.h
@@ -87,10 +87,6 @@
  * so that the target can notice the cancellation. */
 void target_call_cancel(struct target_call *call);
 
-/* Closes all idle connections, for use after a timeout on one of the client's
- * connections. */
-void target_client_close_idle(struct target_client *tc);
-
 /* Number of connections, idle and busy. */
 uint32_t target_client_open_count(const struct target_client *tc);
 /* Number of connections that carry a call. */
--- a/tests/unit/test-load.c
+++ b/tests/unit/test-load.c
@@ -29,6 +29,9 @@
         {"rigctl:post:5:0", false},
         {"rigctl:post:5", false},
         {"rigctl:post:5:1000:1:2", false},
+        {"rigctl:watch:5:1000:1000000", true},
+        {"rigctl:watch:5:1000:1000001", false},
+        {"rigctl:download:5:1000:1000001", true},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
--- a/tools/load/plan.c
+++ b/tools/load/plan.c
@@ -10,6 +10,9 @@
 
 #define RATE_MAX 20000.0       /* arrivals per second, or watches */
 #define DEADLINE_MAX_MS 600000 /* ten minutes */
+/* Maximum readings per second of a watch: their interval is in microseconds.
+ */
+#define READING_RATE_MAX 1000000
 
 static const char *const kind_names[] = {
     [TRAFFIC_GET] = "get",
@@ -73,7 +76,10 @@
     traffic->deadline_ms = (uint32_t)strtoul(parts[3], NULL, 10);
     traffic->size = count > 4 ? (uint32_t)strtoul(parts[4], NULL, 10) : 0;
     return traffic->rate > 0 && traffic->rate <= RATE_MAX &&
-           traffic->deadline_ms > 0 && traffic->deadline_ms <= DEADLINE_MAX_MS;
+           traffic->deadline_ms > 0 &&
+           traffic->deadline_ms <= DEADLINE_MAX_MS &&
+           (traffic->kind != TRAFFIC_WATCH ||
+            traffic->size <= READING_RATE_MAX);
 }
 
 /* Draws the time between two arrivals of a Poisson process with the rate of
