state: an order is known by its id; complete lists hold removed orders

Cause, by review of the records of orders: (1) a build that does not know the added element for the kind of a record passes orders on without it, and the next build would then take the order for a target. (2) A host that missed the return of the store without the order, the order written again and its end kept it for good, as a list of a later era without it does not end it. (3) A message with the id of a target and the kind of an order, or the reverse, would have corrupted the counts of the view.

The id of a record tells its kind now, and an id that does not fit its failure domain is refused; the element is gone. Complete lists contain removed orders.

Tests: histories of an order in steps at a view, a peer that follows, one that starts and one that has missed steps (test-forward-view); keys, values and names (test-platform-records); round trip, and a fixed vector made with the build before orders (test-view-codec).

--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -10,12 +10,10 @@
 #define MESSAGE_FIELD_COUNT 15
 #define OBSERVATION_FIELD_COUNT 3
 #define ROUTE_FIELD_COUNT 8
-/* Further elements of a route that has regions or limits of cold starts, and
- * of a record that describes no target. Balancers that do not know them ignore
- * them. */
+/* Further elements of a route that has regions or limits of cold starts.
+ * Balancers that do not know them ignore them. */
 #define ROUTE_EXTRA_FIELD_COUNT 2
 #define TARGET_FIELD_COUNT 14
-#define TARGET_EXTRA_FIELD_COUNT 1
 
 /* Number of array elements of a compressed message: the version, the size of
  * the plain message and its compressed bytes. */
@@ -105,10 +103,7 @@
 static void
 put_target(msgpack_packer *pk, const struct target_record *t)
 {
-    bool extra = t->kind != RECORD_TARGET;
-
-    msgpack_pack_array(pk, TARGET_FIELD_COUNT +
-                               (extra ? TARGET_EXTRA_FIELD_COUNT : 0));
+    msgpack_pack_array(pk, TARGET_FIELD_COUNT);
     put_text(pk, t->id);
     put_text(pk, t->service);
     put_text(pk, t->domain);
@@ -124,9 +119,6 @@
     put_position(pk, t->position);
     put_number(pk, t->born);
     put_number(pk, t->sequence);
-    if (extra) {
-        put_number(pk, t->kind);
-    }
 }
 
 /* Appends the observations and, as one more with the cookie 0, which no target
@@ -459,12 +451,9 @@
     t->position = take_position(&fields);
     t->born = take_added_number(&fields);
     t->sequence = take_added_number(&fields);
-    t->kind = fields.left == 0
-                  ? RECORD_TARGET
-                  : (uint8_t)take_number(&fields, RECORD_KIND_END - 1);
     r->failed = r->failed || fields.failed || t->id[0] == '\0' ||
                 t->service == NULL || store_position_is_none(t->position) ||
-                (t->kind == RECORD_EMPTIED_DOMAIN && t->domain == NULL);
+                !target_record_set_kind(t);
 }
 
 static void
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -54,6 +54,12 @@
     return hash == 0 ? 1 : hash;
 }
 
+const char *
+forward_target_domain_name(const struct forward_target *target)
+{
+    return target->record.domain == NULL ? "" : target->record.domain;
+}
+
 static guint
 route_key_hash(gconstpointer key)
 {
@@ -230,6 +236,12 @@
     domain_get(view, domain)->region = region;
 }
 
+bool
+forward_view_has_emptied(const struct forward_view *view)
+{
+    return view->order_count > 0;
+}
+
 void
 forward_view_each_emptied(const struct forward_view *view,
                           void (*cb)(void *ctx,
@@ -611,6 +623,7 @@
         domain->emptied_at = now;
         domain->emptied_by = order->record.position;
         if (emptied) {
+            domain->kept_away = 0;
             view->order_count++;
         }
         else {
@@ -986,6 +999,16 @@
     }
 }
 
+/* Whether a complete list contains a record. Removed orders are in it, because
+ * a peer that has missed the removal keeps the order across eras. */
+static bool
+belongs_in_list(const struct forward_view *view,
+                const struct target_record *record)
+{
+    return !record->removed || is_order(record) ||
+           g_hash_table_contains(view->held, record->id);
+}
+
 static void
 add_targets_since(const struct forward_view *view, struct store_position from,
                   uint64_t now, struct view_delta *delta)
@@ -999,8 +1022,7 @@
         struct target_record record = target->record;
 
         if (!store_position_is_after(record.position, from) ||
-            (delta->targets_complete && record.removed &&
-             !g_hash_table_contains(view->held, record.id))) {
+            (delta->targets_complete && !belongs_in_list(view, &record))) {
             continue;
         }
         record.cold_ms = cold_left_ms(target, now);
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -53,6 +53,9 @@
     bool emptied;
     uint64_t emptied_at;
     struct store_position emptied_by;
+    /* Openings that this host would have sent to its targets but for the last
+     * order, counted by the forward task. */
+    uint64_t kept_away;
 };
 
 /* A service that a route no longer has. */
@@ -184,6 +187,8 @@
 /* Sets the region of a failure domain. Both names must be interned. */
 void forward_view_set_region(struct forward_view *view, const char *domain,
                              const char *region);
+/* Whether any failure domain is emptied. */
+bool forward_view_has_emptied(const struct forward_view *view);
 /* Calls "cb" for each emptied failure domain. */
 void forward_view_each_emptied(const struct forward_view *view,
                                void (*cb)(void *ctx,
@@ -194,6 +199,8 @@
 struct forward_target *forward_view_target(const struct forward_view *view,
                                            uint32_t cookie);
 
+/* Returns the name of a target's failure domain for logs, "" if unknown. */
+const char *forward_target_domain_name(const struct forward_target *target);
 /* Returns the 32-bit hash of a target's id that identifies the target in
  * packets of callers; never 0. */
 uint32_t forward_cookie(const char *id);
--- a/src/state/view-delta.c
+++ b/src/state/view-delta.c
@@ -48,3 +48,20 @@
     snprintf(id, TARGET_ID_SIZE, "%cemptied-%016" PRIx64, ORDER_ID_MARK,
              (uint64_t)XXH64(domain, strlen(domain), 0));
 }
+
+bool
+target_record_set_kind(struct target_record *record)
+{
+    char id[TARGET_ID_SIZE];
+
+    record->kind = RECORD_TARGET;
+    if (record->id[0] != ORDER_ID_MARK) {
+        return true;
+    }
+    if (record->domain == NULL) {
+        return false;
+    }
+    emptied_domain_id(record->domain, id);
+    record->kind = RECORD_EMPTIED_DOMAIN;
+    return strcmp(record->id, id) == 0;
+}
--- a/src/state/view-delta.h
+++ b/src/state/view-delta.h
@@ -62,9 +62,9 @@
      * domain "domain". It is in effect until it is removed. Its "id" is that
      * of emptied_domain_id(), its "service" a placeholder, and no field that
      * describes a target is set. It is a target record because it needs the
-     * same history of positions, removals and eras. */
+     * same history of positions, removals and eras, and because balancers that
+     * do not know orders then pass it on like a draining target. */
     RECORD_EMPTIED_DOMAIN,
-    RECORD_KIND_END,
 };
 
 struct target_record {
@@ -77,7 +77,7 @@
     uint32_t slots;   /* requests that the target runs at the same time */
     uint32_t cold_ms; /* remaining time of the target's cold start */
     uint16_t port;
-    uint8_t kind; /* enum record_kind */
+    uint8_t kind; /* enum record_kind; see target_record_set_kind() */
     bool draining;
     bool removed;
     /* When the target's entry was created, and its last change. */
@@ -118,8 +118,12 @@
 /* Returns whether "list", names separated by commas, contains "name". */
 bool region_list_contains(const char *list, const char *name);
 /* Makes the id of the order to empty a failure domain. It begins with a
- * character that no id of a target contains. */
+ * character that no id of a target begins with. */
 void emptied_domain_id(const char *domain, char id[TARGET_ID_SIZE]);
+/* Sets the kind of a record, which its id and failure domain tell. Returns
+ * false when the id is neither that of a target nor that of the order for the
+ * domain. */
+bool target_record_set_kind(struct target_record *record);
 /* Frees the records. The delta has to be initialized again before its next
  * use. */
 void view_delta_clear(struct view_delta *delta);
--- a/tests/fuzz/fuzz-entry.c
+++ b/tests/fuzz/fuzz-entry.c
@@ -1,5 +1,6 @@
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,15 +8,44 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-/* Any value of a store entry gives only valid records: a route has a port and
- * 1 to ROUTE_SHARES_MAX shares, a target has a service and, unless removed, a
- * port. The lowest bit of the first byte selects the entry's kind: the
- * configuration (0) or a target (1). */
+#define ORDER_PREFIX "op/evacuate/"
+
+/* The key that the lowest two bits of the first byte select: that of the
+ * configuration (0 and 2), of a target (1) or of an order to empty the failure
+ * domain that the other bytes name (3). */
+static const char *
+select_key(uint8_t first, const char *text, char *key, size_t size)
+{
+    static const char *const keys[] = {"op/config", "servers/i-7f3a91c2",
+                                       "op/config"};
+
+    if (first % 4 < sizeof(keys) / sizeof(*keys)) {
+        return keys[first % 4];
+    }
+    snprintf(key, size, ORDER_PREFIX "%s", text);
+    return key;
+}
+
+static bool
+is_valid(struct target_record *target)
+{
+    uint8_t kind = target->kind;
+
+    return target->service != NULL && target_record_set_kind(target) &&
+           target->kind == kind &&
+           (target->removed || target->port != 0 ||
+            target->kind == RECORD_EMPTIED_DOMAIN);
+}
+
+/* Any store entry gives only valid records: a route has a port and 1 to
+ * ROUTE_SHARES_MAX shares, a target has a service and, unless removed, a port,
+ * and the id of a record tells its kind. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     struct store_entry entry = {.modified.revision = 7, .created.revision = 5};
     struct view_delta delta;
+    char key[512];
     char *value;
 
     if (size == 0) {
@@ -23,7 +53,7 @@
     }
     value = calloc(1, size);
     memcpy(value, data + 1, size - 1);
-    entry.key = data[0] % 2 == 0 ? "op/config" : "servers/i-7f3a91c2";
+    entry.key = select_key(data[0], value, key, sizeof(key));
     entry.value = value;
     entry.value_len = size - 1;
     view_delta_init(&delta);
@@ -38,11 +68,8 @@
         }
     }
     for (guint i = 0; i < delta.targets->len; i++) {
-        const struct target_record *target =
-            &g_array_index(delta.targets, struct target_record, i);
-
-        if (target->service == NULL ||
-            (!target->removed && target->port == 0)) {
+        if (!is_valid(
+                &g_array_index(delta.targets, struct target_record, i))) {
             abort();
         }
     }
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -402,6 +402,215 @@
     forward_view_destroy(peer);
 }
 
+/* The record of an order to empty a failure domain. */
+static struct target_record
+order(const char *domain, struct store_position position, bool removed)
+{
+    struct target_record t = {
+        .kind = RECORD_EMPTIED_DOMAIN,
+        .service = g_intern_string("-"),
+        .domain = g_intern_string(domain),
+        .draining = true,
+        .removed = removed,
+        .created = position,
+        .position = position,
+    };
+
+    emptied_domain_id(domain, t.id);
+    return t;
+}
+
+static bool
+is_emptied(const struct forward_view *v, const char *name)
+{
+    const struct forward_domain *domain =
+        forward_view_domain(v, g_intern_string(name));
+
+    return domain != NULL && domain->emptied;
+}
+
+/* Steps of an order's history, as the view learns them. */
+enum order_step {
+    END,       /* of the history */
+    SET,       /* a change: the order is given */
+    TAKEN,     /* a change: it is taken back */
+    SET_TAKEN, /* both in one delta, as between two polls */
+    TAKEN_SET,
+    LISTED,             /* a list of all entries contains it */
+    UNLISTED,           /* a list of all entries lacks it */
+    RESTORED_LISTED,    /* the store is restored from a copy with it */
+    RESTORED_UNLISTED,  /* the store is restored from a copy without it */
+    RESTORED_NEXT_LIST, /* the list after that also lacks it */
+    PEER,               /* a peer that has missed some steps catches up */
+};
+
+/* Applies a step to the view at the next position. */
+static void
+apply_step(enum order_step step, struct store_position *at)
+{
+    bool list = step >= LISTED;
+    struct view_delta delta;
+
+    view_delta_init(&delta);
+    if (step == RESTORED_LISTED || step == RESTORED_UNLISTED) {
+        at->era++;
+        at->revision = 10;
+    }
+    at->revision++;
+    if (step == TAKEN || step == TAKEN_SET) {
+        add_target(&delta, order("a", *at, true));
+        at->revision += step == TAKEN_SET;
+    }
+    if (step == SET || step == SET_TAKEN || step == TAKEN_SET ||
+        step == LISTED || step == RESTORED_LISTED) {
+        add_target(&delta, order("a", *at, false));
+    }
+    if (step == SET_TAKEN) {
+        at->revision++;
+        add_target(&delta, order("a", *at, true));
+    }
+    delta.targets_complete = list;
+    delta.from =
+        list ? (struct store_position){0} : forward_view_position(view);
+    delta.to = *at;
+    assert_true(forward_view_apply(view, &delta, NOW_US));
+    view_delta_clear(&delta);
+}
+
+/* Whether the order is in effect after each step: at the view, at a peer that
+ * gets each delta, at one that starts, and at one that has missed steps. */
+static void
+test_order_histories(void **state)
+{
+    static const struct {
+        const char *name;
+        enum order_step steps[8];
+        const char *emptied; /* after each step, 0 or 1 */
+    } cases[] = {
+        {"given and taken back", {SET, TAKEN, SET}, "101"},
+        {"given twice", {SET, SET, TAKEN}, "110"},
+        {"within one delta", {SET_TAKEN, TAKEN_SET, SET_TAKEN}, "010"},
+        {"by lists", {LISTED, LISTED, UNLISTED, LISTED}, "1101"},
+        {"a list without it takes it back", {SET, UNLISTED}, "10"},
+        {"taken back before it was known", {UNLISTED, TAKEN, SET}, "001"},
+        {"lost by the store",
+         {SET, RESTORED_UNLISTED, RESTORED_NEXT_LIST},
+         "111"},
+        {"lost, taken back without an entry",
+         {SET, RESTORED_UNLISTED, TAKEN},
+         "110"},
+        {"lost, written again and taken back",
+         {SET, RESTORED_UNLISTED, SET, TAKEN},
+         "1110"},
+        {"lost, written again, then not in a list",
+         {SET, RESTORED_UNLISTED, SET, UNLISTED},
+         "1110"},
+        {"in the copy", {SET, RESTORED_LISTED, TAKEN}, "110"},
+        {"in the copy, then not in a list",
+         {SET, RESTORED_LISTED, UNLISTED},
+         "110"},
+        {"taken back, in the copy again",
+         {SET, TAKEN, RESTORED_LISTED, TAKEN},
+         "1010"},
+        {"taken back, not in the copy",
+         {SET, TAKEN, RESTORED_UNLISTED},
+         "100"},
+        {"lost twice", {SET, RESTORED_UNLISTED, RESTORED_UNLISTED}, "111"},
+        {"a peer misses the restore and the end",
+         {SET, PEER, RESTORED_UNLISTED, SET, TAKEN},
+         "11110"},
+        {"a peer misses two restores",
+         {SET, PEER, RESTORED_UNLISTED, SET, TAKEN, RESTORED_UNLISTED},
+         "111100"},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_view *peer = forward_view_new(&callbacks);
+        struct forward_view *late = forward_view_new(&callbacks);
+        struct store_position at = {.revision = 40};
+
+        print_message("%s\n", cases[i].name);
+        assert_true(apply_target(0, target("i-1", "s", 40), NOW_US));
+        for (size_t k = 0; cases[i].steps[k] != END; k++) {
+            struct forward_view *fresh = forward_view_new(&callbacks);
+            bool emptied = cases[i].emptied[k] == '1';
+
+            if (cases[i].steps[k] == PEER) {
+                assert_true(send_delta(view, late));
+            }
+            else {
+                apply_step(cases[i].steps[k], &at);
+            }
+            assert_true(send_delta(view, peer));
+            assert_true(send_delta(view, fresh));
+            assert_int_equal(is_emptied(view, "a"), emptied);
+            assert_int_equal(is_emptied(peer, "a"), emptied);
+            assert_int_equal(is_emptied(fresh, "a"), emptied);
+            assert_int_equal(forward_view_has_emptied(view), emptied);
+            forward_view_destroy(fresh);
+        }
+        assert_true(send_delta(view, late));
+        assert_int_equal(is_emptied(late, "a"), is_emptied(view, "a"));
+        assert_int_equal(forward_view_held_count(view), 0);
+        forward_view_destroy(late);
+        forward_view_destroy(peer);
+        teardown(state);
+        setup(state);
+    }
+}
+
+static void
+count_domain(void *ctx, const struct forward_domain *domain)
+{
+    (*(unsigned *)ctx)++;
+}
+
+/* Orders concern the domains that they name only, count as no targets, and may
+ * name a domain that nobody knows yet. */
+static void
+test_orders_of_domains(void **state)
+{
+    struct target_record t = target("i-1", "s", 5);
+    unsigned changes = 0;
+    unsigned emptied = 0;
+    const struct forward_view_callbacks counting = {
+        .retain_until = retain_until,
+        .domain_changed = count_domain,
+        .ctx = &changes};
+    const struct forward_target *stored;
+
+    forward_view_destroy(view);
+    view = forward_view_new(&counting);
+    for (uint64_t i = 0; i < 3; i++) {
+        static const char *const names[] = {"b", "c", "c"};
+        struct store_position at = {.revision = i + 1};
+
+        assert_true(apply_target(i, order(names[i], at, false), NOW_US + i));
+    }
+    assert_int_equal(changes, 2);
+    assert_false(forward_view_usable(view));
+    assert_int_equal(forward_view_target_count(view), 0);
+    forward_view_each_emptied(view, count_domain, &emptied);
+    assert_int_equal(emptied, 2);
+    assert_int_equal(
+        forward_view_domain(view, g_intern_string("c"))->emptied_at,
+        NOW_US + 1);
+
+    assert_true(apply_target(3, t, NOW_US));
+    stored = forward_view_target(view, forward_cookie(t.id));
+    assert_false(stored->domain->emptied);
+    t.domain = g_intern_string("b");
+    t.position.revision = 6;
+    assert_true(apply_target(5, t, NOW_US));
+    assert_true(stored->domain->emptied);
+    assert_int_equal(forward_view_target_count(view), 1);
+    assert_true(apply_target(
+        6, order("b", (struct store_position){.revision = 7}, true), NOW_US));
+    assert_false(stored->domain->emptied);
+    assert_true(is_emptied(view, "c"));
+    assert_int_equal(changes, 3);
+}
+
 /* A model of the store that changes at random, and forwarders that read from
  * it and from each other in random order. Every CHECK_INTERVAL_STEPS steps,
  * after a further exchange, all of them must have the content of the store.
@@ -409,6 +618,7 @@
 #define MODEL_PEERS 4
 #define MODEL_ROUTES 6
 #define MODEL_TARGETS 8
+#define MODEL_ORDERS 2 /* of these, orders to empty a failure domain */
 #define MODEL_STEPS 3000
 #define CHECK_INTERVAL_STEPS 50
 
@@ -439,7 +649,11 @@
     i = random_below(random, MODEL_TARGETS);
     if (m->targets[i].position.revision == 0 || m->targets[i].removed) {
         snprintf(id, sizeof(id), "i-%zu", i);
-        m->targets[i] = target(id, "s", m->revision);
+        m->targets[i] =
+            i < MODEL_ORDERS
+                ? order(id, (struct store_position){.revision = m->revision},
+                        false)
+                : target(id, "s", m->revision);
     }
     else if (random_below(random, 2) == 0) {
         m->targets[i].removed = true;
@@ -499,6 +713,12 @@
                 ? NULL
                 : forward_view_target(v, forward_cookie(t->id));
 
+        if (i < MODEL_ORDERS) {
+            assert_int_equal(t->position.revision > 0 &&
+                                 is_emptied(v, t->domain),
+                             t->position.revision > 0 && !t->removed);
+            continue;
+        }
         if (t->position.revision == 0 || t->removed) {
             assert_true(stored == NULL || stored->presence == TARGET_GONE);
             continue;
@@ -877,6 +1097,9 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_copy_of_moved_address, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_order_histories, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_orders_of_domains, setup,
+                                        teardown),
         cmocka_unit_test(test_convergence),
     };
 
--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -245,10 +245,87 @@
     }
 }
 
+/* The key alone orders a failure domain to be emptied, whatever its value. */
+static void
+test_emptied_domains(void **state)
+{
+    char long_key[128];
+    char longest_key[128];
+    const struct {
+        const char *key;
+        const char *value;
+        const char *domain; /* NULL: the entry is refused */
+        bool removed;
+    } cases[] = {
+        {"op/evacuate/upper-hill", "{}", "upper-hill", false},
+        {"op/evacuate/upper-hill", NULL, "upper-hill", true},
+        {"op/evacuate/upper-hill", "", "upper-hill", false},
+        {"op/evacuate/upper-hill", "\xff not json", "upper-hill", false},
+        {"op/evacuate/upper-hill", "{\"evacuate\":false}", "upper-hill",
+         false},
+        {"op/evacuate/nowhere", "{}", "nowhere", false},
+        {"op/evacuate/a/b", "{}", "a/b", false},
+        {"op/evacuate/", "{}", NULL, false},
+        {"op/evacuate/", NULL, NULL, false},
+        {longest_key, "{}", longest_key + strlen("op/evacuate/"), false},
+        {long_key, "{}", NULL, false},
+    };
+
+    snprintf(longest_key, sizeof(longest_key), "op/evacuate/%0*d", ID_SIZE - 1,
+             7);
+    snprintf(long_key, sizeof(long_key), "op/evacuate/%0*d", ID_SIZE, 7);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct target_record *t;
+        char id[TARGET_ID_SIZE];
+
+        g_array_set_size(delta.targets, 0);
+        assert_int_equal(add_entry(cases[i].key, cases[i].value),
+                         cases[i].domain != NULL);
+        assert_int_equal(delta.targets->len, cases[i].domain != NULL);
+        if (cases[i].domain == NULL) {
+            continue;
+        }
+        t = &g_array_index(delta.targets, struct target_record, 0);
+        emptied_domain_id(cases[i].domain, id);
+        assert_string_equal(t->id, id);
+        assert_string_equal(t->domain, cases[i].domain);
+        assert_int_equal(t->kind, RECORD_EMPTIED_DOMAIN);
+        assert_int_equal(t->removed, cases[i].removed);
+        assert_int_equal(t->position.revision, 7);
+        assert_int_equal(t->created.revision, 5);
+    }
+}
+
+/* Many orders have an id each, which no entry of a target can have. */
+static void
+test_many_emptied_domains(void **state)
+{
+    const unsigned count = 200;
+    GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+    char key[64];
+
+    for (unsigned i = 0; i < count; i++) {
+        snprintf(key, sizeof(key), "op/evacuate/domain-%u", i);
+        assert_true(add_entry(key, "{}"));
+    }
+    assert_int_equal(delta.targets->len, count);
+    for (unsigned i = 0; i < count; i++) {
+        g_hash_table_add(
+            ids, g_array_index(delta.targets, struct target_record, i).id);
+    }
+    assert_int_equal(g_hash_table_size(ids), count);
+    g_hash_table_destroy(ids);
+    snprintf(key, sizeof(key), "servers/%s",
+             g_array_index(delta.targets, struct target_record, 0).id);
+    assert_false(add_entry(key, target_value));
+    assert_int_equal(delta.targets->len, count);
+}
+
 static void
 test_other_keys(void **state)
 {
-    static const char *const keys[] = {"op/other", "mine/x", "server/x", ""};
+    static const char *const keys[] = {
+        "op/other", "mine/x", "server/x", "", "op/evacuate", "op/evacuated/a"};
 
     for (size_t i = 0; i < sizeof(keys) / sizeof(*keys); i++) {
         assert_true(add_entry(keys[i], target_value));
@@ -336,6 +413,9 @@
         cmocka_unit_test_setup_teardown(test_stated_numbers, setup, teardown),
         cmocka_unit_test_setup_teardown(test_malformed_targets, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_emptied_domains, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_many_emptied_domains, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_other_keys, setup, teardown),
         cmocka_unit_test_setup_teardown(test_malformed_config, setup,
                                         teardown),
--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -94,6 +94,33 @@
     assert_true(s.link_mbps <= 0.0);
 }
 
+/* The shortest bound counts; that of orders may be missing. */
+static void
+test_change_bound(void **state)
+{
+    static const struct {
+        const char *bounds;
+        uint64_t bound_ms;
+    } cases[] = {
+        {"\"drainMs\":3000", 2500},
+        {"\"drainMs\":2000", 2000},
+        {"\"drainMs\":3000,\"evacuateMs\":1500", 1500},
+        {"\"drainMs\":3000,\"evacuateMs\":5000", 2500},
+    };
+    const char *at = strstr(valid_text, cases[0].bounds);
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[2 * sizeof(valid_text)];
+        struct forward_settings s;
+        struct status st;
+
+        snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - valid_text),
+                 valid_text, cases[i].bounds, at + strlen(cases[0].bounds));
+        assert_true(load(text, &s, &st));
+        assert_int_equal(s.change_bound_us, cases[i].bound_ms * USEC_PER_MSEC);
+    }
+}
+
 /* Each case replaces a part of the valid text. The settings are rejected with
  * a message that contains the name of the field, or the line of a JSON syntax
  * error. */
@@ -116,6 +143,8 @@
         {"\"drainMs\":3000", "\"drainMs\":0", "drainMs"},
         {"\"configApplyMs\":2500", "\"configApplyMs\":\"soon\"",
          "configApplyMs"},
+        {"\"drainMs\":3000", "\"drainMs\":3000,\"evacuateMs\":0",
+         "evacuateMs"},
         {"\"graceS\":6", "\"graceS\":-6", "graceS"},
         {"\"maxFlowS\":60", "\"maxFlowS\":1e9", "maxFlowS"},
         {"\"linkMbps\":20.5", "\"linkMbps\":\"fast\"", "linkMbps"},
@@ -154,6 +183,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_valid_settings),
         cmocka_unit_test(test_unknown_link),
+        cmocka_unit_test(test_change_bound),
         cmocka_unit_test(test_invalid_values),
         cmocka_unit_test(test_missing_file),
     };
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -137,6 +137,101 @@
     free(data);
 }
 
+/* Orders, regions and limits arrive as they are. */
+static void
+test_additions(void **state)
+{
+    struct route_record *route =
+        &g_array_index(message.delta.routes, struct route_record, 0);
+    struct target_record order = {
+        .kind = RECORD_EMPTIED_DOMAIN,
+        .service = g_intern_string("-"),
+        .domain = g_intern_string("a"),
+        .draining = true,
+        .created = {.era = 1, .revision = 41},
+        .position = {.era = 2, .revision = 51},
+    };
+    struct view_message m;
+    size_t size;
+    uint8_t *data;
+
+    route->regions = g_intern_string("north,south");
+    route->shares[1].cold_limit = 6400;
+    emptied_domain_id("a", order.id);
+    g_array_append_val(message.delta.targets, order);
+    order.removed = true;
+    g_array_append_val(message.delta.targets, order);
+    data = view_encode(&message, &size);
+    assert_true(decode(data, size, &m));
+    assert_records_equal(&m.delta, &message.delta);
+    view_delta_clear(&m.delta);
+    free(data);
+}
+
+/* A message without orders, regions and limits is byte for byte that of the
+ * builds before them. */
+static void
+test_unchanged_message(void **state)
+{
+    static const char expected[] =
+        "9f0201ce0a010101cd1e2801cd04d34d28cf00020000000000321ecf0001ffff"
+        "ffffffff029298cec6120001cd1f9000cd0258780194a1735aa1740a0198cec6"
+        "120001cd1f9101cd0258780194a1735aa1740a01919eac692d30313233343536"
+        "373839a173a161c4080000000102030405ce0a010203cd1f91020100cd05dccf"
+        "0001000000000028cf00020000000000321112960702ce0003d09000000c";
+    size_t size;
+    uint8_t *data = view_encode(&message, &size);
+    GString *hex = g_string_new(NULL);
+
+    for (size_t i = 0; i < size; i++) {
+        g_string_append_printf(hex, "%02x", data[i]);
+    }
+    assert_string_equal(hex->str, expected);
+    g_string_free(hex, TRUE);
+    free(data);
+}
+
+/* The id of a record tells whether it is an order. One that is neither that of
+ * a target nor that of the order for its failure domain is refused, so no
+ * record is ever both. */
+static void
+test_ids_of_orders(void **state)
+{
+    static const struct {
+        const char *domain_of_id; /* NULL: the id is that of a target */
+        const char *domain;
+        bool accepted;
+        enum record_kind kind;
+    } cases[] = {
+        {NULL, "a", true, RECORD_TARGET},
+        {"a", "a", true, RECORD_EMPTIED_DOMAIN},
+        {"b", "a", false, RECORD_TARGET},
+        {"a", NULL, false, RECORD_TARGET},
+    };
+    struct target_record *target =
+        &g_array_index(message.delta.targets, struct target_record, 0);
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct view_message m;
+        size_t size;
+        uint8_t *data;
+
+        if (cases[i].domain_of_id != NULL) {
+            emptied_domain_id(cases[i].domain_of_id, target->id);
+        }
+        target->domain = g_intern_string(cases[i].domain);
+        data = view_encode(&message, &size);
+        assert_int_equal(decode(data, size, &m), cases[i].accepted);
+        if (cases[i].accepted) {
+            assert_int_equal(
+                g_array_index(m.delta.targets, struct target_record, 0).kind,
+                cases[i].kind);
+        }
+        view_delta_clear(&m.delta);
+        free(data);
+    }
+}
+
 /* A message that was truncated to any length is refused. */
 static void
 test_truncated(void **state)
@@ -340,6 +435,10 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_round_trip, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_additions, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_unchanged_message, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_ids_of_orders, setup, teardown),
         cmocka_unit_test_setup_teardown(test_truncated, setup, teardown),
         cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
         cmocka_unit_test_setup_teardown(test_empty_names, setup, teardown),
