forward: refusals, counts and logs for emptied failure domains

An opening for which only targets of emptied domains are left is reset with the cause domain_emptied. For each emptied domain metrics tell since when, how many openings it was kept from, and how many flows are open there. Log lines of flows and targets name the failure domain, by which explain finds the changes of a target's domain and tells for how long it was emptied.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -32,12 +32,24 @@
     return false;
 }
 
+/* Whether a target may take new flows as far as its own state goes. */
 static bool
-takes_flows(const struct forward_target *target)
+is_available(const struct forward_target *target)
 {
     return target->presence != TARGET_GONE && !target->record.draining &&
-           !target->cookie_conflict && !target->replaced &&
-           (target->domain == NULL || !target->domain->emptied);
+           !target->cookie_conflict && !target->replaced;
+}
+
+static bool
+is_emptied(const struct forward_target *target)
+{
+    return target->domain != NULL && target->domain->emptied;
+}
+
+static bool
+takes_flows(const struct forward_target *target)
+{
+    return is_available(target) && !is_emptied(target);
 }
 
 /* Rates a target for a new flow; the lowest score wins. */
@@ -104,6 +116,29 @@
     return best;
 }
 
+struct forward_domain *
+placement_find_emptied(const struct placement_request *r)
+{
+    struct forward_domain *found = NULL;
+
+    if (r->service == NULL) {
+        return NULL;
+    }
+    for (guint i = 0; i < r->service->targets->len; i++) {
+        const struct forward_target *target =
+            g_ptr_array_index(r->service->targets, i);
+
+        if (!is_available(target) || !is_emptied(target)) {
+            continue;
+        }
+        found = target->domain;
+        if (found->name == r->domain) {
+            break;
+        }
+    }
+    return found;
+}
+
 const char *
 placement_choose_service(const struct route_record *route, uint64_t hash)
 {
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -41,6 +41,11 @@
 struct forward_target *
 placement_choose_target(const struct placement_request *r,
                         struct random *random);
+/* Returns an emptied failure domain that has targets for the flow, the own one
+ * if it is among them; NULL when no order keeps the flow away from a target.
+ */
+struct forward_domain *
+placement_find_emptied(const struct placement_request *r);
 /* Chooses the service of a new flow on a route, in proportion to the weights.
  * "hash" is that of the flow, so that all copies of its opening packet get the
  * same service. The result is owned by "route"; NULL when no service has a
--- a/src/ctl/log-timeline.c
+++ b/src/ctl/log-timeline.c
@@ -11,6 +11,15 @@
  * the first line about the flow to this long after the last one. */
 #define RELATED_WINDOW_US (20 * USEC_PER_SEC)
 
+/* Later than any line. */
+#define TIME_MAX_US (UINT64_MAX / 2)
+
+/* Message of a change of a failure domain, its state while the operator's
+ * order to empty it is in effect, and the cause of a refusal for it. */
+#define DOMAIN_CHANGED_MESSAGE "domain_changed"
+#define DOMAIN_EMPTIED_STATE "emptied"
+#define DOMAIN_EMPTIED_CAUSE "domain_emptied"
+
 /* Prefixes of log messages that concern a host as a whole. */
 static const char *const host_message_prefixes[] = {
     "host ",      "ready with", "planned stop",   "stopped",
@@ -22,8 +31,10 @@
     size_t number;      /* position in the input; breaks ties of at_us */
     const char *source; /* host or file name; interned */
     const char *target; /* target id, NULL: names no target; interned */
-    bool names_flow;    /* the line has a flow field */
-    char *text; /* the line as printed: time, source, message, fields */
+    const char *domain; /* failure domain, NULL: names none; interned */
+    bool emptied;    /* of a change of a failure domain: the order was given */
+    bool names_flow; /* the line has a flow field */
+    char *text;      /* the line as printed: time, source, message, fields */
     const char *message; /* points into "text": message and fields */
     /* Lines of other hosts with the same message and fields, not printed. */
     unsigned duplicates;
@@ -31,13 +42,16 @@
 
 struct log_timeline {
     struct timeline_query query;
-    /* All three hold struct timeline_entry: */
-    GPtrArray *named;   /* lines with the flow or the target of the query */
-    GPtrArray *targets; /* lines about another target */
-    GPtrArray *hosts;   /* lines about a host */
-    size_t lines;       /* lines read, without the skipped ones */
-    size_t skipped;     /* non-empty lines that are not log lines */
-    size_t placements;  /* lines that name a flow and the query's target */
+    /* All four arrays hold struct timeline_entry: */
+    GPtrArray *named;      /* lines with the flow or the target of the query */
+    GPtrArray *targets;    /* lines about another target */
+    GPtrArray *hosts;      /* lines about a host */
+    GPtrArray *domains;    /* changes of failure domains */
+    GHashTable *domain_of; /* target -> its failure domain, both interned */
+    bool refused_emptied;  /* a line of the flow was refused for an order */
+    size_t lines;          /* lines read, without the skipped ones */
+    size_t skipped;        /* non-empty lines that are not log lines */
+    size_t placements;     /* lines that name a flow and the query's target */
 };
 
 static void
@@ -58,6 +72,8 @@
     timeline->named = g_ptr_array_new_with_free_func(line_free);
     timeline->targets = g_ptr_array_new_with_free_func(line_free);
     timeline->hosts = g_ptr_array_new_with_free_func(line_free);
+    timeline->domains = g_ptr_array_new_with_free_func(line_free);
+    timeline->domain_of = g_hash_table_new(g_direct_hash, g_direct_equal);
     return timeline;
 }
 
@@ -67,6 +83,8 @@
     g_ptr_array_free(timeline->named, TRUE);
     g_ptr_array_free(timeline->targets, TRUE);
     g_ptr_array_free(timeline->hosts, TRUE);
+    g_ptr_array_free(timeline->domains, TRUE);
+    g_hash_table_destroy(timeline->domain_of);
     g_free(timeline);
 }
 
@@ -184,6 +202,10 @@
     if (line->target != NULL) {
         return is_queried_target ? timeline->named : timeline->targets;
     }
+    if (line->domain != NULL) {
+        return strcmp(message, DOMAIN_CHANGED_MESSAGE) == 0 ? timeline->domains
+                                                            : NULL;
+    }
     return is_about_host(message) ? timeline->hosts : NULL;
 }
 
@@ -206,7 +228,18 @@
     line->source = source;
     line->names_flow = flow != NULL;
     line->target = g_intern_string(get_text(json, "target"));
+    line->domain = g_intern_string(get_text(json, "domain"));
+    line->emptied =
+        g_strcmp0(get_text(json, "state"), DOMAIN_EMPTIED_STATE) == 0;
+    if (line->target != NULL && line->domain != NULL) {
+        g_hash_table_insert(timeline->domain_of, (gpointer)line->target,
+                            (gpointer)line->domain);
+    }
     list = choose_list(timeline, line, flow, message);
+    if (list == timeline->named &&
+        g_strcmp0(get_text(json, "cause"), DOMAIN_EMPTIED_CAUSE) == 0) {
+        timeline->refused_emptied = true;
+    }
     if (list == NULL) {
         g_free(line);
         return;
@@ -253,11 +286,21 @@
            line->at_us <= last + RELATED_WINDOW_US;
 }
 
+/* What a line that does not name the flow or target of the query is about. */
+static const char *
+line_key(const struct timeline_entry *line)
+{
+    if (line->target != NULL) {
+        return line->target;
+    }
+    return line->domain != NULL ? line->domain : line->source;
+}
+
 /* Adds those lines of "from" to "selected" that are within RELATED_WINDOW_US
- * of the time from "first" to "last" and whose target, or source when they
- * name no target, is in "set". Of lines with the same message and fields about
- * a target only the one read first is added; those of other hosts are counted
- * in it. */
+ * of the time from "first" to "last" and whose target, failure domain, or
+ * source when they name neither, is in "set". Of lines with the same message
+ * and fields about a target or failure domain only the one read first is
+ * added; those of other hosts are counted in it. */
 static void
 add_related(GPtrArray *selected, const GPtrArray *from, GHashTable *set,
             uint64_t first, uint64_t last)
@@ -266,9 +309,9 @@
 
     for (guint i = 0; i < from->len; i++) {
         struct timeline_entry *line = g_ptr_array_index(from, i);
-        const char *key = line->target != NULL ? line->target : line->source;
+        const char *key = line_key(line);
         struct timeline_entry *same =
-            line->target == NULL
+            key == line->source
                 ? NULL
                 : g_hash_table_lookup(first_by_message, line->message);
 
@@ -286,8 +329,38 @@
     g_hash_table_destroy(first_by_message);
 }
 
+/* Adds the changes of the failure domains of the targets in "set", whenever
+ * they were: an order is in effect for any time. For a flow that was refused
+ * because of an order, which names no target, adds those of all. */
+static void
+add_domain_changes(const struct log_timeline *timeline, GPtrArray *selected,
+                   GHashTable *set)
+{
+    GHashTable *domains = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTableIter iter;
+    gpointer target;
+    gpointer domain;
+
+    g_hash_table_iter_init(&iter, timeline->domain_of);
+    while (g_hash_table_iter_next(&iter, &target, &domain)) {
+        if (g_hash_table_contains(set, target)) {
+            g_hash_table_add(domains, domain);
+        }
+    }
+    for (guint i = 0; i < timeline->domains->len && timeline->refused_emptied;
+         i++) {
+        const struct timeline_entry *line =
+            g_ptr_array_index(timeline->domains, i);
+
+        g_hash_table_add(domains, (gpointer)line->domain);
+    }
+    add_related(selected, timeline->domains, domains, 0, TIME_MAX_US);
+    g_hash_table_destroy(domains);
+}
+
 /* Selects the lines to print: those with the flow or the target of the query,
- * and for a flow also the related lines about its targets and balancers. */
+ * for a flow also the related lines about its targets and balancers, and the
+ * changes of the targets' failure domains. */
 static void
 select_lines(const struct log_timeline *timeline, GPtrArray *selected)
 {
@@ -308,9 +381,62 @@
     }
     add_related(selected, timeline->targets, set, first, last);
     add_related(selected, timeline->hosts, set, first, last);
+    if (timeline->query.target != NULL) {
+        g_hash_table_add(set,
+                         (gpointer)g_intern_string(timeline->query.target));
+    }
+    add_domain_changes(timeline, selected, set);
     g_hash_table_destroy(set);
 }
 
+/* Prints for how long a failure domain was emptied, by the selected lines from
+ * the one at "start" on. */
+static void
+print_order(const GPtrArray *selected, guint start, FILE *out)
+{
+    const struct timeline_entry *first = g_ptr_array_index(selected, start);
+    uint64_t until = 0;
+
+    for (guint i = start + 1; i < selected->len; i++) {
+        const struct timeline_entry *line = g_ptr_array_index(selected, i);
+
+        if (line->target != NULL || line->domain != first->domain) {
+            continue;
+        }
+        if (line->emptied && until != 0) {
+            break;
+        }
+        until = line->emptied ? until : line->at_us;
+    }
+    if (until == 0) {
+        fprintf(out, "%s is emptied\n", first->domain);
+        return;
+    }
+    fprintf(out, "%s was emptied for %.1f s\n", first->domain,
+            (double)(until - first->at_us) / (double)USEC_PER_SEC);
+}
+
+static void
+print_orders(const GPtrArray *selected, FILE *out)
+{
+    GHashTable *emptied = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+    for (guint i = 0; i < selected->len; i++) {
+        const struct timeline_entry *line = g_ptr_array_index(selected, i);
+
+        if (line->target != NULL || line->domain == NULL) {
+            continue;
+        }
+        if (!line->emptied) {
+            g_hash_table_remove(emptied, line->domain);
+        }
+        else if (g_hash_table_add(emptied, (gpointer)line->domain)) {
+            print_order(selected, i, out);
+        }
+    }
+    g_hash_table_destroy(emptied);
+}
+
 bool
 log_timeline_print(struct log_timeline *timeline, FILE *out)
 {
@@ -328,6 +454,7 @@
         }
         fputc('\n', out);
     }
+    print_orders(selected, out);
     if (timeline->placements > 0) {
         fprintf(out, "%zu lines give a flow to %s\n", timeline->placements,
                 timeline->query.target);
--- a/src/daemon/forward-log.c
+++ b/src/daemon/forward-log.c
@@ -85,9 +85,10 @@
     format_age(view_info->age_us, age);
     log_fields(LOG_LEVEL_INFO, LOG_MODULE,
                LOG_FIELDS({"flow", flow}, {"target", target->record.id},
-                          {"service", target->record.service}, {"copy", copy},
-                          {"load", load_text}, {"revision", revision.text},
-                          {"view_age_ms", age}),
+                          {"service", target->record.service},
+                          {"domain", forward_target_domain_name(target)},
+                          {"copy", copy}, {"load", load_text},
+                          {"revision", revision.text}, {"view_age_ms", age}),
                "%s", kind_names[kind]);
 }
 
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -4,10 +4,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "state/metrics-text.h"
 
 #define LABEL_SIZE 64
+/* Bytes around the name in the label of a failure domain. */
+#define DOMAIN_LABEL_FRAME_SIZE 16
 
 static void
 add(FILE *f, const char *name, const char *label, uint64_t value)
@@ -71,6 +74,27 @@
     add(f, "gossip_bytes_sent_total", "", c.gossip_bytes_out);
 }
 
+struct domain_output {
+    FILE *out;
+    const struct forward_task *task;
+};
+
+static void
+add_emptied_domain(void *ctx, const struct forward_domain *domain)
+{
+    const struct domain_output *output = ctx;
+    char name[METRICS_LABEL_SIZE(ID_SIZE)];
+    char label[sizeof(name) + DOMAIN_LABEL_FRAME_SIZE];
+
+    snprintf(label, sizeof(label), "{domain=\"%s\"}",
+             metrics_escape_label(domain->name, name, sizeof(name)));
+    add(output->out, "domain_emptied_seconds", label,
+        (clock_monotonic_us() - domain->emptied_at) / USEC_PER_SEC);
+    add(output->out, "domain_openings_kept_away", label, domain->kept_away);
+    add(output->out, "domain_open_flows", label,
+        forward_task_open_flows(output->task, domain));
+}
+
 char *
 forward_metrics_text(struct forward_task *task, struct view_task *view)
 {
@@ -83,6 +107,8 @@
     }
     add_packets(f, forward_task_counters(task));
     add_view(f, view);
+    forward_view_each_emptied(view_task_view(view), add_emptied_domain,
+                              &(struct domain_output){.out = f, .task = task});
     flow_times_print(forward_task_times(task), f);
     if (fclose(f) != 0) {
         free(text);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -104,6 +104,7 @@
     [FORWARD_RESET_NO_VIEW] = "no_view",
     [FORWARD_RESET_TARGET_SILENT] = "target_silent",
     [FORWARD_RESET_TARGET_REPLACED] = "target_replaced",
+    [FORWARD_RESET_DOMAIN_EMPTIED] = "domain_emptied",
 };
 
 const char *
@@ -489,6 +490,26 @@
            in->now - in->arrived > opening_timeout_us[in->packet.ack];
 }
 
+/* Counts an opening that an emptied failure domain would have got: its callers
+ * are nearest to it, or no other domain has a target. Returns the cause of its
+ * reset, should there be no target. */
+static enum forward_reset
+count_kept_away(const struct placement_request *request,
+                const struct inbound_packet *in,
+                const struct forward_target *target)
+{
+    struct forward_domain *emptied = placement_find_emptied(request);
+
+    if (emptied == NULL) {
+        return FORWARD_RESET_NO_TARGET;
+    }
+    if (in->packet.ack == 0 &&
+        (target == NULL || emptied->name == request->domain)) {
+        emptied->kept_away++;
+    }
+    return FORWARD_RESET_DOMAIN_EMPTIED;
+}
+
 static void
 handle_opening(struct forward_task *task, struct inbound_packet *in)
 {
@@ -501,6 +522,7 @@
     struct recent_flow *flow;
     struct forward_target *target;
     struct forward_view_info view_info;
+    enum forward_reset no_target = FORWARD_RESET_NO_TARGET;
     const char *service;
 
     if (has_timed_out(in)) {
@@ -520,8 +542,11 @@
     request.tried = flow->tried;
     request.tried_count = flow->tried_count;
     target = placement_choose_target(&request, &task->random);
+    if (forward_view_has_emptied(task->view)) {
+        no_target = count_kept_away(&request, in, target);
+    }
     if (target == NULL) {
-        reset(task, &in->packet, FORWARD_RESET_NO_TARGET);
+        reset(task, &in->packet, no_target);
         return;
     }
     if (passive_health_needs_trial(&target->observations)) {
@@ -971,6 +996,26 @@
     free(task);
 }
 
+size_t
+forward_task_open_flows(const struct forward_task *task,
+                        const struct forward_domain *domain)
+{
+    size_t count = 0;
+
+    for (const struct recent_flow *flow = recent_flows_first(task->flows);
+         flow != NULL; flow = recent_flows_next(task->flows, flow)) {
+        const struct forward_target *target =
+            flow->open && !flow->closing
+                ? forward_view_target(task->view, flow->cookie)
+                : NULL;
+
+        /* The record of a caller's last opening is no flow. */
+        count += target != NULL && flow->key.caller_port != 0 &&
+                 target->domain == domain;
+    }
+    return count;
+}
+
 const struct flow_times *
 forward_task_times(const struct forward_task *task)
 {
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -54,6 +54,8 @@
     FORWARD_RESET_NO_VIEW, /* no view within the wait after the start */
     FORWARD_RESET_TARGET_SILENT,
     FORWARD_RESET_TARGET_REPLACED, /* another target has its address now */
+    /* The operator has emptied the failure domains of all targets left. */
+    FORWARD_RESET_DOMAIN_EMPTIED,
     FORWARD_RESET_COUNT,
 };
 
@@ -101,6 +103,11 @@
 /* Handles the packets that were queued before the view became usable. */
 void forward_task_view_ready(struct forward_task *task);
 
+/* Number of open flows at the targets of a failure domain from which this host
+ * has received a packet within the last 20 s. */
+size_t forward_task_open_flows(const struct forward_task *task,
+                               const struct forward_domain *domain);
+
 /* The results are owned by the task and valid until it is destroyed. */
 const struct forward_counters *
 forward_task_counters(struct forward_task *task);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -301,6 +301,7 @@
     log_fields(LOG_LEVEL_INFO, LOG_MODULE,
                LOG_FIELDS({"target", target->record.id},
                           {"state", target_state_name(target)},
+                          {"domain", forward_target_domain_name(target)},
                           {"revision", revision.text}),
                "target_changed");
     if (target->cookie_conflict) {
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -19,11 +19,18 @@
 
 static struct forward_service service;
 static struct forward_target *targets;
+/* Failure domains that the operator has emptied. */
+static struct forward_domain emptied_own;
+static struct forward_domain emptied_other;
 
 static int
 setup(void **state)
 {
     service.targets = g_ptr_array_new();
+    emptied_own =
+        (struct forward_domain){.name = g_intern_string("a"), .emptied = true};
+    emptied_other =
+        (struct forward_domain){.name = g_intern_string("b"), .emptied = true};
     return 0;
 }
 
@@ -79,6 +86,8 @@
     COLD,            /* in its cold start */
     TRIED,           /* an earlier copy of the opening packet was sent to it */
     DUE_FOR_TRIAL,   /* silent, and the next flow to it may be a trial */
+    EMPTIED,         /* the operator has emptied its failure domain */
+    EMPTIED_REMOTE,  /* the same, and it is another failure domain */
 };
 
 static void
@@ -123,6 +132,13 @@
                                        NOW_US - 10 * USEC_PER_SEC);
         passive_health_confirm_silence(&t->observations, NOW_US);
         break;
+    case EMPTIED:
+        t->domain = &emptied_own;
+        break;
+    case EMPTIED_REMOTE:
+        t->record.domain = emptied_other.name;
+        t->domain = &emptied_other;
+        break;
     default:
         break;
     }
@@ -167,6 +183,21 @@
         {DUE_FOR_TRIAL, DRAINING, 0},
         /* A copy is no trial. */
         {DUE_FOR_TRIAL, TRIED, 0},
+        /* An emptied domain gets nothing, however bad the other target is. */
+        {EMPTIED, NORMAL, 1},
+        {EMPTIED, REMOTE, 1},
+        {EMPTIED, LOADED, 1},
+        {EMPTIED, SUSPECTED, 1},
+        {EMPTIED, AVOIDED, 1},
+        {EMPTIED, DUE_FOR_TRIAL, 1},
+        {EMPTIED, TRIED, 1},
+        {EMPTIED, LAPSED, 1},
+        {EMPTIED, COOKIE_CONFLICT, -1},
+        {EMPTIED, DRAINING, -1},
+        {EMPTIED, EMPTIED, -1},
+        {EMPTIED, EMPTIED_REMOTE, -1},
+        {EMPTIED_REMOTE, NORMAL, 1},
+        {EMPTIED_REMOTE, TRIED, 1},
     };
     struct random random;
 
@@ -194,6 +225,58 @@
     }
 }
 
+/* No condition of a target of an emptied domain brings it a flow: the others
+ * hold for the same target. */
+static void
+test_emptied_target_in_any_condition(void **state)
+{
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (int condition = NORMAL; condition < EMPTIED; condition++) {
+        const uint32_t tried[] = {1};
+
+        make_targets(1);
+        apply_condition(&targets[0], (enum target_condition)condition);
+        targets[0].domain = &emptied_own;
+        assert_null(choose(NULL, 0, NOW_US, &random));
+        assert_null(choose(tried, 1, NOW_US, &random));
+    }
+}
+
+/* Which emptied domain keeps a flow away from a target. */
+static void
+test_find_emptied(void **state)
+{
+    static const struct {
+        enum target_condition first;
+        enum target_condition second;
+        const struct forward_domain *found;
+    } cases[] = {
+        {NORMAL, REMOTE, NULL},
+        {EMPTIED, NORMAL, &emptied_own},
+        {NORMAL, EMPTIED_REMOTE, &emptied_other},
+        {EMPTIED, EMPTIED_REMOTE, &emptied_own},
+        {EMPTIED_REMOTE, EMPTIED, &emptied_own},
+        {EMPTIED_REMOTE, DRAINING, &emptied_other},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct placement_request r = {.service = &service,
+                                            .domain = emptied_own.name};
+
+        make_targets(2);
+        apply_condition(&targets[0], cases[i].first);
+        apply_condition(&targets[1], cases[i].second);
+        assert_ptr_equal(placement_find_emptied(&r), cases[i].found);
+        /* A target that takes no flows anyway is not kept away from any. */
+        targets[0].presence = TARGET_GONE;
+        targets[1].record.draining = true;
+        assert_null(placement_find_emptied(&r));
+    }
+    assert_null(placement_find_emptied(&(struct placement_request){0}));
+}
+
 /* Equal targets get equal numbers of flows: the order of the list has no
  * influence. */
 static void
@@ -504,6 +587,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_choice_of_two, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_emptied_target_in_any_condition,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_find_emptied, setup, teardown),
         cmocka_unit_test_setup_teardown(test_equal_targets, setup, teardown),
         cmocka_unit_test(test_service_by_weight),
         cmocka_unit_test(test_simulated_load),
--- a/tests/unit/test-log-timeline.c
+++ b/tests/unit/test-log-timeline.c
@@ -16,6 +16,11 @@
 /* A different flow, although its id begins with that of FLOW up to the port */
 #define OTHER_FLOW "100.64.0.7:10401>198.18.0.1:443"
 
+#define DOMAIN_CHANGED(time, domain, state, revision)                         \
+    AT(time)                                                                  \
+    "\"message\":\"domain_changed\",\"domain\":\"" domain                     \
+    "\",\"state\":\"" state "\",\"revision\":\"" revision "\"}"
+
 /* The logs of two hosts as a log collector merges them: each line after the
  * name of its host, and not in the order of time. The last line has no host
  * name, so that the name of the source is printed instead. Two lines are not
@@ -41,6 +46,16 @@
                               "\"i-1\"}",
     AT("00:12.000") "\"message\":\"target_changed\",\"target\":\"i-1\","
                     "\"state\":\"gone\"}",
+    /* Two emptied domains. That of i-4 is known from the placement of another
+     * flow, the refused flow names no target. */
+    "host-1 " DOMAIN_CHANGED("05:00.000", "east", "emptied", "7"),
+    "host-2 " DOMAIN_CHANGED("05:00.200", "east", "emptied", "7"),
+    "host-1 " DOMAIN_CHANGED("05:37.500", "east", "in use", "9"),
+    "host-1 " DOMAIN_CHANGED("06:00.000", "west", "emptied", "11"),
+    "host-1 " AT("04:00.000") "\"message\":\"flow_placed\",\"flow\":\"x\","
+                              "\"target\":\"i-4\",\"domain\":\"east\"}",
+    "host-1 " AT("06:01.000") "\"message\":\"flow_reset\",\"flow\":\"y\","
+                              "\"cause\":\"domain_emptied\"}",
 };
 
 struct timeline_case {
@@ -68,6 +83,24 @@
     {NULL, "i-2",
      "2026-12-04T10:00:08.800Z host-2 target_silent target=i-2\n"
      "1 lines give a flow to i-2\n"},
+    {NULL, "i-4",
+     "2026-12-04T10:05:00.000Z host-1 domain_changed domain=east "
+     "state=emptied revision=7 (and 1 more lines of others)\n"
+     "2026-12-04T10:05:37.500Z host-1 domain_changed domain=east "
+     "state=in use revision=9\n"
+     "east was emptied for 37.5 s\n"
+     "1 lines give a flow to i-4\n"},
+    {"y", NULL,
+     "2026-12-04T10:05:00.000Z host-1 domain_changed domain=east "
+     "state=emptied revision=7 (and 1 more lines of others)\n"
+     "2026-12-04T10:05:37.500Z host-1 domain_changed domain=east "
+     "state=in use revision=9\n"
+     "2026-12-04T10:06:00.000Z host-1 domain_changed domain=west "
+     "state=emptied revision=11\n"
+     "2026-12-04T10:06:01.000Z host-1 flow_reset flow=y "
+     "cause=domain_emptied\n"
+     "east was emptied for 37.5 s\n"
+     "west is emptied\n"},
     {"100.64.0.7:104", NULL, NULL},
     {NULL, "i-3", NULL},
 };
