view-reader: no stale read in a new era; orders on the fake fleet

Cause, found by the model of orders: a host that starts after the store was restored, without an answer of a peer, read the store as it was some seconds ago, and then watched. The removal of an order from before the restore came with a position of the new era, which ends any order of the earlier era at the peers, also one given later that the store has lost. In a new era the first read is a current one now; peers are asked before it, as before, so it is rare.

--- a/spec/forward.pml
+++ b/spec/forward.pml
@@ -18,6 +18,10 @@
  * entry with a rising sequence number; two balancers read it, send each other
  * their views, and write snapshots of them under a condition.
  *
+ * PART_ORDERS models the operator's order to empty a failure domain, which is
+ * given and taken back any number of times. Two balancers read the store, send
+ * each other their views and restart; the store is restored from older copies.
+ *
  * Each safety mechanism can be disabled by a macro. spec/check-models checks
  * that the model then violates an assertion. */
 
@@ -431,3 +435,228 @@
 }
 
 #endif
+
+#ifdef PART_ORDERS
+
+#define BALANCERS 2
+#define REVISIONS 4
+#define ERAS 1 /* restores */
+
+byte era;
+byte revision;
+byte order[REVISIONS + 1]; /* number of the order, 0: none, by revision */
+byte given;                /* number of the last order */
+byte ended;                /* number of the last order taken back */
+
+/* The views: whether there is one, its position, the order in effect (0: none)
+ * and the position of its record, which is kept after its removal. */
+bool started[BALANCERS];
+byte view_era[BALANCERS];
+byte view_revision[BALANCERS];
+byte known[BALANCERS];
+byte known_era[BALANCERS];
+byte known_revision[BALANCERS];
+byte i; /* scratch, 0 between the steps */
+
+/* An order in effect ends only after the operator has taken it back. */
+inline set_order(b, number, number_era, number_revision)
+{
+    assert(known[b] == 0 || number != 0 || known[b] <= ended);
+    known[b] = number;
+    known_era[b] = number_era;
+    known_revision[b] = number_revision
+}
+
+inline apply_record(b, number, number_era, number_revision)
+{
+    if
+    :: number_era > known_era[b] || (number_era == known_era[b] &&
+                                     number_revision > known_revision[b]) ->
+        set_order(b, number, number_era, number_revision)
+    :: else -> skip
+    fi
+}
+
+/* A complete list of a position lacks the order. */
+inline apply_missing(b, list_era, list_revision)
+{
+    if
+#ifdef ENDS_LOST_ORDER
+    :: known[b] != 0 ->
+#else
+    :: known[b] != 0 && known_era[b] == list_era ->
+#endif
+        set_order(b, 0, list_era, list_revision)
+    :: else -> skip
+    fi
+}
+
+/* A balancer that is at the store's newest position knows its order. */
+inline check_complete(b)
+{
+    assert(!started[b] || view_era[b] != era || view_revision[b] != revision ||
+           order[revision] == 0 || known[b] != 0)
+}
+
+/* The store answers a read of everything as of the revision "to". */
+inline answer_read(b, to)
+{
+    i = to;
+    do
+    :: i > 0 && order[i] == order[i - 1] -> i--
+    :: else -> break
+    od;
+    if
+    :: order[to] != 0 -> apply_record(b, order[to], era, i)
+    :: else -> apply_missing(b, era, to)
+    fi;
+    i = 0;
+    started[b] = true;
+    view_era[b] = era;
+    view_revision[b] = to
+}
+
+/* A stale read is complete up to what it contains itself. It is not used when
+ * the store was restored: what it lacks may have happened before that, but its
+ * position would tell that it happened since. */
+inline answer_stale_read(b)
+{
+    i = revision;
+    do
+    :: i > 0 -> i--
+    :: break
+    od;
+    view_revision[b] = i;
+    answer_read(b, view_revision[b]);
+#ifdef TRUSTS_STALE_READ
+    view_revision[b] = revision
+#endif
+}
+
+/* The changes after the revision "from" reach the other balancer at once, or
+ * are lost. It refuses them when it may lack changes before them. */
+inline push_changes(b, from)
+{
+    if
+    :: started[1 - b] && view_era[1 - b] == era &&
+#ifndef ACCEPTS_GAP
+       from <= view_revision[1 - b] &&
+#endif
+       view_revision[1 - b] < revision ->
+        if
+        :: known_era[b] == era && known_revision[b] > from ->
+            apply_record(1 - b, known[b], known_era[b], known_revision[b])
+        :: else -> skip
+        fi;
+        view_revision[1 - b] = revision
+    :: skip
+    fi;
+    check_complete(1 - b)
+}
+
+inline answer_watch(b)
+{
+    i = view_revision[b] + 1;
+    do
+    :: i <= revision ->
+        if
+        :: order[i] != order[i - 1] -> apply_record(b, order[i], era, i)
+        :: else -> skip
+        fi;
+        i++
+    :: else -> break
+    od;
+    i = view_revision[b];
+    view_revision[b] = revision;
+    push_changes(b, i);
+    i = 0
+}
+
+/* The other balancer pulls: the changes since its position, or a complete list
+ * when it has no view or one of an earlier era. */
+inline answer_pull(b)
+{
+    if
+    :: !started[1 - b] || view_era[b] > view_era[1 - b] ->
+#ifdef LISTS_OMIT_ORDERS
+        skip;
+#else
+        if
+        :: known_revision[b] != 0 ->
+            apply_record(1 - b, known[b], known_era[b], known_revision[b])
+        :: else -> skip
+        fi;
+#endif
+        if
+        :: known[b] == 0 ->
+            apply_missing(1 - b, view_era[b], view_revision[b])
+        :: else -> skip
+        fi;
+        /* A balancer that starts knows what its peer knows. */
+        assert(started[1 - b] || known[b] == 0 || known[1 - b] != 0);
+        started[1 - b] = true;
+        view_era[1 - b] = view_era[b];
+        view_revision[1 - b] = view_revision[b]
+    :: started[1 - b] && view_era[b] == view_era[1 - b] &&
+       view_revision[b] > view_revision[1 - b] ->
+        if
+        :: known_era[b] == view_era[b] &&
+           known_revision[b] > view_revision[1 - b] ->
+            apply_record(1 - b, known[b], known_era[b], known_revision[b])
+        :: else -> skip
+        fi;
+        view_revision[1 - b] = view_revision[b]
+    :: else -> skip
+    fi;
+    check_complete(1 - b)
+}
+
+inline restart(b)
+{
+    started[b] = false;
+    view_era[b] = 0;
+    view_revision[b] = 0;
+    known[b] = 0;
+    known_era[b] = 0;
+    known_revision[b] = 0
+}
+
+active [BALANCERS] proctype balancer()
+{
+    byte self = _pid;
+
+    do
+    :: atomic { started[self] && view_era[self] == era ->
+                answer_watch(self); check_complete(self) }
+    :: atomic { !started[self] || view_era[self] != era ->
+                answer_read(self, revision); check_complete(self) }
+#ifdef READS_OLD_ERA
+    :: atomic { !started[self] ->
+#else
+    :: atomic { !started[self] && era == 0 ->
+#endif
+                answer_stale_read(self); check_complete(self) }
+    :: atomic { started[self] -> answer_pull(self) }
+    :: atomic { started[self] -> restart(self) }
+    od
+}
+
+active proctype environment()
+{
+    do
+    :: atomic { revision < REVISIONS && order[revision] == 0 ->
+                revision++; given++; order[revision] = given }
+    :: atomic { revision < REVISIONS && order[revision] != 0 ->
+                revision++; order[revision] = 0; ended = given }
+    :: atomic { revision < REVISIONS ->
+                revision++; order[revision] = order[revision - 1] }
+    :: atomic { era < ERAS && revision > 0 ->
+                era++;
+                do
+                :: revision > 0 -> revision--; break
+                :: revision > 1 -> revision--
+                od }
+    od
+}
+
+#endif
--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -78,13 +78,17 @@
 }
 
 /* The first read may return stale data. Such a read costs the store a tenth of
- * a current one, and newer data follows from the peers or the first watch. */
+ * a current one, and newer data follows from the peers or the first watch. Not
+ * after the store was restored: the changes that follow may be older than the
+ * restore, but would have positions of the new era, and a removal among them
+ * would count against what was written later in the earlier era. */
 static void
 read_all(struct view_reader *reader)
 {
     reader->read_all_needed = false;
     reader->reading = true;
-    reader->reading_stale = !reader->first_read_done;
+    reader->reading_stale =
+        !reader->first_read_done && reader->awaited_era == 0;
     reader->cb.read(reader->cb.ctx, reader->reading_stale);
 }
 
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -240,6 +240,25 @@
     return &g_array_index(fleet->changes, struct fleet_change, revision);
 }
 
+/* Returns the order that a revision gave or took back. */
+static struct target_record
+order_at_revision(const struct fleet *fleet, uint64_t revision)
+{
+    const struct fleet_change *change = change_at(fleet, revision);
+    struct target_record t = {
+        .kind = RECORD_EMPTIED_DOMAIN,
+        .service = g_intern_string("-"),
+        .domain = change->emptied_domain,
+        .draining = true,
+        .removed = change->removed,
+        .created = {.era = fleet->era, .revision = revision},
+        .position = {.era = fleet->era, .revision = revision},
+    };
+
+    emptied_domain_id(change->emptied_domain, t.id);
+    return t;
+}
+
 /* Returns the target entry that a revision wrote. */
 static struct target_record
 target_at_revision(const struct fleet *fleet, uint64_t revision)
@@ -277,8 +296,25 @@
     delta->routes_version = 1;
 }
 
-/* Fills "delta" with the store's answer to the call in progress. An entry that
- * was written several times may be included with each of them. */
+/* Whether a list of all entries as of the revision "to" contains what a
+ * revision wrote: not if that was an order that has been taken back. */
+static bool
+is_listed(const struct fleet *fleet, uint64_t revision, uint64_t to)
+{
+    const char *domain = change_at(fleet, revision)->emptied_domain;
+
+    for (uint64_t r = revision; domain != NULL && r <= to; r++) {
+        if (change_at(fleet, r)->emptied_domain == domain &&
+            change_at(fleet, r)->removed) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Fills "delta" with the store's answer to the call in progress. The entry of
+ * a target that was written several times may be included with each of them.
+ */
 static void
 fill_delta(const struct fleet_node *node, struct view_delta *delta)
 {
@@ -295,9 +331,12 @@
         add_routes(fleet, delta);
     }
     for (uint64_t r = from + 1; r <= to; r++) {
-        struct target_record t = target_at_revision(fleet, r);
+        struct target_record t = change_at(fleet, r)->emptied_domain == NULL
+                                     ? target_at_revision(fleet, r)
+                                     : order_at_revision(fleet, r);
 
-        if (!change_at(fleet, r)->is_snapshot) {
+        if (!change_at(fleet, r)->is_snapshot &&
+            (!node->call_is_read || is_listed(fleet, r, to))) {
             g_array_append_val(delta->targets, t);
         }
     }
@@ -606,6 +645,14 @@
                                             .sequence = fleet->sequence});
 }
 
+void
+fleet_write_order(struct fleet *fleet, const char *domain, bool emptied)
+{
+    add_change(fleet,
+               (struct fleet_change){.emptied_domain = g_intern_string(domain),
+                                     .removed = !emptied});
+}
+
 void
 fleet_write(struct fleet *fleet)
 {
--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -40,7 +40,9 @@
 /* What a revision of the store wrote. */
 struct fleet_change {
     uint64_t written_at;
-    bool is_snapshot; /* the snapshot; else the entry of a target */
+    bool is_snapshot; /* the snapshot; else the entry of a target or order */
+    const char *emptied_domain; /* of an order, interned; NULL: of a target */
+    bool removed;               /* the order was taken back */
     size_t target;
     bool draining;
     uint64_t sequence; /* number of this write of a target */
@@ -105,8 +107,8 @@
     struct fleet_node *nodes;
     GQueue *deliveries; /* messages in transit: struct delivery, in sending
                            order */
-    /* The store. Each revision writes the entry of one target or the snapshot;
-     * the only route has revision 1. */
+    /* The store. Each revision writes the entry of one target, the snapshot,
+     * or an order; the only route has revision 1. */
     bool store_down;    /* the store answers no balancer */
     uint64_t era;       /* number of times that it was restored */
     uint64_t revision;  /* newest revision */
@@ -136,6 +138,8 @@
 void fleet_write(struct fleet *fleet);
 /* Writes the entry of a target to the store. */
 void fleet_write_target(struct fleet *fleet, size_t target, bool draining);
+/* Writes the order to empty a failure domain, or takes it back. */
+void fleet_write_order(struct fleet *fleet, const char *domain, bool emptied);
 /* The id of a target. */
 void fleet_target_id(size_t target, char id[TARGET_ID_SIZE]);
 /* Restores the store to its state at an earlier revision, in a new era. The
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -649,6 +649,243 @@
     }
 }
 
+/* Domain of all targets of the fleet. */
+#define DOMAIN "a"
+
+/* Whether the order to empty the domain is in effect at a balancer. */
+static bool
+has_order(const struct fleet_node *node)
+{
+    const struct forward_domain *domain =
+        forward_view_domain(node->view, g_intern_string(DOMAIN));
+
+    return domain != NULL && domain->emptied;
+}
+
+/* Runs the fleet until the order is in effect, or not, at all running
+ * balancers. Returns the time that this took since "start", in us; fails when
+ * it is longer than "max_us". */
+static uint64_t
+run_until_ordered(struct fleet *fleet, bool emptied, uint64_t start,
+                  uint64_t max_us)
+{
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        while (fleet->nodes[i].running &&
+               has_order(&fleet->nodes[i]) != emptied) {
+            fleet_step(fleet);
+            if (fleet->now > start + max_us) {
+                fail_msg("%s does not follow after %llu ms",
+                         fleet->nodes[i].self.id,
+                         (unsigned long long)(max_us / USEC_PER_MSEC));
+            }
+        }
+    }
+    return fleet->now > start ? fleet->now - start : 0;
+}
+
+/* The order to empty a failure domain, and its end, are in effect everywhere
+ * within a second. */
+static void
+test_time_of_order(void **state)
+{
+    static const size_t sizes[] = {7, 24, 80, 160};
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        struct fleet *fleet = fleet_new(sizes[s], 4, BOUND_US, SEED);
+        uint64_t given_us;
+        uint64_t taken_us;
+
+        fleet_run(fleet, SETTLE_US);
+        fleet_write_order(fleet, DOMAIN, true);
+        given_us = run_until_ordered(fleet, true, fleet->now, USEC_PER_SEC);
+        fleet_run(fleet, SETTLE_US);
+        fleet_write_order(fleet, DOMAIN, false);
+        taken_us = run_until_ordered(fleet, false, fleet->now, USEC_PER_SEC);
+        print_message("%zu balancers: order in effect after %llu ms, taken "
+                      "back after %llu ms\n",
+                      sizes[s], (unsigned long long)(given_us / USEC_PER_MSEC),
+                      (unsigned long long)(taken_us / USEC_PER_MSEC));
+        fleet_destroy(fleet);
+    }
+}
+
+/* What befalls a balancer around an order. */
+enum order_fault {
+    ORDER_WHILE_STARTING, /* it starts just after the order */
+    ORDER_WHILE_CUT_OFF,  /* it reaches the store only */
+    ORDER_WITHOUT_STORE,  /* it reaches the others only */
+    ORDER_WHILE_ISOLATED, /* it reaches nobody for 5 s */
+    ORDER_WHILE_PAUSED,   /* it is paused for 5 s */
+    ORDER_WHILE_ALL_DOWN, /* all balancers start 1 s after the order */
+    ORDER_BEFORE_OUTAGE,  /* it restarts in an outage of the store */
+    ORDER_FAULT_COUNT,
+};
+
+static const char *const order_fault_names[] = {
+    "starting", "cut off",  "without the store", "isolated",
+    "paused",   "all down", "store away",
+};
+
+/* Checks that the order is in effect at all balancers but one. */
+static void
+check_others(const struct fleet *fleet, const struct fleet_node *node)
+{
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        assert_true(&fleet->nodes[i] == node || has_order(&fleet->nodes[i]));
+    }
+}
+
+/* Gives the order while a balancer has a fault. Returns the time at which all
+ * have a path to the store, or to a peer that has one. */
+static uint64_t
+order_with_fault(struct fleet *fleet, struct fleet_node *node,
+                 enum order_fault fault)
+{
+    const uint64_t fault_us = 5 * USEC_PER_SEC;
+
+    switch (fault) {
+    case ORDER_WHILE_STARTING:
+        fleet_kill_node(fleet, node->index);
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_start_node(fleet, node->index);
+        break;
+    case ORDER_WHILE_CUT_OFF:
+        node->partition = 1;
+        fleet_write_order(fleet, DOMAIN, true);
+        break;
+    case ORDER_WITHOUT_STORE:
+        node->store_mode = FLEET_STORE_SILENT;
+        fleet_write_order(fleet, DOMAIN, true);
+        break;
+    case ORDER_WHILE_ISOLATED:
+        node->partition = 1;
+        node->store_mode = FLEET_STORE_SILENT;
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_run(fleet, BOUND_US);
+        check_others(fleet, node);
+        fleet_run(fleet, fault_us - BOUND_US);
+        node->partition = 0;
+        node->store_mode = FLEET_STORE_ANSWERS;
+        break;
+    case ORDER_WHILE_PAUSED:
+        node->frozen_at = fleet->now;
+        node->frozen_until = fleet->now + fault_us;
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_run(fleet, BOUND_US);
+        check_others(fleet, node);
+        return node->frozen_until;
+    case ORDER_WHILE_ALL_DOWN:
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            fleet_kill_node(fleet, i);
+        }
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_run(fleet, USEC_PER_SEC);
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            fleet_start_node(fleet, i);
+        }
+        break;
+    default:
+        fleet_write_order(fleet, DOMAIN, true);
+        run_until_ordered(fleet, true, fleet->now, BOUND_US);
+        fleet->store_down = true;
+        fleet_kill_node(fleet, node->index);
+        fleet_run(fleet, USEC_PER_SEC);
+        fleet_start_node(fleet, node->index);
+        break;
+    }
+    return fleet->now;
+}
+
+/* Whatever befalls the watcher or another balancer, the order is in effect
+ * there within the bound after it has a path again, and at the others within
+ * the bound. It stays while the store is away, and is taken back after. */
+static void
+test_order_during_faults(void **state)
+{
+    static const size_t sizes[] = {7, 24, 80};
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        for (int fault = 0; fault < ORDER_FAULT_COUNT; fault++) {
+            uint64_t worst_us = 0;
+
+            for (unsigned watcher = 0; watcher < 2; watcher++) {
+                struct fleet *fleet =
+                    fleet_new(sizes[s], 4, BOUND_US, SEED + watcher);
+                struct fleet_node *node;
+                uint64_t start;
+                uint64_t took_us;
+
+                fleet_run(fleet, SETTLE_US);
+                node = fleet_watcher(fleet);
+                assert_non_null(node);
+                if (watcher == 0) {
+                    node = &fleet->nodes[(node->index + 5) % sizes[s]];
+                }
+                start = order_with_fault(fleet, node, (enum order_fault)fault);
+                took_us = run_until_ordered(fleet, true, start, BOUND_US);
+                worst_us = took_us > worst_us ? took_us : worst_us;
+                for (uint64_t end = start + 2 * SETTLE_US; fleet->now < end;) {
+                    fleet_step(fleet);
+                    for (size_t i = 0; i < fleet->node_count; i++) {
+                        assert_true(has_order(&fleet->nodes[i]));
+                    }
+                }
+                fleet->store_down = false;
+                node->partition = 0;
+                node->store_mode = FLEET_STORE_ANSWERS;
+                fleet_write_order(fleet, DOMAIN, false);
+                run_until_ordered(fleet, false, fleet->now, BOUND_US);
+                fleet_destroy(fleet);
+            }
+            print_message("%zu balancers, %s: order in effect after %llu ms\n",
+                          sizes[s], order_fault_names[fault],
+                          (unsigned long long)(worst_us / USEC_PER_MSEC));
+        }
+    }
+}
+
+/* An order is given, taken back and given again; the store loses the last of
+ * these. A balancer that starts then, by a read that is older than the second,
+ * must not tell the others that it was taken back: they end an order for a
+ * removal in the new era only. */
+static void
+test_stale_start_after_restore(void **state)
+{
+    struct fleet *fleet = fleet_new(7, 4, BOUND_US, SEED);
+    struct fleet_node *node = &fleet->nodes[5];
+    uint64_t given;
+    uint64_t copy;
+
+    fleet_run(fleet, SETTLE_US);
+    fleet_write_order(fleet, DOMAIN, true);
+    given = fleet->revision;
+    run_until_ordered(fleet, true, fleet->now, BOUND_US);
+    fleet_write_order(fleet, DOMAIN, false);
+    copy = fleet->revision;
+    run_until_ordered(fleet, false, fleet->now, BOUND_US);
+    fleet_write_order(fleet, DOMAIN, true);
+    run_until_ordered(fleet, true, fleet->now, BOUND_US);
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        fleet->nodes[i].store_mode = FLEET_STORE_SILENT;
+    }
+    fleet_kill_node(fleet, node->index);
+    fleet_restore(fleet, copy);
+    fleet->stale_by = copy - given;
+    node->partition = 1;
+    node->store_mode = FLEET_STORE_ANSWERS;
+    fleet_start_node(fleet, node->index);
+    fleet_run(fleet, BOUND_US);
+    assert_int_equal(forward_view_position(node->view).era, fleet->era);
+    node->partition = 0;
+    fleet_run(fleet, SETTLE_US);
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        assert_int_equal(forward_view_position(fleet->nodes[i].view).era,
+                         fleet->era);
+    }
+    check_others(fleet, node);
+    fleet_destroy(fleet);
+}
+
 /* Whether a balancer would send new flows to a target. */
 static bool
 uses_target(const struct fleet_node *node, size_t target)
@@ -673,7 +910,8 @@
     return count;
 }
 
-/* Writes 40 changes, among them that a target drains, and lets the store be
+/* Writes 40 changes, among them that a target drains and the order to empty
+ * the targets' failure domain, and lets the store be
  * away for a moment and come back, in a new era, without them. Returns the
  * target. */
 static size_t
@@ -684,13 +922,15 @@
     size_t target = (copy + FLEET_TARGET_COUNT / 2) % FLEET_TARGET_COUNT;
 
     fleet_write_target(fleet, target, true);
-    for (unsigned i = 0; i < 39; i++) {
+    fleet_write_order(fleet, DOMAIN, true);
+    for (unsigned i = 0; i < 38; i++) {
         fleet_write(fleet);
     }
     fleet_run(fleet, BOUND_US);
     for (size_t i = 0; i < fleet->node_count; i++) {
         assert_false(fleet->nodes[i].store_mode == FLEET_STORE_ANSWERS &&
-                     uses_target(&fleet->nodes[i], target));
+                     (uses_target(&fleet->nodes[i], target) ||
+                      !has_order(&fleet->nodes[i])));
     }
     fleet->store_down = true;
     fleet_run(fleet, away_us);
@@ -701,7 +941,9 @@
 
 /* After the store has lost changes, all balancers follow it again soon, with
  * few calls, and a target that was draining does not become usable, neither by
- * the copy nor later. What is written from then on is applied in time. */
+ * the copy nor later; an order that the copy lacks stays in effect until it is
+ * written again and taken back. What is written from then on is applied in
+ * time. */
 static void
 test_restored_store(void **state)
 {
@@ -730,6 +972,7 @@
             }
             for (size_t i = 0; i < fleet->node_count; i++) {
                 assert_false(uses_target(&fleet->nodes[i], target));
+                assert_true(has_order(&fleet->nodes[i]));
             }
         }
         print_message("%zu balancers: all follow after %llu ms, %llu calls in "
@@ -748,13 +991,18 @@
         for (size_t i = 0; i < fleet->node_count; i++) {
             assert_false(uses_target(&fleet->nodes[i], target));
             assert_int_equal(forward_view_held_count(fleet->nodes[i].view), 0);
+            assert_true(has_order(&fleet->nodes[i]));
         }
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_run(fleet, USEC_PER_SEC);
+        fleet_write_order(fleet, DOMAIN, false);
+        run_until_ordered(fleet, false, fleet->now, BOUND_US);
         fleet_destroy(fleet);
     }
 }
 
 /* A balancer that starts at any moment of such a return learns from the others
- * that the target drains before it uses any. */
+ * that the target drains, and the order, before it uses any. */
 static void
 test_start_after_restore(void **state)
 {
@@ -777,6 +1025,8 @@
                  fleet->now < end;) {
                 fleet_step(fleet);
                 assert_false(uses_target(node, target));
+                assert_true(!forward_view_usable(node->view) ||
+                            has_order(node));
             }
             assert_true(forward_view_usable(node->view));
             fleet_destroy(fleet);
@@ -807,6 +1057,39 @@
     fleet_destroy(fleet);
 }
 
+/* A balancer that was cut off while the store lost an order, and until it was
+ * written again and taken back, learns of its end. */
+static void
+test_cut_off_until_order_ends(void **state)
+{
+    static const size_t sizes[] = {7, 24};
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        struct fleet *fleet = fleet_new(sizes[s], 4, BOUND_US, SEED);
+        struct fleet_node *node;
+        uint64_t copy;
+
+        fleet_run(fleet, SETTLE_US);
+        node = &fleet->nodes[fleet_watcher(fleet)->index == 6 ? 5 : 6];
+        copy = fleet->revision;
+        fleet_write_order(fleet, DOMAIN, true);
+        run_until_ordered(fleet, true, fleet->now, BOUND_US);
+        node->partition = 1;
+        node->store_mode = FLEET_STORE_SILENT;
+        fleet_restore(fleet, copy);
+        fleet_run(fleet, SETTLE_US);
+        fleet_write_order(fleet, DOMAIN, true);
+        fleet_run(fleet, BOUND_US);
+        fleet_write_order(fleet, DOMAIN, false);
+        fleet_run(fleet, BOUND_US);
+        assert_true(has_order(node));
+        node->partition = 0;
+        node->store_mode = FLEET_STORE_ANSWERS;
+        run_until_ordered(fleet, false, fleet->now, BOUND_US);
+        fleet_destroy(fleet);
+    }
+}
+
 int
 main(void)
 {
@@ -826,6 +1109,10 @@
         cmocka_unit_test(test_restored_store),
         cmocka_unit_test(test_start_after_restore),
         cmocka_unit_test(test_cut_off_during_restore),
+        cmocka_unit_test(test_cut_off_until_order_ends),
+        cmocka_unit_test(test_stale_start_after_restore),
+        cmocka_unit_test(test_time_of_order),
+        cmocka_unit_test(test_order_during_faults),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
