--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -1,5 +1,6 @@
 #include "state/forward-view.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -618,6 +619,7 @@
 {
     struct forward_domain *domain = order->domain;
 
+    assert(domain != NULL);
     if (domain->emptied != emptied) {
         domain->emptied = emptied;
         domain->emptied_at = now;
