transport: conditional removal of a key

store_client_remove() removes a key if it is still at a position, as store_client_cas() writes it; both dialects and the platform's stand-in have it. For keys that are of use for a short time only. test-store-dialect test_write checks the request and each outcome of it.

--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -718,6 +718,13 @@
     operation_attempt(op);
 }
 
+void
+store_client_remove(struct store_client *sc, const char *key,
+                    struct store_position expected, store_cas_cb cb, void *ctx)
+{
+    store_client_cas(sc, key, NULL, 0, expected, cb, ctx);
+}
+
 static void
 watch_destroy(struct watch *w)
 {
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -129,6 +129,12 @@
                       struct store_position expected, store_cas_cb cb,
                       void *ctx);
 
+/* Removes the key if its position is "expected"; otherwise like
+ * store_client_cas(), with the position of the removal. */
+void store_client_remove(struct store_client *sc, const char *key,
+                         struct store_position expected, store_cas_cb cb,
+                         void *ctx);
+
 /* Watches all keys that start with "prefix" for changes after the position
  * "after". A client has at most one watch: this call stops the previous one
  * without running its callback. The watch fails if nothing arrives for
--- a/src/transport/store-dialect.h
+++ b/src/transport/store-dialect.h
@@ -47,7 +47,8 @@
 
     /* The builders fill in "request" and return false if out of memory; the
      * caller clears the request in either case. "wait_us" is how long the
-     * store may delay the answer to a poll while there are no changes. */
+     * store may delay the answer to a poll while there are no changes. With
+     * "value" NULL the key is removed. */
     bool (*range)(struct store_request *request,
                   const struct store_range *range);
     bool (*cas)(struct store_request *request, const char *key,
--- a/src/transport/store-json.c
+++ b/src/transport/store-json.c
@@ -161,11 +161,16 @@
 store_json_cas(const char *key, const char *value, size_t value_len,
                uint64_t expected)
 {
-    json_t *json = json_pack(
-        "{s:[{s:o, s:s, s:s, s:o}], s:[{s:{s:o, s:o}}]}", "compare", "key",
-        json_key(key), "target", "MOD", "result", "EQUAL", "mod_revision",
-        json_u64(expected), "success", "request_put", "key", json_key(key),
-        "value", json_base64(value, value_len));
+    json_t *change =
+        value == NULL
+            ? json_pack("{s:{s:o}}", "request_delete_range", "key",
+                        json_key(key))
+            : json_pack("{s:{s:o, s:o}}", "request_put", "key", json_key(key),
+                        "value", json_base64(value, value_len));
+    json_t *json =
+        json_pack("{s:[{s:o, s:s, s:s, s:o}], s:[o]}", "compare", "key",
+                  json_key(key), "target", "MOD", "result", "EQUAL",
+                  "mod_revision", json_u64(expected), "success", change);
 
     return dump_and_decref(json);
 }
--- a/src/transport/store-json.h
+++ b/src/transport/store-json.h
@@ -33,7 +33,8 @@
  * is NULL. "revision" 0 reads the newest revision, "limit" 0 sets no limit. */
 char *store_json_range(const char *key, const char *end, uint64_t revision,
                        size_t limit);
-/* Write of one key on the condition that its mod_revision is "expected". */
+/* Write of one key, or with "value" NULL its removal, on the condition that
+ * its mod_revision is "expected". */
 char *store_json_cas(const char *key, const char *value, size_t value_len,
                      uint64_t expected);
 /* Watch of the keys from "key" up to, but not including, "end". */
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -391,6 +391,10 @@
             kv, json_string_value(json_object_get(row, "key")), value, size);
         free(value);
     }
+    json_array_foreach(json_object_get(json, "delete"), i, row)
+    {
+        kv_history_put(kv, json_string_value(row), NULL);
+    }
     json_decref(json);
     standin_reply_json(req, HTTP_OK,
                        json_pack("{s:I}", "revision", current_revision()));
--- a/tests/unit/test-store-dialect.c
+++ b/tests/unit/test-store-dialect.c
@@ -329,6 +329,15 @@
                             "\"puts\":[{\"key\":\"k\",\"value\":\"dg==\"}]}");
         teardown(state);
         setup(state);
+        store_client_remove(f.sc, "k", at_revision(11), on_write_result, NULL);
+        run(&cases[i].step, 1, 1);
+        assert_int_equal(f.kind, cases[i].kind);
+        assert_int_equal(f.revision, cases[i].revision);
+        assert_string_equal(f.body,
+                            "{\"expected\":[{\"key\":\"k\",\"revision\":11}],"
+                            "\"delete\":[\"k\"]}");
+        teardown(state);
+        setup(state);
     }
 }
 
