forward: regions of routes and limits of cold starts in placing

Placing passes over targets outside the regions of a route, and over cold targets of a service with a limit that this balancer has not claimed or whose limit is reached; one that it has claimed gets its flows first. Nothing left: reset at once, causes no_target_in_region and cold_limit. After such a cold start a target's share rises over 1.5 to 4.5 s, another time at each host. Services and routes without either are placed as before, and no call is made.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -1,5 +1,6 @@
 #include "coordination/flow-placement.h"
 
+#include "base/clock.h"
 #include "coordination/passive-health.h"
 
 /* A target in another failure domain has to be better than a local one by this
@@ -10,6 +11,14 @@
 #define REMOTE_PENALTY 20.0
 /* Factor on the score of a target during its cold start. */
 #define COLD_FACTOR 2.0
+/* Subtracted from the score of a cold target that this balancer has claimed
+ * and whose limit is not reached. It exceeds any score without one of the
+ * penalties below: no other balancer sends the target anything. */
+#define CLAIMED_BONUS 1e4
+/* Time over which the share of a target rises after a cold start with a limit,
+ * on average; each balancer takes between half of it and one and a half times
+ * as long, so that they do not all send to the target at once. */
+#define WARM_UP_US (3 * USEC_PER_SEC)
 /* Added to the score of a target that seems not to answer opening packets. It
  * exceeds any score that has neither this penalty nor one of those below. */
 #define SUSPECT_PENALTY 1e5
@@ -40,6 +49,51 @@
            (target->domain == NULL || !target->domain->emptied);
 }
 
+/* A target whose region is not known is in none of the allowed ones. */
+static bool
+is_in_region(const struct placement_request *r,
+             const struct forward_target *target)
+{
+    const char *region =
+        target->domain == NULL ? NULL : target->domain->region;
+
+    return r->regions == NULL ||
+           (region != NULL && region_list_contains(r->regions, region));
+}
+
+/* Whether the limit of the target's cold start, if it has one, allows a flow.
+ */
+static bool
+is_warm_enough(const struct placement_request *r,
+               const struct forward_target *target)
+{
+    return !cold_claims_is_limited(target, r->now) ||
+           (r->cold_claims != NULL &&
+            cold_claims_allow(r->cold_claims, target, r->now));
+}
+
+/* Factor on the score of a target after a cold start with a limit: it falls to
+ * 1 while the share of the target rises. */
+static double
+warm_up_factor(const struct placement_request *r,
+               const struct forward_target *target)
+{
+    uint64_t since = target->cold_until;
+    double hash;
+    double whole;
+    double part;
+
+    if (r->service->cold_limit == 0 || since == 0 ||
+        r->now >= since + 2 * WARM_UP_US) {
+        return 1.0;
+    }
+    hash = (double)(uint32_t)random_mix(r->host_hash, target->cookie) /
+           (double)UINT32_MAX;
+    whole = (double)WARM_UP_US * (0.5 + hash);
+    part = (double)(r->now - since + 1);
+    return part < whole ? whole / part : 1.0;
+}
+
 /* Rates a target for a new flow; the lowest score wins. */
 static double
 score(const struct placement_request *r, const struct forward_target *target)
@@ -48,9 +102,15 @@
     double value =
         (1.0 + passive_health_load(&target->observations, r->now)) / slots;
 
-    if (r->now < target->cold_until) {
+    if (cold_claims_is_limited(target, r->now)) {
+        value -= CLAIMED_BONUS;
+    }
+    else if (r->now < target->cold_until) {
         value *= COLD_FACTOR;
     }
+    else {
+        value *= warm_up_factor(r, target);
+    }
     if (target->record.domain != r->domain) {
         value = value * REMOTE_FACTOR + REMOTE_PENALTY;
     }
@@ -85,7 +145,8 @@
             g_ptr_array_index(r->service->targets, i);
         double value;
 
-        if (!takes_flows(target)) {
+        if (!takes_flows(target) || !is_in_region(r, target) ||
+            !is_warm_enough(r, target)) {
             continue;
         }
         value = score(r, target);
@@ -104,6 +165,27 @@
     return best;
 }
 
+enum placement_refusal
+placement_refusal(const struct placement_request *r)
+{
+    enum placement_refusal refusal = PLACEMENT_NO_TARGET;
+
+    for (guint i = 0; r->service != NULL && i < r->service->targets->len;
+         i++) {
+        const struct forward_target *target =
+            g_ptr_array_index(r->service->targets, i);
+
+        if (!takes_flows(target)) {
+            continue;
+        }
+        if (is_in_region(r, target)) {
+            return PLACEMENT_COLD_LIMIT;
+        }
+        refusal = PLACEMENT_NO_TARGET_IN_REGION;
+    }
+    return refusal;
+}
+
 const char *
 placement_choose_service(const struct route_record *route, uint64_t hash)
 {
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "base/random.h"
+#include "coordination/cold-claim.h"
 #include "coordination/domain-load.h"
 #include "state/forward-view.h"
 
@@ -25,12 +26,23 @@
      * own failure domain is preferred. */
     const struct domain_share *shares;
     size_t share_count;
+    uint64_t host_hash; /* id_hash() of this host */
+    /* Claims of this balancer; NULL: it has none, and no target gets a flow
+     * during a cold start with a limit. Not owned. */
+    struct cold_claims *cold_claims;
     /* Monotonic clock, us */
     uint64_t now;
     /* See passive_health_trial_interval() */
     uint64_t trial_interval_us;
 };
 
+/* Why no target may take a flow. */
+enum placement_refusal {
+    PLACEMENT_NO_TARGET, /* the service has none that takes new flows */
+    PLACEMENT_NO_TARGET_IN_REGION, /* none in the regions of the route */
+    PLACEMENT_COLD_LIMIT, /* the others bear no more during their cold start */
+};
+
 /* Returns a target, owned by the view, or NULL when no target may take a new
  * flow. A target that was tried before is chosen only if there is no other.
  * Only the first copy of an opening packet is used as a trial of a target that
@@ -41,6 +53,8 @@
 struct forward_target *
 placement_choose_target(const struct placement_request *r,
                         struct random *random);
+/* Returns why placement_choose_target() has given no target for a request. */
+enum placement_refusal placement_refusal(const struct placement_request *r);
 /* Chooses the service of a new flow on a route, in proportion to the weights.
  * "hash" is that of the flow, so that all copies of its opening packet get the
  * same service. The result is owned by "route"; NULL when no service has a
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -65,6 +65,11 @@
     add(f, "members_alive", "", c.members);
     add(f, "store_calls_total", "", c.store_calls);
     add(f, "snapshot_writes_total", "", c.snapshot_writes);
+    add(f, "cold_claims_held", "", c.cold.held);
+    add(f, "cold_claims_total", "{result=\"won\"}", c.cold.won);
+    add(f, "cold_claims_total", "{result=\"lost\"}", c.cold.lost);
+    add(f, "cold_openings_total", "", c.cold.openings);
+    add(f, "cold_openings_withheld_total", "", c.cold.withheld);
     add(f, "loop_lag_max_microseconds", "", c.loop_lag_max_us);
     add(f, "gossip_connections", "", c.gossip_connections);
     add(f, "gossip_messages_sent_total", "", c.gossip_messages_out);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -53,9 +53,11 @@
 struct forward_task {
     const struct flow_packet_format *format;
     struct forward_view *view;
-    struct own_delay *own_delay; /* not owned */
+    struct own_delay *own_delay;     /* not owned */
+    struct cold_claims *cold_claims; /* not owned */
     struct forward_callbacks cb;
     const char *domain;   /* this failure domain, interned */
+    uint64_t host_hash;   /* id_hash() of this host */
     uint64_t flow_max_us; /* maximum lifetime of a flow */
     /* Maximum age of a view that justifies a reset of an open flow. */
     uint64_t change_bound_us;
@@ -104,6 +106,8 @@
     [FORWARD_RESET_NO_VIEW] = "no_view",
     [FORWARD_RESET_TARGET_SILENT] = "target_silent",
     [FORWARD_RESET_TARGET_REPLACED] = "target_replaced",
+    [FORWARD_RESET_REGION] = "no_target_in_region",
+    [FORWARD_RESET_COLD_LIMIT] = "cold_limit",
 };
 
 const char *
@@ -489,12 +493,27 @@
            in->now - in->arrived > opening_timeout_us[in->packet.ack];
 }
 
+/* Refuses a new flow for which there is no target. */
+static void
+refuse_opening(struct forward_task *task, const struct inbound_packet *in,
+               const struct placement_request *request)
+{
+    static const enum forward_reset causes[] = {
+        [PLACEMENT_NO_TARGET] = FORWARD_RESET_NO_TARGET,
+        [PLACEMENT_NO_TARGET_IN_REGION] = FORWARD_RESET_REGION,
+        [PLACEMENT_COLD_LIMIT] = FORWARD_RESET_COLD_LIMIT,
+    };
+
+    reset(task, &in->packet, causes[placement_refusal(request)]);
+}
+
 static void
 handle_opening(struct forward_task *task, struct inbound_packet *in)
 {
     const struct forward_route *route = forward_view_route(
         task->view, in->packet.dst_addr, in->packet.dst_port);
     struct placement_request request = {.domain = task->domain,
+                                        .host_hash = task->host_hash,
                                         .now = in->now,
                                         .trial_interval_us =
                                             task->trial_interval_us};
@@ -517,11 +536,13 @@
         &route->record, XXH64(&flow->key, sizeof(flow->key), 0));
     request.service =
         service == NULL ? NULL : forward_view_service(task->view, service);
+    request.regions = route->record.regions;
+    request.cold_claims = task->cold_claims;
     request.tried = flow->tried;
     request.tried_count = flow->tried_count;
     target = placement_choose_target(&request, &task->random);
     if (target == NULL) {
-        reset(task, &in->packet, FORWARD_RESET_NO_TARGET);
+        refuse_opening(task, in, &request);
         return;
     }
     if (passive_health_needs_trial(&target->observations)) {
@@ -533,6 +554,7 @@
                        &view_info, in->now);
     passive_health_on_forward(&target->observations, in->now);
     passive_health_on_opening(&target->observations, in->now);
+    cold_claims_on_open(task->cold_claims, target, in->now);
     note_tried(flow, target->cookie, in->now);
     note_caller(task, in, target->cookie);
     task->format->set_cookie(in->data, target->cookie);
@@ -916,6 +938,7 @@
                  const struct forward_settings *settings,
                  const struct flow_packet_format *format,
                  struct forward_view *view, struct own_delay *own_delay,
+                 struct cold_claims *cold_claims,
                  const struct forward_callbacks *cb, struct status *st)
 {
     struct forward_task *task = calloc(1, sizeof(*task));
@@ -928,7 +951,9 @@
     task->view = view;
     task->cb = *cb;
     task->own_delay = own_delay;
+    task->cold_claims = cold_claims;
     task->domain = g_intern_string(settings->domain);
+    task->host_hash = id_hash(settings->host);
     task->flow_max_us = settings->flow_max_us;
     task->change_bound_us = settings->change_bound_us;
     forward_log_init(&task->log);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -11,6 +11,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/cold-claim.h"
 #include "coordination/membership.h"
 #include "coordination/target-lapse.h"
 #include "coordination/view-freshness.h"
@@ -54,6 +55,13 @@
 /* Key of the snapshot. No other system uses its prefix. */
 #define SNAPSHOT_KEY "pimentohaven/view"
 
+/* A call for the claim of a cold target. */
+struct claim_operation {
+    struct view_task *task;
+    enum cold_claim_action action;
+    char id[TARGET_ID_SIZE]; /* of the target */
+};
+
 struct view_task {
     struct forward_settings settings;
     struct directory directory;
@@ -74,6 +82,10 @@
     struct forward_view *view;
     struct freshness freshness;
     struct target_lapse lapse;
+    struct cold_claims *cold_claims;
+    struct cold_claims_options claim_options;
+    GHashTable *claim_operations; /* calls in progress, struct
+                                   * claim_operation */
     struct view_sync *sync;
     struct store_client *store;
     struct view_reader *reader;
@@ -295,6 +307,7 @@
     if (target->replaced) {
         task->cb.target_replaced(task->cb.ctx, target);
     }
+    cold_claims_on_target(task->cold_claims, target, clock_monotonic_us());
     if (store_position_is_none(forward_view_position(task->view))) {
         return;
     }
@@ -521,6 +534,106 @@
     }
 }
 
+static enum cold_claim_result
+to_claim_result(const struct status *st)
+{
+    switch (st->kind) {
+    case ERR_NONE:
+    case ERR_NOT_FOUND:
+        return COLD_CLAIM_DONE;
+    case ERR_CONFLICT:
+        return COLD_CLAIM_CONFLICT;
+    case ERR_STORE_UNKNOWN:
+        return COLD_CLAIM_UNKNOWN;
+    default:
+        return COLD_CLAIM_FAILED;
+    }
+}
+
+static void
+log_claim(const struct claim_operation *op, const struct status *st)
+{
+    static const char *const actions[] = {
+        [COLD_CLAIM_WRITE] = "write",
+        [COLD_CLAIM_READ] = "read",
+        [COLD_CLAIM_REMOVE] = "remove",
+    };
+
+    log_fields(
+        LOG_LEVEL_INFO, LOG_MODULE,
+        LOG_FIELDS({"target", op->id}, {"call", actions[op->action]},
+                   {"result", st->kind == ERR_NONE ? "done" : st->message}),
+        "cold_claim");
+}
+
+static void
+on_claim_written(void *ctx, const struct status *st,
+                 struct store_position modified)
+{
+    struct claim_operation *op = ctx;
+
+    log_claim(op, st);
+    cold_claims_on_result(op->task->cold_claims, op->id, to_claim_result(st),
+                          modified, clock_monotonic_us());
+    g_hash_table_remove(op->task->claim_operations, op);
+}
+
+static void
+on_claim_read(void *ctx, const struct status *st,
+              struct store_position position,
+              const struct store_entry *entries, size_t count)
+{
+    struct claim_operation *op = ctx;
+    const struct store_entry *e = count == 0 ? NULL : &entries[0];
+
+    log_claim(op, st);
+    cold_claims_on_read(
+        op->task->cold_claims, op->id, to_claim_result(st),
+        e == NULL ? NULL : e->value, e == NULL ? 0 : e->value_len,
+        e == NULL ? position : e->modified, clock_monotonic_us());
+    g_hash_table_remove(op->task->claim_operations, op);
+}
+
+static size_t
+claim_rank(void *ctx, uint64_t salt)
+{
+    const struct view_task *task = ctx;
+
+    return membership_rank(task->members, salt);
+}
+
+/* Makes the calls that are due for the claims of cold targets. A balancer that
+ * stops claims no more. */
+static void
+update_cold_claims(struct view_task *task, uint64_t now)
+{
+    bool may_claim = !task->leaving && membership_settled(task->members, now);
+    struct cold_claim_call call;
+
+    while (cold_claims_next(task->cold_claims, claim_rank, task, may_claim,
+                            &call, now)) {
+        struct claim_operation *op = g_new0(struct claim_operation, 1);
+
+        op->task = task;
+        op->action = call.action;
+        memcpy(op->id, call.id, sizeof(op->id));
+        g_hash_table_add(task->claim_operations, op);
+        if (call.action == COLD_CLAIM_READ) {
+            store_client_range(task->store, call.key, false, on_claim_read,
+                               op);
+        }
+        else if (call.action == COLD_CLAIM_WRITE) {
+            store_client_cas(task->store, call.key, task->claim_options.owner,
+                             strlen(task->claim_options.owner), call.position,
+                             on_claim_written, op);
+        }
+        else {
+            store_client_remove(task->store, call.key, call.position,
+                                on_claim_written, op);
+        }
+    }
+}
+
 /* Decodes entries into a delta. An entry that cannot be decoded is logged and
  * does not affect the others. Also called in the thread of the decoder. */
 static void
@@ -710,6 +823,7 @@
     forward_view_expire_held(task->view, task->freshness.confirmed_at, now);
     view_reader_tick(task->reader, now);
     update_snapshot(task, now);
+    update_cold_claims(task, now);
     gossip_endpoint_close_idle(task->gossip, now);
     if (!watching && view_reader_is_watching(task->reader)) {
         LOG_INFO(
@@ -811,6 +925,23 @@
                                         STORE_OUTAGE_MARGIN_US);
 }
 
+/* Sets the options of the claims from the settings. The owner stays the same,
+ * and names no other process of this host. */
+static void
+init_claim_options(struct view_task *task)
+{
+    struct cold_claims_options *options = &task->claim_options;
+
+    options->domain = g_intern_string(task->settings.domain);
+    options->overage = task->settings.cold_overage;
+    options->slack = task->settings.cold_slack;
+    options->confirm_max_us = task->settings.change_bound_us;
+    if (options->owner[0] == '\0') {
+        snprintf(options->owner, sizeof(options->owner), "%s/%016" PRIx64,
+                 task->settings.host, random_next(&task->random));
+    }
+}
+
 /* Appends what was observed of a target since the last report, if anything. An
  * answer is reported as no misses since the time at which the target was
  * alive. */
@@ -890,6 +1021,9 @@
     view_snapshot_init(&task->snapshot);
     task->view = forward_view_new(&view_cb);
     if (task->view != NULL) {
+        init_claim_options(task);
+        task->cold_claims = cold_claims_new(task->view, &task->freshness,
+                                            &task->claim_options);
         task->sync = view_sync_new(task->view, task->members, &task->freshness,
                                    &task->lapse, &task->random, &sync_cb);
     }
@@ -900,6 +1034,8 @@
     task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
     task->report = event_new(task->base, -1, 0, on_report, task);
     task->unreported = g_ptr_array_new();
+    task->claim_operations =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free, NULL);
     if (task->view == NULL || task->reader == NULL || task->tick == NULL ||
         task->report == NULL) {
         status_set(st, ERR_NO_MEMORY, "view: out of memory");
@@ -956,6 +1092,10 @@
     }
     entry_decoder_destroy(task->decoder);
     store_client_destroy(task->store);
+    if (task->claim_operations != NULL) {
+        g_hash_table_destroy(task->claim_operations);
+    }
+    cold_claims_destroy(task->cold_claims);
     view_reader_destroy(task->reader);
     view_sync_destroy(task->sync);
     forward_view_destroy(task->view);
@@ -971,6 +1111,12 @@
     return task->view;
 }
 
+struct cold_claims *
+view_task_cold_claims(struct view_task *task)
+{
+    return task->cold_claims;
+}
+
 uint64_t
 view_task_age_us(struct view_task *task)
 {
@@ -994,6 +1140,8 @@
     if (limits_changed) {
         init_limits(task);
     }
+    init_claim_options(task);
+    cold_claims_set_options(task->cold_claims, &task->claim_options);
     add_seeds(task);
     set_regions(task);
 }
@@ -1047,6 +1195,7 @@
                                     MEMBER_ALIVE, false);
     c->view_age_us = view_task_age_us(task);
     c->snapshot_writes = task->snapshot_writes;
+    cold_claims_counters(task->cold_claims, &c->cold);
     c->store_era = forward_view_position(task->view).era;
     c->held_records = forward_view_held_count(task->view);
     c->dropped_answers = store_client_dropped_answers(task->store);
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include "base/status.h"
+#include "coordination/cold-claim.h"
 #include "coordination/membership.h"
 #include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
@@ -60,6 +61,8 @@
 
 /* The view is owned by the task. */
 struct forward_view *view_task_view(struct view_task *task);
+/* The claims of cold targets, owned by the task. */
+struct cold_claims *view_task_cold_claims(struct view_task *task);
 /* Time since the store last confirmed the view, in microseconds; UINT64_MAX:
  * unknown. */
 uint64_t view_task_age_us(struct view_task *task);
@@ -89,6 +92,7 @@
     uint64_t members;            /* live peers, without this balancer */
     uint64_t view_age_us;        /* UINT64_MAX: unknown */
     uint64_t snapshot_writes;
+    struct cold_claims_counters cold;
     uint64_t store_era;       /* era of the store */
     uint64_t held_records;    /* see state/forward-view.h */
     uint64_t dropped_answers; /* of the store, of earlier eras */
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -679,7 +679,9 @@
         set_emptied(view, target, true, now);
         return;
     }
-    target->cold_until = now + record->cold_ms * USEC_PER_MSEC;
+    if (record->cold_ms > 0 || target->cold_until > now) {
+        target->cold_until = now + record->cold_ms * USEC_PER_MSEC;
+    }
     set_presence(view, target, TARGET_PRESENT);
     set_service(view, target, record->service);
     assign_cookie(view, target);
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -89,9 +89,10 @@
                        * while present */
     struct target_record record;
     uint64_t lapsed_until; /* when a lapsed target becomes TARGET_GONE, us */
-    uint64_t cold_until;   /* end of the target's cold start, us */
-    uint32_t cookie;       /* forward_cookie() of the id */
-    uint8_t presence;      /* enum target_presence */
+    /* End of the target's last cold start, us; 0: none was seen */
+    uint64_t cold_until;
+    uint32_t cookie;      /* forward_cookie() of the id */
+    uint8_t presence;     /* enum target_presence */
     bool cookie_conflict; /* an older target has the same cookie: this one gets
                            * no new flows */
     bool replaced; /* a newer target has its address: this one is gone, even if
--- a/tests/e2e/forward-lib.sh
+++ b/tests/e2e/forward-lib.sh
@@ -14,6 +14,8 @@
 CONFIG_VERSION=0
 TARGET_SEQUENCE=0 # of the last write of a target's entry
 CONFIG_ROUTES=""
+CONFIG_SERVICES="" # elements of the configuration's list of services
+COLD_LEFT_MS=0     # of the targets that are registered from now on
 FORWARDERS=()
 
 # Usage: forward_init NUMBER BUILD-DIRECTORY
@@ -67,7 +69,7 @@
 
 # Prints the newest configuration.
 config_text() {
-    echo "{\"version\":$CONFIG_VERSION,\"routes\":[${CONFIG_ROUTES%,}],\"services\":[],\"limits\":{\"idleTimeoutMs\":15000}}"
+    echo "{\"version\":$CONFIG_VERSION,\"routes\":[${CONFIG_ROUTES%,}],\"services\":[$CONFIG_SERVICES],\"limits\":{\"idleTimeoutMs\":15000}}"
 }
 
 write_config() {
@@ -82,7 +84,7 @@
 # Usage: register NUMBER ID SERVICE DOMAIN [STATE]
 register() {
     TARGET_SEQUENCE=$((TARGET_SEQUENCE + 1))
-    put "servers/$2" "{\"service\":\"$3\",\"address\":\"$(flow_target_addr "$1")\",\"zone\":\"$4\",\"version\":\"v1\",\"slots\":2,\"state\":\"${5:-ready}\",\"coldLeftMs\":0,\"sequence\":$TARGET_SEQUENCE}"
+    put "servers/$2" "{\"service\":\"$3\",\"address\":\"$(flow_target_addr "$1")\",\"zone\":\"$4\",\"version\":\"v1\",\"slots\":2,\"state\":\"${5:-ready}\",\"coldLeftMs\":$COLD_LEFT_MS,\"sequence\":$TARGET_SEQUENCE}"
 }
 
 unregister() {
@@ -110,7 +112,7 @@
  "internalPorts": [$FLOW_GOSSIP_PORT, 7735],
  "seeds": ["$(forwarder_addr 1):7166", "$(forwarder_addr 2):7166"],
  "bounds": {"configApplyMs": $CHANGE_BOUND_MS, "drainMs": $DRAIN_BOUND_MS,
-            "graceS": $GRACE_S, "maxFlowS": 60},
+            "graceS": $GRACE_S, "maxFlowS": 60${BOOT_BOUNDS:-}},
  "platform": {"address": "$(store_addr "$1"):$STORE_PORT"}}
 BOOT
 }
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -194,6 +194,267 @@
     }
 }
 
+/* A flow goes to a target in the regions of its route only, also when all
+ * others are worse or nothing is left. */
+static void
+test_regions(void **state)
+{
+    static const struct {
+        const char *regions; /* of the route */
+        const char *second;  /* region of the second target; NULL: unknown */
+        bool remote;         /* the second target is in another domain */
+        int chosen;          /* -1: none */
+        enum placement_refusal refusal;
+    } cases[] = {
+        {NULL, "south", true, 0, PLACEMENT_NO_TARGET},
+        {"north", "south", true, 0, PLACEMENT_NO_TARGET},
+        {"south", "south", true, 1, PLACEMENT_NO_TARGET},
+        {"east,south", "south", true, 1, PLACEMENT_NO_TARGET},
+        {"east,sou", "south", true, -1, PLACEMENT_NO_TARGET_IN_REGION},
+        {"south", NULL, true, -1, PLACEMENT_NO_TARGET_IN_REGION},
+        {"south", NULL, false, -1, PLACEMENT_NO_TARGET_IN_REGION},
+    };
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_domain first = {.name = "a", .region = "north"};
+        struct forward_domain second = {.name = "b",
+                                        .region = cases[i].second};
+        struct placement_request r = {.service = &service,
+                                      .domain = g_intern_string("a"),
+                                      .regions = cases[i].regions,
+                                      .now = NOW_US};
+        const struct forward_target *chosen;
+
+        make_targets(2);
+        targets[0].domain = &first;
+        targets[1].domain = cases[i].remote ? &second : NULL;
+        apply_condition(&targets[1], cases[i].remote ? REMOTE : NORMAL);
+        chosen = placement_choose_target(&r, &random);
+        assert_int_equal(chosen == NULL ? -1 : (int)(chosen - targets),
+                         cases[i].chosen);
+        if (chosen == NULL) {
+            assert_int_equal(placement_refusal(&r), cases[i].refusal);
+        }
+    }
+}
+
+/* Fills a view with a service "s" of two targets, of which the first is in its
+ * cold start. */
+static void
+fill_view(struct forward_view *view, uint32_t cold_limit)
+{
+    const struct route_record route = {
+        .addr = 1,
+        .port = 80,
+        .share_count = 1,
+        .shares = {{g_intern_string("s"), 1, cold_limit}},
+    };
+    struct view_delta delta;
+
+    view_delta_init(&delta);
+    delta.to.revision = 7;
+    delta.routes_complete = true;
+    delta.routes_position.revision = 7;
+    delta.targets_complete = true;
+    g_array_append_val(delta.routes, route);
+    for (uint16_t i = 0; i < 2; i++) {
+        struct target_record t = {
+            .service = g_intern_string("s"),
+            .domain = g_intern_string("a"),
+            .addr = 1,
+            .port = (uint16_t)(80 + i),
+            .slots = 2,
+            .cold_ms = i == 0 ? 1000 : 0,
+            .created.revision = 7,
+            .position.revision = 7,
+        };
+
+        snprintf(t.id, sizeof(t.id), "i-%u", i);
+        g_array_append_val(delta.targets, t);
+    }
+    assert_true(forward_view_apply(view, &delta, NOW_US));
+    view_delta_clear(&delta);
+}
+
+static size_t
+first_rank(void *ctx, uint64_t salt)
+{
+    return 0;
+}
+
+/* Of a service with a limit of cold starts, a cold target gets flows at the
+ * balancer that has claimed it only: there before all others, until its limit
+ * is reached. */
+static void
+test_cold_limit(void **state)
+{
+    static const struct {
+        uint32_t limit;
+        bool claimed;
+        enum target_condition warm; /* of the second target, a warm one */
+        int chosen[4]; /* for one flow after the other; -1: none */
+    } cases[] = {
+        {0, false, LOADED, {0, 0, 0, 0}},
+        {2000, false, NORMAL, {1, 1, 1, 1}},
+        {2000, false, REMOTE, {1, 1, 1, 1}},
+        {2000, false, DRAINING, {-1, -1, -1, -1}},
+        {2000, true, NORMAL, {0, 0, 1, 1}},
+        {2000, true, REMOTE, {0, 0, 1, 1}},
+        {2000, true, DRAINING, {0, 0, -1, -1}},
+        {900, true, NORMAL, {1, 1, 1, 1}},
+    };
+    const struct forward_view_callbacks view_cb = {0};
+    const struct cold_claims_options options = {
+        .domain = g_intern_string("a"),
+        .owner = "host",
+        .overage = 1.0,
+        .confirm_max_us = USEC_PER_SEC,
+    };
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_view *view = forward_view_new(&view_cb);
+        struct freshness freshness = {.confirmed_at = NOW_US};
+        struct cold_claims *claims =
+            cold_claims_new(view, &freshness, &options);
+        struct placement_request r = {.domain = g_intern_string("a"),
+                                      .cold_claims = claims,
+                                      .now = NOW_US};
+        struct forward_target *both[2];
+        struct cold_claim_call call;
+
+        fill_view(view, cases[i].limit);
+        r.service = forward_view_service(view, g_intern_string("s"));
+        both[0] = forward_view_target(view, forward_cookie("i-0"));
+        both[1] = forward_view_target(view, forward_cookie("i-1"));
+        cold_claims_on_target(claims, both[0], NOW_US);
+        assert_int_equal(
+            cold_claims_next(claims, first_rank, NULL, true, &call, NOW_US),
+            cases[i].limit > 0);
+        if (cases[i].limit > 0) {
+            cold_claims_on_result(
+                claims, "i-0",
+                cases[i].claimed ? COLD_CLAIM_DONE : COLD_CLAIM_CONFLICT,
+                (struct store_position){.revision = 8}, NOW_US);
+        }
+        apply_condition(both[1], cases[i].warm);
+        for (int n = 0; n < 4; n++) {
+            struct forward_target *chosen =
+                placement_choose_target(&r, &random);
+
+            assert_ptr_equal(chosen, cases[i].chosen[n] < 0
+                                         ? NULL
+                                         : both[cases[i].chosen[n]]);
+            if (chosen == NULL) {
+                assert_int_equal(placement_refusal(&r), PLACEMENT_COLD_LIMIT);
+                continue;
+            }
+            cold_claims_on_open(claims, chosen, NOW_US);
+        }
+        cold_claims_destroy(claims);
+        forward_view_destroy(view);
+    }
+}
+
+#define WARM_HOSTS 32
+#define WARM_TARGETS 30
+#define WARM_OPENINGS_PER_S 1000
+#define WARM_SPAN_MS 250
+#define WARM_SPANS 40 /* from the end of the cold start on */
+
+/* Plays balancers of one failure domain, each with its own observations, when
+ * the cold start of their first target ends. Fills "spans" with the flows that
+ * it gets from all of them in spans of WARM_SPAN_MS. */
+static void
+play_warm_up(uint32_t cold_limit, unsigned spans[WARM_SPANS])
+{
+    struct forward_service services[WARM_HOSTS] = {0};
+    struct forward_target *all =
+        g_new0(struct forward_target, WARM_HOSTS * WARM_TARGETS);
+    const uint64_t warm_at = NOW_US + 10 * USEC_PER_SEC;
+    const uint64_t step = USEC_PER_SEC / WARM_OPENINGS_PER_S;
+    struct random random;
+
+    random_seed(&random, SEED);
+    memset(spans, 0, WARM_SPANS * sizeof(*spans));
+    for (int h = 0; h < WARM_HOSTS; h++) {
+        services[h].cold_limit = cold_limit;
+        services[h].targets = g_ptr_array_new();
+        for (int i = 0; i < WARM_TARGETS; i++) {
+            struct forward_target *t = &all[h * WARM_TARGETS + i];
+
+            t->cookie = (uint32_t)i + 1;
+            t->record.domain = g_intern_string("a");
+            t->record.slots = 2;
+            t->service = &services[h];
+            t->cold_until = i == 0 ? warm_at : 0;
+            g_ptr_array_add(services[h].targets, t);
+        }
+    }
+    for (uint64_t now = NOW_US; now < warm_at + WARM_SPANS * WARM_SPAN_MS * MS;
+         now += step) {
+        uint32_t h = random_below(&random, WARM_HOSTS);
+        const struct placement_request r = {.service = &services[h],
+                                            .domain = g_intern_string("a"),
+                                            .host_hash = h + 1,
+                                            .now = now};
+        struct forward_target *t = placement_choose_target(&r, &random);
+
+        passive_health_on_forward(&t->observations, now);
+        if (t->cookie == 1 && now >= warm_at) {
+            spans[(now - warm_at) / (WARM_SPAN_MS * MS)]++;
+        }
+    }
+    for (int h = 0; h < WARM_HOSTS; h++) {
+        g_ptr_array_free(services[h].targets, TRUE);
+    }
+    g_free(all);
+}
+
+static unsigned
+most_in_a_second(const unsigned spans[WARM_SPANS])
+{
+    unsigned most = 0;
+
+    for (int i = 0; i + 3 < WARM_SPANS; i++) {
+        unsigned second =
+            spans[i] + spans[i + 1] + spans[i + 2] + spans[i + 3];
+
+        most = second > most ? second : most;
+    }
+    return most;
+}
+
+/* After a cold start with a limit the share of a target rises within six
+ * seconds to that of the others, and no second has more than half as much
+ * again. Without the rise the target gets more than that at once. */
+static void
+test_warm_up(void **state)
+{
+    const unsigned share = WARM_OPENINGS_PER_S / WARM_TARGETS;
+    unsigned spans[WARM_SPANS];
+    unsigned most[2];
+    unsigned last = 0;
+
+    play_warm_up(0, spans);
+    most[0] = most_in_a_second(spans);
+    play_warm_up(1000, spans);
+    most[1] = most_in_a_second(spans);
+    for (int i = 24; i < WARM_SPANS; i++) {
+        last += spans[i];
+    }
+    print_message("most in a second: %u without a limit, %u with one; share "
+                  "%u\n",
+                  most[0], most[1], share);
+    assert_true(most[0] > share * 3 / 2);
+    assert_true(most[1] <= share * 3 / 2);
+    assert_in_range(last, share * 4 * 3 / 4, share * 4 * 5 / 4);
+    assert_true(spans[0] + spans[1] < share / 4);
+}
+
 /* Equal targets get equal numbers of flows: the order of the list has no
  * influence. */
 static void
@@ -504,6 +765,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_choice_of_two, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_regions, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_cold_limit, setup, teardown),
+        cmocka_unit_test(test_warm_up),
         cmocka_unit_test_setup_teardown(test_equal_targets, setup, teardown),
         cmocka_unit_test(test_service_by_weight),
         cmocka_unit_test(test_simulated_load),
--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -113,6 +113,81 @@
     }
 }
 
+/* The regions in which a route may run. A route with a list that cannot be
+ * used is skipped: without its limits it would run anywhere. */
+static void
+test_regions(void **state)
+{
+    char long_list[ROUTE_REGIONS_SIZE + 40];
+    const struct {
+        const char *list;
+        bool valid;
+        const char *regions; /* NULL: any */
+    } cases[] = {
+        {"[\"north\"]", true, "north"},
+        {"[\"north\",\"south\"]", true, "north,south"},
+        {"[]", true, NULL},
+        {"null", true, NULL},
+        {"\"north\"", false, NULL},
+        {"{\"north\":1}", false, NULL},
+        {"[\"north\",7]", false, NULL},
+        {"[\"north\",\"\"]", false, NULL},
+        {"[\"north,south\"]", false, NULL},
+        {long_list, false, NULL},
+    };
+
+    snprintf(long_list, sizeof(long_list), "[\"%0*d\",\"n\"]",
+             ROUTE_REGIONS_SIZE - 2, 0);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char value[512];
+
+        snprintf(value, sizeof(value),
+                 "{\"routes\":[{\"allowedRegions\":%s,"
+                 "\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+                 "\"service\":\"s\"}]}",
+                 cases[i].list);
+        assert_int_equal(add_entry("op/config", value), cases[i].valid);
+        assert_int_equal(delta.routes->len, cases[i].valid);
+        if (cases[i].valid) {
+            const struct route_record *r =
+                &g_array_index(delta.routes, struct route_record, 0);
+
+            assert_ptr_equal(r->regions, g_intern_string(cases[i].regions));
+        }
+    }
+}
+
+/* Limits of cold starts, in openings per 1000 s; 0 stands for none. */
+static void
+test_cold_limits(void **state)
+{
+    static const struct {
+        const char *fields; /* of the service */
+        uint32_t limit;
+    } cases[] = {
+        {"\"coldPerS\":2.5", 2500}, {"\"coldPerS\":4", 4000},
+        {"\"coldPerS\":0.0", 0},    {"\"coldStartS\":2.0", 0},
+        {"\"coldPerS\":\"4\"", 0},  {"\"coldPerS\":-1", 0},
+        {"\"coldPerS\":1e300", 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char value[256];
+
+        snprintf(value, sizeof(value),
+                 "{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+                 "\"service\":\"s\"}],"
+                 "\"services\":[{\"name\":\"t\",\"coldPerS\":9},"
+                 "{\"name\":\"s\",%s}]}",
+                 cases[i].fields);
+        assert_true(add_entry("op/config", value));
+        assert_int_equal(g_array_index(delta.routes, struct route_record, 0)
+                             .shares[0]
+                             .cold_limit,
+                         cases[i].limit);
+    }
+}
+
 /* When a delta has two configurations, the later list of routes replaces the
  * earlier one. */
 static void
@@ -330,6 +405,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_config, setup, teardown),
         cmocka_unit_test_setup_teardown(test_kinds, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_regions, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_cold_limits, setup, teardown),
         cmocka_unit_test_setup_teardown(test_later_config_replaces_earlier,
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_target, setup, teardown),
--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -94,6 +94,53 @@
     assert_true(s.link_mbps <= 0.0);
 }
 
+/* The valid text with "added" in the settings and "bounds" in their bounds. */
+static bool
+load_with(const char *added, const char *bounds, struct forward_settings *s,
+          struct status *st)
+{
+    const char *at = strstr(valid_text, "\"drainMs\"");
+    char text[2 * sizeof(valid_text)];
+
+    snprintf(text, sizeof(text), "{%s%.*s%s%s", added,
+             (int)(at - valid_text - 1), valid_text + 1, bounds, at);
+    return load(text, s, st);
+}
+
+/* Regions of the failure domains and factors of the limits of cold starts;
+ * without them all regions are unknown. */
+static void
+test_regions_and_cold_limits(void **state)
+{
+    static const struct {
+        const char *added;
+        const char *bounds;
+        const char *field; /* in the message; NULL: valid */
+    } cases[] = {
+        {"", "", NULL},
+        {"\"zones\":{\"a\":7},", "", "zones"},
+        {"\"zones\":{\"a\":\"\"},", "", "zones"},
+        {"", "\"coldOverage\":\"x\",", "coldOverage"},
+        {"", "\"coldSlack\":-1,", "coldSlack"},
+        {"\"zones\":{\"a\":\"north\",\"b\":\"south\"},",
+         "\"coldOverage\":1.5,\"coldSlack\":5,", NULL},
+    };
+    struct forward_settings s;
+    struct status st;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        assert_int_equal(load_with(cases[i].added, cases[i].bounds, &s, &st),
+                         cases[i].field == NULL);
+        assert_true(cases[i].field == NULL ||
+                    strstr(st.message, cases[i].field) != NULL);
+    }
+    assert_int_equal(s.region_count, 2);
+    assert_string_equal(s.regions[1].domain, "b");
+    assert_string_equal(s.regions[1].region, "south");
+    assert_float_equal(s.cold_overage, 1.5, 1e-9);
+    assert_float_equal(s.cold_slack, 5.0, 1e-9);
+}
+
 /* Each case replaces a part of the valid text. The settings are rejected with
  * a message that contains the name of the field, or the line of a JSON syntax
  * error. */
@@ -155,6 +202,7 @@
         cmocka_unit_test(test_valid_settings),
         cmocka_unit_test(test_unknown_link),
         cmocka_unit_test(test_invalid_values),
+        cmocka_unit_test(test_regions_and_cold_limits),
         cmocka_unit_test(test_missing_file),
     };
 
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -248,8 +248,9 @@
     struct forward_view *view = make_view(targets, routes);
     struct own_delay own_delay;
     struct status st;
-    struct forward_task *task = forward_task_new(
-        base, &settings, &platform_packet_format, view, &own_delay, &cb, &st);
+    struct forward_task *task =
+        forward_task_new(base, &settings, &platform_packet_format, view,
+                         &own_delay, NULL, &cb, &st);
     double spent = 0;
     uint32_t sent_count = 0;
 
