--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -26,11 +26,11 @@
     MSG_VIEW_REFRESHED,  /* the configuration was compared with a peer's or
                           * the store's after MSG_PAUSED; no payload */
     /* data -> control */
-    MSG_VIEW_APPLIED,  /* struct msg_view_applied */
-    MSG_EVENT,         /* struct msg_event */
-    MSG_STOPPED,       /* the planned stop is complete; no payload */
-    MSG_PAUSED,        /* the process was paused and the view may be out of
-                        * date; requests a refresh; no payload */
+    MSG_VIEW_APPLIED, /* struct msg_view_applied */
+    MSG_EVENT,        /* struct msg_event */
+    MSG_STOPPED,      /* the planned stop is complete; no payload */
+    MSG_PAUSED,       /* the process was paused and the view may be out of
+                       * date; requests a refresh; no payload */
     /* Metrics of the data task, which the control task requests for the api
      * task: the request (control -> data) has no payload, the answer
      * (data -> control) is Prometheus text that is not NUL-terminated. */
@@ -72,4 +72,3 @@
     char subject[ID_SIZE]; /* id of the host or target concerned */
     char cause[128];       /* readable text, cut off when it is too long */
 };
-
