coordination: load of the services by failure domain, and its shares

Cause: callers of one domain in number of six times the usual, 2,760 requests a second for targets that clear 1,700, stay at home while the other domains are idle: a balancer knows only what it sent itself.

Each balancer counts the requests that it passes on (rate-meter), times the hosts of its domain, averaged with peers of its domain; derives the time that a request takes from its callers' acknowledgements (service-time); keeps what peers tell of other domains (load-table); and divides the demands of all domains over their rooms (domain-shares). Demands do not depend on the division, so figures that lag do not make it swing. VIEW_LOAD carries the records; a build that does not know it drops it with a log line.

--- a/src/coordination/domain-load.h
+++ b/src/coordination/domain-load.h
@@ -15,15 +15,23 @@
  * Answers the load of callers of one failure domain that exceeds the room of
  * its targets while those of other domains are idle. */
 
-/* Maximum number of records in one message, and of records that a table keeps
- * for all services and pairs of failure domains. */
-#define DOMAIN_LOAD_RECORDS_MAX 128
+/* Maximum number of records in one message. */
+#define DOMAIN_LOAD_RECORDS_MAX 40
+/* Age from which a record is of no use, and not told any more. */
+#define DOMAIN_LOAD_AGE_MAX_US 2000000ULL
+/* Interval between two messages to peers while a domain is used by so much
+ * that its load may exceed its room soon, and otherwise. */
+#define DOMAIN_LOAD_BUSY_INTERVAL_US 250000ULL
+#define DOMAIN_LOAD_CALM_INTERVAL_US 1000000ULL
+/* Number of peers that a message is sent to. */
+#define DOMAIN_LOAD_PEERS 3
 
 /* Requests a second that the callers of one failure domain send to the targets
- * of a service in another, or in the same one. */
+ * of a service in another, or in the same one; or the time that a request of a
+ * service takes. */
 struct domain_load_record {
-    uint32_t key;    /* hash of the service and the two domains */
-    uint32_t rate;   /* requests per 1000 s */
+    uint32_t key; /* hash of the service and the two domains, or of it alone */
+    uint32_t rate;   /* requests per 1000 s, or microseconds per request */
     uint32_t age_ms; /* time since the rate was measured */
 };
 
@@ -41,12 +49,23 @@
 struct domain_load *domain_load_new(const char *domain);
 void domain_load_destroy(struct domain_load *dl);
 
-/* A request, or the opening packet (SYN) of a new flow, was forwarded to a
- * target. Copies of an opening packet count too. */
+/* Calls "cb" when new flows of a service begin to be shared with other failure
+ * domains, and when that ends. "utilization" is that of the own domain by its
+ * own callers. */
+void domain_load_on_change(struct domain_load *dl,
+                           void (*cb)(void *ctx, const char *service,
+                                      bool sharing, double utilization),
+                           void *ctx);
+
+/* A request was forwarded to a target or, with "opening", the first opening
+ * packet (SYN) of a flow. Only requests are load; the openings tell how many
+ * of them come on new flows, which alone can go elsewhere. */
 void domain_load_on_forward(struct domain_load *dl,
                             const struct forward_target *target, bool opening,
                             uint64_t now);
-/* A request was answered "took_us" after it was forwarded. */
+/* A request was answered "took_us" after it was forwarded. The time that an
+ * opening packet takes to the target and back is taken off, where it is known.
+ */
 void domain_load_on_answer(struct domain_load *dl,
                            const struct forward_target *target,
                            uint64_t took_us, uint64_t now);
@@ -58,12 +77,16 @@
 void domain_load_tick(struct domain_load *dl, const struct forward_view *view,
                       double domain_hosts, uint64_t now);
 
-/* Fills "out" with the records that the peers may lack, at most "max", and
- * returns their number. */
-size_t domain_load_export(const struct domain_load *dl,
+/* Whether the load of any domain that is known here is worth telling often. */
+bool domain_load_is_busy(const struct domain_load *dl);
+/* Fills "out" with the newest records, those of the own domain first, at most
+ * "max", and returns their number. */
+size_t domain_load_export(struct domain_load *dl,
                           struct domain_load_record *out, size_t max,
                           uint64_t now);
-/* Takes over the records of a peer that are newer than those known here. */
+/* Takes over the records of a peer that are newer than those known here, and
+ * averages what peers of the own domain have just measured with what this
+ * balancer has. */
 void domain_load_receive(struct domain_load *dl,
                          const struct domain_load_record *records,
                          size_t count, uint64_t now);
@@ -85,3 +108,19 @@
 double domain_load_domain_utilization(const struct domain_load *dl,
                                       const struct forward_service *service,
                                       const char *domain);
+
+/* What is known of the targets of a service in one failure domain. */
+struct domain_load_info {
+    const char *service; /* interned */
+    const char *domain;  /* interned */
+    double sent; /* requests/s that the own domain's callers send there */
+    double room; /* requests/s that the targets can run; 0: unknown */
+    double utilization; /* by the callers of all domains */
+    double share;       /* of the new flows here; 0: none or no shares */
+};
+
+/* Calls "cb" for each service and failure domain with targets or load. */
+void domain_load_each(const struct domain_load *dl,
+                      void (*cb)(void *ctx,
+                                 const struct domain_load_info *info),
+                      void *ctx);
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -3,6 +3,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/domain-load.h"
 #include "state/view-delta.h"
 
 /* Decoded messages between balancers about their views; protocol/view-codec.h
@@ -16,6 +17,7 @@
                         * receiver pulls what it lacks */
     VIEW_PRUNE,        /* asks for announcements instead of deltas, because the
                         * sender gets the deltas sooner from another peer */
+    VIEW_LOAD,         /* load of the services by failure domain */
     VIEW_MESSAGE_KIND_END,
 };
 
@@ -51,4 +53,6 @@
     struct view_delta delta;
     size_t observation_count;
     struct observation_record observations[VIEW_OBSERVATIONS_MAX];
+    size_t load_count; /* of VIEW_LOAD only */
+    struct domain_load_record load[DOMAIN_LOAD_RECORDS_MAX];
 };
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -9,6 +9,7 @@
 /* Number of msgpack array elements that encode one object of each type. */
 #define MESSAGE_FIELD_COUNT 15
 #define OBSERVATION_FIELD_COUNT 3
+#define LOAD_FIELD_COUNT 3
 #define ROUTE_FIELD_COUNT 8
 /* Further elements of a route that has regions or limits of cold starts, and
  * of a record that describes no target. Balancers that do not know them ignore
@@ -154,6 +155,18 @@
     }
 }
 
+/* Appends the records of load, in the place of the observations. */
+static void
+put_load(msgpack_packer *pk, const struct view_message *m)
+{
+    msgpack_pack_array(pk, LOAD_FIELD_COUNT * m->load_count);
+    for (size_t i = 0; i < m->load_count; i++) {
+        put_number(pk, m->load[i].key);
+        put_number(pk, m->load[i].rate);
+        put_number(pk, m->load[i].age_ms);
+    }
+}
+
 static void
 put_message(msgpack_packer *pk, const struct view_message *m)
 {
@@ -183,7 +196,12 @@
         put_target(pk,
                    &g_array_index(delta->targets, struct target_record, i));
     }
-    put_observations(pk, m);
+    if (m->kind == VIEW_LOAD) {
+        put_load(pk, m);
+    }
+    else {
+        put_observations(pk, m);
+    }
 }
 
 /* Compresses "plain". Returns the number of bytes written to "out", 0 when
@@ -514,6 +532,28 @@
     r->failed = r->failed || fields.failed;
 }
 
+static void
+take_load(struct array_reader *r, struct view_message *m)
+{
+    struct array_reader fields = take_array(r);
+
+    if (fields.left % LOAD_FIELD_COUNT != 0 ||
+        fields.left / LOAD_FIELD_COUNT > DOMAIN_LOAD_RECORDS_MAX) {
+        r->failed = true;
+        return;
+    }
+    m->load_count = 0;
+    while (fields.left > 0 && !fields.failed) {
+        m->load[m->load_count] = (struct domain_load_record){
+            .key = (uint32_t)take_number(&fields, UINT32_MAX),
+            .rate = (uint32_t)take_number(&fields, UINT32_MAX),
+            .age_ms = (uint32_t)take_number(&fields, UINT32_MAX),
+        };
+        m->load_count++;
+    }
+    r->failed = r->failed || fields.failed;
+}
+
 static bool
 take_message(struct array_reader *r, struct view_message *m)
 {
@@ -538,7 +578,12 @@
     m->delta.routes_complete = (complete_flags & 1) != 0;
     m->delta.targets_complete = (complete_flags & 2) != 0;
     take_records(r, &m->delta);
-    take_observations(r, m);
+    if (m->kind == VIEW_LOAD) {
+        take_load(r, m);
+    }
+    else {
+        take_observations(r, m);
+    }
     return !r->failed && m->kind != 0;
 }
 
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -1087,3 +1087,37 @@
         }
     }
 }
+
+void
+forward_view_each_service(const struct forward_view *view,
+                          void (*cb)(void *ctx,
+                                     const struct forward_service *service),
+                          void *ctx)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct forward_service *service = value;
+
+        if (service->targets->len > 0) {
+            cb(ctx, service);
+        }
+    }
+}
+
+void
+forward_view_each_domain(const struct forward_view *view,
+                         void (*cb)(void *ctx,
+                                    const struct forward_domain *domain),
+                         void *ctx)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->domains);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        cb(ctx, value);
+    }
+}
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -201,3 +201,13 @@
  * after "since". */
 bool forward_route_had_service(const struct forward_route *route,
                                const char *service, uint64_t since);
+
+/* Call "cb" for each service with a target, present or lapsed, and for each
+ * known failure domain. */
+void forward_view_each_service(
+    const struct forward_view *view,
+    void (*cb)(void *ctx, const struct forward_service *service), void *ctx);
+void forward_view_each_domain(const struct forward_view *view,
+                              void (*cb)(void *ctx,
+                                         const struct forward_domain *domain),
+                              void *ctx);
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <msgpack.h>
 
 #include "base/random.h"
 #include "protocol/view-codec.h"
@@ -224,6 +225,94 @@
     }
 }
 
+/* Encodes a message of "count" records of load and "odd" further numbers, the
+ * last of which is "last". */
+static void
+put_load_message(msgpack_sbuffer *buffer, size_t count, size_t odd,
+                 uint64_t last)
+{
+    msgpack_packer pk;
+    size_t numbers = 3 * count + odd;
+
+    msgpack_packer_init(&pk, buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, 15);
+    msgpack_pack_uint64(&pk, VIEW_FORMAT_VERSION);
+    msgpack_pack_uint64(&pk, VIEW_LOAD);
+    for (int i = 2; i < 12; i++) {
+        msgpack_pack_uint64(&pk, 0);
+    }
+    msgpack_pack_array(&pk, 0);
+    msgpack_pack_array(&pk, 0);
+    msgpack_pack_array(&pk, numbers);
+    for (size_t i = 0; i < numbers; i++) {
+        msgpack_pack_uint64(&pk, i + 1 == numbers ? last : i);
+    }
+}
+
+/* Which messages of load are accepted. */
+static void
+test_load_messages(void **state)
+{
+    static const struct {
+        size_t count;
+        size_t odd; /* numbers that make up no record */
+        uint64_t last;
+        bool accepted;
+    } cases[] = {
+        {0, 0, 0, true},
+        {1, 0, UINT32_MAX, true},
+        {DOMAIN_LOAD_RECORDS_MAX, 0, 5, true},
+        {DOMAIN_LOAD_RECORDS_MAX + 1, 0, 5, false},
+        {1, 1, 5, false},
+        {1, 2, 5, false},
+        {1, 0, (uint64_t)UINT32_MAX + 1, false},
+        {100000, 0, 5, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct view_message m;
+        msgpack_sbuffer buffer;
+
+        msgpack_sbuffer_init(&buffer);
+        put_load_message(&buffer, cases[i].count, cases[i].odd, cases[i].last);
+        if (decode((const uint8_t *)buffer.data, buffer.size, &m) !=
+            cases[i].accepted) {
+            fail_msg("case %zu", i);
+        }
+        if (cases[i].accepted) {
+            assert_int_equal(m.load_count, cases[i].count);
+            assert_int_equal(m.observation_count, 0);
+        }
+        view_delta_clear(&m.delta);
+        msgpack_sbuffer_destroy(&buffer);
+    }
+}
+
+static void
+test_load_round_trip(void **state)
+{
+    struct view_message m;
+    size_t size;
+    uint8_t *data;
+
+    message.kind = VIEW_LOAD;
+    message.load_count = 2;
+    message.load[0] = (struct domain_load_record){1, 2, 3};
+    message.load[1] =
+        (struct domain_load_record){UINT32_MAX, UINT32_MAX, UINT32_MAX};
+    data = view_encode(&message, &size);
+    assert_true(decode(data, size, &m));
+    assert_int_equal(m.kind, VIEW_LOAD);
+    assert_int_equal(m.load_count, 2);
+    assert_memory_equal(m.load, message.load, 2 * sizeof(*m.load));
+    view_delta_clear(&m.delta);
+    for (size_t cut = 0; cut < size; cut++) {
+        assert_false(decode(data, cut, &m));
+        view_delta_clear(&m.delta);
+    }
+    free(data);
+}
+
 /* Replaces the records of the message by those of a large configuration, in no
  * particular order, as a hash table returns them. */
 static void
@@ -343,6 +432,8 @@
         cmocka_unit_test_setup_teardown(test_truncated, setup, teardown),
         cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
         cmocka_unit_test_setup_teardown(test_empty_names, setup, teardown),
+        cmocka_unit_test(test_load_messages),
+        cmocka_unit_test_setup_teardown(test_load_round_trip, setup, teardown),
         cmocka_unit_test_setup_teardown(test_large_view_size, setup, teardown),
         cmocka_unit_test_setup_teardown(test_compressed_mutations, setup,
                                         teardown),
