view: tell the load by failure domain, count requests and answers

The view task owns the load, updates it each tick and sends it to three neighbors at random, one of another domain if there is any: each 250 ms while a domain is used to 0.4, else once a second. The forward task counts requests (further packets of a request that waits do not count), openings without copies, and the times until answers. Metrics by service and domain, and a line sharing_changed, five a second at most. Nothing uses the shares yet.

--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -557,6 +557,53 @@
     view_delta_clear(&m.delta);
 }
 
+/* Draws up to "max" of the live neighbors, in this failure domain or in
+ * others. Returns the number stored in "out". */
+static size_t
+draw_neighbors(struct view_sync *vs, bool local, const struct member **out,
+               size_t max)
+{
+    const struct member *found[PEERS_MAX];
+    size_t count = 0;
+    size_t drawn = 0;
+
+    list_for_each (it, &membership_table(vs->members)->all) {
+        const struct member *m = container_of(it, struct member, link);
+
+        if (m->info.state == MEMBER_ALIVE && m->neighbor &&
+            m->local == local && count < PEERS_MAX) {
+            found[count] = m;
+            count++;
+        }
+    }
+    while (drawn < max && count > 0) {
+        uint32_t i = random_below(vs->random, (uint32_t)count);
+
+        out[drawn] = found[i];
+        drawn++;
+        count--;
+        found[i] = found[count];
+    }
+    return drawn;
+}
+
+void
+view_sync_send_load(struct view_sync *vs,
+                    const struct domain_load_record *records, size_t count)
+{
+    const struct member *peers[DOMAIN_LOAD_PEERS];
+    size_t peer_count = draw_neighbors(vs, false, peers, 1);
+    struct view_message m;
+
+    peer_count += draw_neighbors(vs, true, peers + peer_count,
+                                 DOMAIN_LOAD_PEERS - peer_count);
+    message_init(vs, &m, VIEW_LOAD);
+    m.load_count = count;
+    memcpy(m.load, records, count * sizeof(*records));
+    send_to(vs, peers, peer_count, &m);
+    view_delta_clear(&m.delta);
+}
+
 void
 view_sync_receive(struct view_sync *vs, const struct view_message *m,
                   uint64_t now)
@@ -575,6 +622,11 @@
     case VIEW_OBSERVATIONS:
         on_observations(vs, m, now);
         break;
+    case VIEW_LOAD:
+        if (vs->cb.load_told != NULL) {
+            vs->cb.load_told(vs->cb.ctx, m->load, m->load_count, now);
+        }
+        break;
     default:
         break;
     }
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "base/random.h"
+#include "coordination/domain-load.h"
 #include "coordination/membership.h"
 #include "coordination/target-lapse.h"
 #include "coordination/view-freshness.h"
@@ -32,6 +33,9 @@
      * regards it as silent. */
     void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
                      uint64_t sent_at);
+    /* A peer has sent records of load by failure domain; may be NULL. */
+    void (*load_told)(void *ctx, const struct domain_load_record *records,
+                      size_t count, uint64_t now);
     void *ctx;
 };
 
@@ -59,6 +63,12 @@
 void view_sync_send_observations(struct view_sync *vs,
                                  const struct observation_record *observations,
                                  size_t count, uint64_t now);
+/* Sends records of load by failure domain to DOMAIN_LOAD_PEERS neighbors at
+ * random, among them one in another failure domain if there is any. "count" is
+ * at most DOMAIN_LOAD_RECORDS_MAX. */
+void view_sync_send_load(struct view_sync *vs,
+                         const struct domain_load_record *records,
+                         size_t count);
 /* Asks a random live peer for all changes that this view lacks. */
 void view_sync_pull(struct view_sync *vs, uint64_t now);
 /* Asks one peer, which need not be a known member, for the same. */
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -66,11 +66,33 @@
     add(f, "store_calls_total", "", c.store_calls);
     add(f, "snapshot_writes_total", "", c.snapshot_writes);
     add(f, "loop_lag_max_microseconds", "", c.loop_lag_max_us);
+    add(f, "load_messages_sent_total", "", c.load_messages);
+    add(f, "load_bytes_sent_total", "", c.load_bytes);
     add(f, "gossip_connections", "", c.gossip_connections);
     add(f, "gossip_messages_sent_total", "", c.gossip_messages_out);
     add(f, "gossip_bytes_sent_total", "", c.gossip_bytes_out);
 }
 
+static void
+add_domain_load(void *ctx, const struct domain_load_info *info)
+{
+    FILE *f = ctx;
+    const struct {
+        const char *name;
+        double value;
+    } values[] = {
+        {"domain_requests_per_second", info->sent},
+        {"domain_room_per_second", info->room},
+        {"domain_utilization", info->utilization},
+        {"domain_share", info->share},
+    };
+
+    for (size_t i = 0; i < sizeof(values) / sizeof(*values); i++) {
+        fprintf(f, METRICS_PREFIX "%s{service=\"%s\",domain=\"%s\"} %.3f\n",
+                values[i].name, info->service, info->domain, values[i].value);
+    }
+}
+
 char *
 forward_metrics_text(struct forward_task *task, struct view_task *view)
 {
@@ -83,6 +105,7 @@
     }
     add_packets(f, forward_task_counters(task));
     add_view(f, view);
+    domain_load_each(view_task_load(view), add_domain_load, f);
     flow_times_print(forward_task_times(task), f);
     if (fclose(f) != 0) {
         free(text);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -54,6 +54,7 @@
     const struct flow_packet_format *format;
     struct forward_view *view;
     struct own_delay *own_delay; /* not owned */
+    struct domain_load *load;    /* not owned */
     struct forward_callbacks cb;
     const char *domain;   /* this failure domain, interned */
     uint64_t flow_max_us; /* maximum lifetime of a flow */
@@ -533,6 +534,9 @@
                        &view_info, in->now);
     passive_health_on_forward(&target->observations, in->now);
     passive_health_on_opening(&target->observations, in->now);
+    if (in->packet.ack == 0) {
+        domain_load_on_forward(task->load, target, true, in->now);
+    }
     note_tried(flow, target->cookie, in->now);
     note_caller(task, in, target->cookie);
     task->format->set_cookie(in->data, target->cookie);
@@ -561,6 +565,21 @@
     return at_once ? in->arrived : flow->sent_at;
 }
 
+/* Records the time that a request took, unless it may contain a wait of the
+ * caller, who acknowledges at once only what it does not answer, or of this
+ * host. */
+static void
+note_answer_time(struct forward_task *task, const struct recent_flow *flow,
+                 const struct forward_target *target,
+                 const struct inbound_packet *in)
+{
+    if (in->packet.length == 0 && flow->repeats == 0 &&
+        !own_delay_covers(task->own_delay, flow->sent_at, in->now)) {
+        domain_load_on_answer(task->load, target, in->now - flow->sent_at,
+                              in->now);
+    }
+}
+
 /* Updates a flow whose caller has received something from the target. */
 static void
 note_progress(struct forward_task *task, struct recent_flow *flow,
@@ -569,6 +588,7 @@
 {
     if (flow->waiting) {
         record_time(task, in, target, FLOW_PHASE_ANSWER, flow->sent_at);
+        note_answer_time(task, flow, target, in);
     }
     flow->ack = in->packet.ack;
     flow->repeats = 0;
@@ -612,6 +632,10 @@
              struct forward_target *target, uint32_t seq_end, uint64_t now)
 {
     task->counters.requests++;
+    if (!flow->waiting) {
+        /* Else it continues a request of several packets. */
+        domain_load_on_forward(task->load, target, false, now);
+    }
     flow->seq_end = seq_end;
     flow->sent_at = now;
     flow->waiting = true;
@@ -916,7 +940,8 @@
                  const struct forward_settings *settings,
                  const struct flow_packet_format *format,
                  struct forward_view *view, struct own_delay *own_delay,
-                 const struct forward_callbacks *cb, struct status *st)
+                 struct domain_load *load, const struct forward_callbacks *cb,
+                 struct status *st)
 {
     struct forward_task *task = calloc(1, sizeof(*task));
 
@@ -928,6 +953,7 @@
     task->view = view;
     task->cb = *cb;
     task->own_delay = own_delay;
+    task->load = load;
     task->domain = g_intern_string(settings->domain);
     task->flow_max_us = settings->flow_max_us;
     task->change_bound_us = settings->change_bound_us;
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include "base/status.h"
+#include "coordination/domain-load.h"
 #include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
 #include "protocol/flow-packet.h"
@@ -75,17 +76,15 @@
 const char *forward_drop_name(enum forward_drop drop);
 const char *forward_reset_name(enum forward_reset reset);
 
-/* Binds the UDP port and starts forwarding. "base", "format", "view" and
- * "own_delay" remain owned by the caller and must outlive the task; "cb" is
- * copied. Returns NULL
+/* Binds the UDP port and starts forwarding. "base", "format", "view",
+ * "own_delay" and "load" remain owned by the caller and must outlive the task;
+ * "cb" is copied. Returns NULL
  * with "st" set when the port cannot be bound or memory is short. */
-struct forward_task *forward_task_new(struct event_base *base,
-                                      const struct forward_settings *settings,
-                                      const struct flow_packet_format *format,
-                                      struct forward_view *view,
-                                      struct own_delay *own_delay,
-                                      const struct forward_callbacks *cb,
-                                      struct status *st);
+struct forward_task *forward_task_new(
+    struct event_base *base, const struct forward_settings *settings,
+    const struct flow_packet_format *format, struct forward_view *view,
+    struct own_delay *own_delay, struct domain_load *load,
+    const struct forward_callbacks *cb, struct status *st);
 /* Refuses the packets that still wait for the first view, closes the socket
  * and frees the task. Does nothing for NULL. */
 void forward_task_destroy(struct forward_task *task);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -279,9 +279,9 @@
     if (f->view == NULL) {
         return false;
     }
-    f->forward =
-        forward_task_new(f->base, &f->settings, f->adapter->format,
-                         view_task_view(f->view), &f->own_delay, &cb, st);
+    f->forward = forward_task_new(f->base, &f->settings, f->adapter->format,
+                                  view_task_view(f->view), &f->own_delay,
+                                  view_task_load(f->view), &cb, st);
     if (f->forward == NULL) {
         return false;
     }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -10,7 +10,9 @@
 #define LOG_MODULE "view"
 #include "base/address.h"
 #include "base/clock.h"
+#include "base/log-rate-limit.h"
 #include "base/log.h"
+#include "coordination/domain-load.h"
 #include "coordination/membership.h"
 #include "coordination/target-lapse.h"
 #include "coordination/view-freshness.h"
@@ -47,6 +49,9 @@
  * with unknown targets. An answer takes some milliseconds. */
 #define REFRESH_INTERVAL_US (200 * USEC_PER_MSEC)
 
+/* Maximum lines per second about new flows that go to other domains. */
+#define SHARING_LINES_PER_SECOND 5
+
 /* Minimum size in bytes of the values in an answer of the store that is
  * decoded in a thread of its own. A smaller one takes a few milliseconds of a
  * small share of a core. */
@@ -75,6 +80,12 @@
     struct freshness freshness;
     struct target_lapse lapse;
     struct view_sync *sync;
+    struct domain_load *load;
+    struct log_rate_limit sharing_log;
+    uint64_t next_load;     /* earliest next message about the load, us */
+    uint64_t calm_load;     /* the next one while no domain is busy, us */
+    uint64_t load_messages; /* sent to peers */
+    uint64_t load_bytes;    /* of them */
     struct store_client *store;
     struct view_reader *reader;
     struct view_snapshot snapshot;
@@ -120,6 +131,10 @@
                              data, size, now);
     }
     own_delay_on_transfer(task->own_delay, OWN_DELAY_SEND, size * count, now);
+    if (m->kind == VIEW_LOAD) {
+        task->load_messages += count;
+        task->load_bytes += size * count;
+    }
     free(data);
 }
 
@@ -243,6 +258,33 @@
     task->cb.reported(task->cb.ctx, cookie, misses, sent_at);
 }
 
+static void
+on_load_told(void *ctx, const struct domain_load_record *records, size_t count,
+             uint64_t now)
+{
+    struct view_task *task = ctx;
+
+    domain_load_receive(task->load, records, count, now);
+}
+
+static void
+on_sharing_changed(void *ctx, const char *service, bool sharing,
+                   double utilization)
+{
+    struct view_task *task = ctx;
+    char text[24];
+
+    if (!log_rate_limit_allow(&task->sharing_log, clock_monotonic_us())) {
+        return;
+    }
+    snprintf(text, sizeof(text), "%.2f", utilization);
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"service", service},
+                          {"new_flows", sharing ? "shared" : "own domain"},
+                          {"utilization", text}),
+               "sharing_changed");
+}
+
 /* Returns the time until which a target whose entry was removed from the store
  * at "now" stays in use, 0 for not at all; both are in microseconds of the
  * monotonic clock. */
@@ -693,6 +735,31 @@
     task->last_tick = now;
 }
 
+/* Updates the load by failure domain and tells some peers when it is time. */
+static void
+update_load(struct view_task *task, uint64_t now)
+{
+    struct domain_load_record records[DOMAIN_LOAD_RECORDS_MAX];
+    size_t hosts = 1 + member_table_count(membership_table(task->members),
+                                          MEMBER_ALIVE, true);
+    size_t count;
+
+    domain_load_tick(task->load, task->view, (double)hosts, now);
+    if (now < task->next_load || task->leaving) {
+        return;
+    }
+    if (now < task->calm_load && !domain_load_is_busy(task->load)) {
+        return;
+    }
+    task->next_load = now + DOMAIN_LOAD_BUSY_INTERVAL_US;
+    task->calm_load = now + DOMAIN_LOAD_CALM_INTERVAL_US;
+    count =
+        domain_load_export(task->load, records, DOMAIN_LOAD_RECORDS_MAX, now);
+    if (count > 0) {
+        view_sync_send_load(task->sync, records, count);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -708,6 +775,7 @@
     view_sync_tick(task->sync, now);
     forward_view_expire_lapsed(task->view, now);
     forward_view_expire_held(task->view, task->freshness.confirmed_at, now);
+    update_load(task, now);
     view_reader_tick(task->reader, now);
     update_snapshot(task, now);
     gossip_endpoint_close_idle(task->gossip, now);
@@ -875,6 +943,7 @@
         .send = send_view,
         .changed = on_sync_changed,
         .reported = on_sync_reported,
+        .load_told = on_load_told,
         .ctx = task,
     };
     const struct view_reader_callbacks reader_cb = {
@@ -900,8 +969,13 @@
     task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
     task->report = event_new(task->base, -1, 0, on_report, task);
     task->unreported = g_ptr_array_new();
-    if (task->view == NULL || task->reader == NULL || task->tick == NULL ||
-        task->report == NULL) {
+    task->sharing_log.per_second = SHARING_LINES_PER_SECOND;
+    task->load = domain_load_new(g_intern_string(task->settings.domain));
+    if (task->load != NULL) {
+        domain_load_on_change(task->load, on_sharing_changed, task);
+    }
+    if (task->load == NULL || task->view == NULL || task->reader == NULL ||
+        task->tick == NULL || task->report == NULL) {
         status_set(st, ERR_NO_MEMORY, "view: out of memory");
         return false;
     }
@@ -958,6 +1032,7 @@
     store_client_destroy(task->store);
     view_reader_destroy(task->reader);
     view_sync_destroy(task->sync);
+    domain_load_destroy(task->load);
     forward_view_destroy(task->view);
     membership_destroy(task->members);
     gossip_endpoint_destroy(task->gossip);
@@ -971,6 +1046,12 @@
     return task->view;
 }
 
+struct domain_load *
+view_task_load(struct view_task *task)
+{
+    return task->load;
+}
+
 uint64_t
 view_task_age_us(struct view_task *task)
 {
@@ -1051,5 +1132,7 @@
     c->held_records = forward_view_held_count(task->view);
     c->dropped_answers = store_client_dropped_answers(task->store);
     c->dropped_deltas = view_sync_dropped_deltas(task->sync);
+    c->load_messages = task->load_messages;
+    c->load_bytes = task->load_bytes;
     c->loop_lag_max_us = task->own_delay->max_lag_us;
 }
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include "base/status.h"
+#include "coordination/domain-load.h"
 #include "coordination/membership.h"
 #include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
@@ -60,6 +61,9 @@
 
 /* The view is owned by the task. */
 struct forward_view *view_task_view(struct view_task *task);
+/* What is known of the load of the failure domains; owned by the task, which
+ * updates it and exchanges it with the peers. */
+struct domain_load *view_task_load(struct view_task *task);
 /* Time since the store last confirmed the view, in microseconds; UINT64_MAX:
  * unknown. */
 uint64_t view_task_age_us(struct view_task *task);
@@ -93,6 +97,8 @@
     uint64_t held_records;    /* see state/forward-view.h */
     uint64_t dropped_answers; /* of the store, of earlier eras */
     uint64_t dropped_deltas;  /* of peers, of earlier eras */
+    uint64_t load_messages;   /* about load by failure domain, to peers */
+    uint64_t load_bytes;      /* of these messages */
     /* Largest delay of the event loop since the start */
     uint64_t loop_lag_max_us;
 };
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -247,9 +247,11 @@
     struct event_base *base = event_base_new();
     struct forward_view *view = make_view(targets, routes);
     struct own_delay own_delay;
+    struct domain_load *load = domain_load_new(g_intern_string("a"));
     struct status st;
-    struct forward_task *task = forward_task_new(
-        base, &settings, &platform_packet_format, view, &own_delay, &cb, &st);
+    struct forward_task *task =
+        forward_task_new(base, &settings, &platform_packet_format, view,
+                         &own_delay, load, &cb, &st);
     double spent = 0;
     uint32_t sent_count = 0;
 
@@ -276,6 +278,7 @@
         exit(1);
     }
     forward_task_destroy(task);
+    domain_load_destroy(load);
     forward_view_destroy(view);
     event_base_free(base);
     return BURST_SIZE * BURST_COUNT / spent;
