--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -74,6 +74,8 @@
     add(f, "cold_openings_total", "", c.cold.openings);
     add(f, "cold_openings_withheld_total", "", c.cold.withheld);
     add(f, "loop_lag_max_microseconds", "", c.loop_lag_max_us);
+    add(f, "load_messages_sent_total", "", c.load_messages);
+    add(f, "load_bytes_sent_total", "", c.load_bytes);
     add(f, "gossip_connections", "", c.gossip_connections);
     add(f, "gossip_messages_sent_total", "", c.gossip_messages_out);
     add(f, "gossip_bytes_sent_total", "", c.gossip_bytes_out);
@@ -100,6 +102,26 @@
         forward_task_open_flows(output->task, domain));
 }
 
+static void
+add_domain_load(void *ctx, const struct domain_load_info *info)
+{
+    FILE *f = ctx;
+    const struct {
+        const char *name;
+        double value;
+    } values[] = {
+        {"domain_requests_per_second", info->sent},
+        {"domain_room_per_second", info->room},
+        {"domain_utilization", info->utilization},
+        {"domain_share", info->share},
+    };
+
+    for (size_t i = 0; i < sizeof(values) / sizeof(*values); i++) {
+        fprintf(f, METRICS_PREFIX "%s{service=\"%s\",domain=\"%s\"} %.3f\n",
+                values[i].name, info->service, info->domain, values[i].value);
+    }
+}
+
 char *
 forward_metrics_text(struct forward_task *task, struct view_task *view)
 {
@@ -114,6 +136,7 @@
     add_view(f, view);
     forward_view_each_emptied(view_task_view(view), add_emptied_domain,
                               &(struct domain_output){.out = f, .task = task});
+    domain_load_each(view_task_load(view), add_domain_load, f);
     flow_times_print(forward_task_times(task), f);
     if (fclose(f) != 0) {
         free(text);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -261,6 +261,7 @@
         .target_replaced = on_target_replaced,
         .ctx = f,
     };
+    struct forward_parts parts;
     char address[ADDRESS_TEXT_SIZE];
     const struct http_server_options options = {
         .address = address,
@@ -279,9 +280,14 @@
     if (f->view == NULL) {
         return false;
     }
+    parts = (struct forward_parts){
+        .view = view_task_view(f->view),
+        .own_delay = &f->own_delay,
+        .load = view_task_load(f->view),
+        .cold_claims = view_task_cold_claims(f->view),
+    };
     f->forward = forward_task_new(f->base, &f->settings, f->adapter->format,
-                                  view_task_view(f->view), &f->own_delay,
-                                  view_task_cold_claims(f->view), &cb, st);
+                                  &parts, &cb, st);
     if (f->forward == NULL) {
         return false;
     }
