soak: a failure domain is emptied and taken back

Fault domain-emptied, promise "no new flow in an emptied failure domain past the bound"; a store that returns from a copy gets the orders again.

--- a/tests/standins/platform-text.c
+++ b/tests/standins/platform-text.c
@@ -82,3 +82,9 @@
 {
     return g_strconcat("servers/", id, NULL);
 }
+
+char *
+platform_text_order_key(const char *domain)
+{
+    return g_strconcat("op/evacuate/", domain, NULL);
+}
--- a/tests/standins/platform-text.h
+++ b/tests/standins/platform-text.h
@@ -49,5 +49,7 @@
                             const char *service);
 json_t *platform_text_config(unsigned version, json_t *routes);
 json_t *platform_text_target(const struct platform_text_target *target);
-/* The store key of a target's entry; the caller frees it with g_free(). */
+/* The store keys of a target's entry, and of the order to empty a failure
+ * domain; the caller frees them with g_free(). */
 char *platform_text_target_key(const char *id);
+char *platform_text_order_key(const char *domain);
--- a/tests/unit/test-soak-checker.c
+++ b/tests/unit/test-soak-checker.c
@@ -24,6 +24,10 @@
     CONFIG_UNACKED,    /* all routes get service "a"; never acknowledged */
     TARGET_READY,      /* target "a" of service "b" becomes ready */
     TARGET_LEAVING,    /* target "a" starts to leave */
+    DOMAIN_EMPTIED,    /* the order to empty domain "a" is acknowledged */
+    DOMAIN_UNACKED,    /* it is sent only */
+    DOMAIN_ENDING,     /* it is taken back */
+    DOMAIN_ENDED,      /* its end is acknowledged */
     FAULT_BEGINS,      /* a fault of the subject "a" with index "b" begins */
     FAULT_ENDS,        /* a fault of the subject "a" with index "b" ends */
     BALANCER_STOPPING, /* balancer "a" is told to stop */
@@ -156,6 +160,73 @@
       {20100 + DRAIN_MS, BALANCER_STOPPING, 0},
       {20300 + DRAIN_MS, OPENING_PACKET, 1, 0},
       {20301 + DRAIN_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"an emptied domain gets a flow within the bound",
+     NO_PROMISE,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {20000 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20001 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"an emptied domain gets a flow past the bound",
+     PROMISE_EMPTIED,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {20300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"a domain beside an emptied one gets a flow",
+     NO_PROMISE,
+     {{20000, DOMAIN_EMPTIED, 1},
+      {20300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"a domain whose order is not acknowledged gets a flow",
+     NO_PROMISE,
+     {{20000, DOMAIN_UNACKED, 0},
+      {20300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"a domain gets a flow as soon as it is taken back",
+     NO_PROMISE,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {20290 + CHANGE_MS, DOMAIN_ENDING, 0},
+      {20300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"an emptied domain gets a flow, the balancer had a fault just before",
+     NO_PROMISE,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {21000, FAULT_BEGINS, SUBJECT_BALANCER, 0},
+      {22000, FAULT_ENDS, SUBJECT_BALANCER, 0},
+      {20300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {20301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"an emptied domain gets a flow again after its second order",
+     PROMISE_EMPTIED,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {24000, DOMAIN_ENDING, 0},
+      {24010, DOMAIN_ENDED, 0},
+      {25000, DOMAIN_EMPTIED, 0},
+      {25300 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {25301 + CHANGE_MS, FLOW_ACCEPTED, 1, 0}}},
+    {"a flow is refused, all targets are in an emptied domain",
+     NO_PROMISE,
+     {{20000, DOMAIN_UNACKED, 0},
+      {20001, OPENING_PACKET, 1, 0},
+      {20002, FLOW_REFUSED, 1, 0}}},
+    {"a flow is refused just after the domain was taken back",
+     NO_PROMISE,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {24000, DOMAIN_ENDING, 0},
+      {24010, DOMAIN_ENDED, 0},
+      {24009 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {24010 + CHANGE_MS, FLOW_REFUSED, 1, 0}}},
+    {"a flow is refused long after the domain was taken back",
+     PROMISE_SERVED,
+     {{20000, DOMAIN_EMPTIED, 0},
+      {24000, DOMAIN_ENDING, 0},
+      {24010, DOMAIN_ENDED, 0},
+      {24010 + CHANGE_MS, OPENING_PACKET, 1, 0},
+      {24011 + CHANGE_MS, FLOW_REFUSED, 1, 0}}},
+    {"an open flow is reset, its domain is emptied",
+     PROMISE_FLOW,
+     {{20000, OPENING_PACKET, 1, 0},
+      {20001, FLOW_ACCEPTED, 1, 0},
+      {20010, RAN_UNSAFE, 1, 0},
+      {20500, DOMAIN_EMPTIED, 0},
+      {29000, OPEN_FLOW_RESET, 1, 0}}},
     {"an open flow is reset",
      PROMISE_FLOW,
      {{20000, OPENING_PACKET, 1, 0},
@@ -266,6 +337,19 @@
     case TARGET_LEAVING:
         checker_target_leaving(c, (unsigned)s->a, s->at_ms);
         break;
+    case DOMAIN_EMPTIED:
+        checker_order_sent(c, (unsigned)s->a);
+        checker_order_acked(c, (unsigned)s->a, s->at_ms);
+        break;
+    case DOMAIN_UNACKED:
+        checker_order_sent(c, (unsigned)s->a);
+        break;
+    case DOMAIN_ENDING:
+        checker_order_ending(c, (unsigned)s->a);
+        break;
+    case DOMAIN_ENDED:
+        checker_order_ended(c, (unsigned)s->a, s->at_ms);
+        break;
     case FAULT_BEGINS:
         checker_fault_started(c, (enum checker_subject)s->a, (unsigned)s->b,
                               s->at_ms);
--- a/tools/soak/checker.c
+++ b/tools/soak/checker.c
@@ -39,6 +39,14 @@
     int service;
     uint64_t ready_ms;   /* 0: never ready */
     uint64_t leaving_ms; /* 0: not leaving */
+    unsigned domain;
+};
+
+/* A failure domain. */
+struct domain {
+    bool excluded;     /* from the order until the end of it is acknowledged */
+    uint64_t acked_ms; /* of the order, while it is in force; 0: it is not */
+    uint64_t ended_ms; /* when the end of the last order was acknowledged */
 };
 
 struct flow {
@@ -63,6 +71,7 @@
     GArray *versions;                /* struct version */
     GArray *balancers;               /* struct balancer */
     GArray *targets;                 /* struct target */
+    GArray *domains;                 /* struct domain */
     GHashTable *flows;               /* checker_flow_key -> struct flow */
     GHashTable *unsafe_requests;     /* set of the texts of those that ran */
 };
@@ -73,6 +82,8 @@
     [PROMISE_ANSWER] = "answers are whole and the caller's own",
     [PROMISE_FLOW] = "an open flow of a living target is not ended",
     [PROMISE_DRAIN] = "no new flow at a leaving target past the bound",
+    [PROMISE_EMPTIED] =
+        "no new flow in an emptied failure domain past the bound",
     [PROMISE_CHANGE] = "no older configuration past the bound",
     [PROMISE_REVERT] = "no configuration goes back within a process",
     [PROMISE_SERVED] = "what can be served is not refused",
@@ -126,6 +137,7 @@
     c->versions = g_array_new(FALSE, TRUE, sizeof(struct version));
     c->balancers = g_array_new(FALSE, TRUE, sizeof(struct balancer));
     c->targets = g_array_new(FALSE, TRUE, sizeof(struct target));
+    c->domains = g_array_new(FALSE, TRUE, sizeof(struct domain));
     c->flows = g_hash_table_new_full(key_hash, key_equal, NULL, flow_free);
     c->unsafe_requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -141,6 +153,7 @@
     g_array_free(c->versions, TRUE);
     g_array_free(c->balancers, TRUE);
     g_array_free(c->targets, TRUE);
+    g_array_free(c->domains, TRUE);
     g_hash_table_destroy(c->flows);
     g_hash_table_destroy(c->unsafe_requests);
     g_free(c);
@@ -174,6 +187,12 @@
     return array_element(c->targets, sizeof(struct target), index);
 }
 
+static struct domain *
+domain_get(struct checker *c, unsigned index)
+{
+    return array_element(c->domains, sizeof(struct domain), index);
+}
+
 /* Whether no fault affects a subject now, and its latest fault had been over
  * for at least "settle_ms" at time "at". A fault that started after "at"
  * counts too, because it may have affected what was observed since then. */
@@ -306,6 +325,43 @@
     }
 }
 
+void
+checker_target_domain(struct checker *c, unsigned target, unsigned domain)
+{
+    target_get(c, target)->domain = domain;
+}
+
+void
+checker_order_sent(struct checker *c, unsigned domain)
+{
+    domain_get(c, domain)->excluded = true;
+}
+
+void
+checker_order_acked(struct checker *c, unsigned domain, uint64_t now)
+{
+    struct domain *d = domain_get(c, domain);
+
+    if (d->acked_ms == 0) {
+        d->acked_ms = now;
+    }
+}
+
+void
+checker_order_ending(struct checker *c, unsigned domain)
+{
+    domain_get(c, domain)->acked_ms = 0;
+}
+
+void
+checker_order_ended(struct checker *c, unsigned domain, uint64_t now)
+{
+    struct domain *d = domain_get(c, domain);
+
+    d->excluded = false;
+    d->ended_ms = now;
+}
+
 static struct flow *
 flow_get(struct checker *c, const struct checker_flow_key *key)
 {
@@ -388,6 +444,35 @@
                   (int)target);
 }
 
+static void
+check_emptied(struct checker *c, const struct flow *flow, unsigned target,
+              uint64_t now)
+{
+    const struct domain *d = domain_get(c, target_get(c, target)->domain);
+    char text[TEXT_SIZE];
+
+    if (d->acked_ms == 0 ||
+        now <= d->acked_ms + c->bounds.change_ms + c->bounds.slack_ms ||
+        !bounds_apply(c, flow->balancer, flow->opening_ms)) {
+        return;
+    }
+    snprintf(text, sizeof(text),
+             "the target's failure domain has been emptied for %lu ms",
+             now - d->acked_ms);
+    report_broken(c, PROMISE_EMPTIED, text, &flow->key, (int)flow->balancer,
+                  (int)target);
+}
+
+/* Whether all balancers may use a failure domain. */
+static bool
+is_in_use(struct checker *c, unsigned domain, uint64_t at)
+{
+    const struct domain *d = domain_get(c, domain);
+
+    return !d->excluded &&
+           (d->ended_ms == 0 || d->ended_ms + c->bounds.change_ms <= at);
+}
+
 static void
 check_change(struct checker *c, const struct flow *flow, unsigned target)
 {
@@ -463,6 +548,7 @@
         return;
     }
     check_drain(c, flow, target, now);
+    check_emptied(c, flow, target, now);
     check_change(c, flow, target);
     check_revert(c, flow, target, now);
 }
@@ -542,7 +628,8 @@
 }
 
 /* Whether each service that the route may have at time "at" has a target that
- * all balancers must know, that is not leaving and that no fault affects. */
+ * all balancers must know, that is not leaving, not in an emptied failure
+ * domain, and that no fault affects. */
 static bool
 can_be_served(struct checker *c, unsigned route, uint64_t at)
 {
@@ -559,6 +646,7 @@
             found = t->service == service && t->ready_ms != 0 &&
                     t->leaving_ms == 0 &&
                     t->ready_ms + c->bounds.change_ms <= at &&
+                    is_in_use(c, t->domain, at) &&
                     is_undisturbed(c, SUBJECT_TARGET, k, at);
         }
         if (!found) {
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -13,6 +13,8 @@
     PROMISE_ANSWER,  /* answers are complete and the caller's own */
     PROMISE_FLOW,    /* an open flow of a running target is not ended */
     PROMISE_DRAIN,   /* a leaving target gets no new flow after the bound */
+    PROMISE_EMPTIED, /* an emptied failure domain gets no new flow after the
+                        bound */
     PROMISE_CHANGE,  /* no older configuration is used after the bound */
     PROMISE_REVERT,  /* a process does not return to an older configuration */
     PROMISE_SERVED,  /* a flow that can be served is not refused */
@@ -91,6 +93,17 @@
                           uint64_t now);
 void checker_target_leaving(struct checker *c, unsigned target, uint64_t now);
 
+/* Sets the failure domain of a target; 0 if it is never set. */
+void checker_target_domain(struct checker *c, unsigned target,
+                           unsigned domain);
+/* The operator sends the order to empty a failure domain, and the store
+ * acknowledges it; the operator takes it back, and the store acknowledges
+ * that. */
+void checker_order_sent(struct checker *c, unsigned domain);
+void checker_order_acked(struct checker *c, unsigned domain, uint64_t now);
+void checker_order_ending(struct checker *c, unsigned domain);
+void checker_order_ended(struct checker *c, unsigned domain, uint64_t now);
+
 /* Identifies a flow. Compared bytewise. */
 struct checker_flow_key {
     uint32_t caller; /* IPv4 address, host byte order */
--- a/tools/soak/directory.c
+++ b/tools/soak/directory.c
@@ -192,6 +192,9 @@
                               soak_now_ms());
         checker_target_ready(soak->checker, t->number, t->service,
                              soak_now_ms());
+        checker_target_domain(soak->checker, t->number,
+                              t->target_addr->index / SOAK_SERVICES %
+                                  SOAK_DOMAINS);
     }
     t->registered = true;
     put_key(soak, key, platform_text_target(&target),
@@ -199,6 +202,45 @@
     g_free(key);
 }
 
+static void
+on_order_written(struct soak *soak, unsigned domain)
+{
+    soak_log(soak, "the order to empty domain=%u is acknowledged", domain);
+    if (soak->emptied[domain]) {
+        checker_order_acked(soak->checker, domain, soak_now_ms());
+    }
+}
+
+static void
+on_order_removed(struct soak *soak, unsigned domain)
+{
+    soak_log(soak, "the end of the order to empty domain=%u is acknowledged",
+             domain);
+    if (!soak->emptied[domain]) {
+        checker_order_ended(soak->checker, domain, soak_now_ms());
+    }
+}
+
+void
+directory_write_order(struct soak *soak, unsigned domain)
+{
+    char *key = platform_text_order_key(soak_domain(domain));
+
+    if (soak->emptied[domain]) {
+        checker_order_sent(soak->checker, domain);
+        put_key(soak, key, json_object(), on_order_written, domain);
+    }
+    else {
+        char *body = g_strdup_printf("{\"delete\":\"%s\"}", key);
+
+        checker_order_ending(soak->checker, domain);
+        send_control(soak, NET_STORE, PORT_STORE, body, on_order_removed,
+                     domain);
+        g_free(body);
+    }
+    g_free(key);
+}
+
 void
 directory_remove_target(struct target_process *t, bool leaving)
 {
--- a/tools/soak/directory.h
+++ b/tools/soak/directory.h
@@ -13,6 +13,9 @@
 /* Writes a target's entry, ready or draining as "t" says, and reports it to
  * the checker. */
 void directory_write_target(struct target_process *t);
+/* Writes the order to empty a failure domain, or takes it back, as
+ * "soak->emptied" says, and reports it to the checker. */
+void directory_write_order(struct soak *soak, unsigned domain);
 /* Deletes a target's entry. "leaving": the target does not come back, which is
  * reported to the checker. */
 void directory_remove_target(struct target_process *t, bool leaving);
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -38,6 +38,8 @@
 /* Interval between two changes of a configuration storm: ten changes per
  * second, while users make at most three. */
 #define CONFIG_STORM_INTERVAL_MS 100
+/* Interval at which it is checked whether an order can be taken back. */
+#define TAKE_BACK_RETRY_MS 500
 /* Shares of the datagrams that are lost, duplicated and delayed: enough to
  * affect most flows, but few enough that most requests are answered in time.
  */
@@ -308,7 +310,11 @@
     }
     if (!soak->ending) {
         directory_write_config(soak);
+        for (unsigned domain = 0; domain < SOAK_DOMAINS; domain++) {
+            directory_write_order(soak, domain);
+        }
     }
+    soak->restores--;
     soak_after(soak, HEARTBEAT_EXPIRY_MS - LAPSE_RESTORE_DELAY_MS,
                remove_entries_again, active, active_fault_free);
 }
@@ -319,6 +325,7 @@
     char json[96];
 
     mark_store_disturbed(active, true);
+    active->soak->restores++;
     snprintf(json, sizeof(json),
              "{\"restore\":{\"back_ms\":%d,\"away_ms\":%d,\"late_ms\":%d}}",
              STORE_COPY_AGE_MS, (int)active->fault.duration_ms,
@@ -659,6 +666,42 @@
                active_fault_free);
 }
 
+/* Takes an order back, once a store that has returned from a copy has it
+ * again: there would be nothing to take back. */
+static void
+take_back(void *ctx)
+{
+    struct active_fault *active = ctx;
+    struct soak *soak = active->soak;
+
+    if (soak->restores > 0) {
+        soak_after(soak, TAKE_BACK_RETRY_MS, take_back, active,
+                   active_fault_free);
+        return;
+    }
+    soak_log(soak, "fault %s ends", fault_name(active->fault.kind));
+    soak->emptied[active->fault.subject % SOAK_DOMAINS] = false;
+    if (!soak->ending) {
+        directory_write_order(soak, active->fault.subject % SOAK_DOMAINS);
+    }
+    active_fault_free(active);
+}
+
+static void
+empty_domain(struct active_fault *active)
+{
+    unsigned domain = active->fault.subject % SOAK_DOMAINS;
+
+    if (active->soak->emptied[domain]) {
+        active_fault_free(active);
+        return;
+    }
+    active->soak->emptied[domain] = true;
+    directory_write_order(active->soak, domain);
+    soak_after(active->soak, active->fault.duration_ms, take_back, active,
+               active_fault_free);
+}
+
 static void
 drain_target(struct active_fault *active)
 {
@@ -805,6 +848,9 @@
     case FAULT_CONFIG_STORM:
         change_next(active);
         break;
+    case FAULT_DOMAIN_EMPTIED:
+        empty_domain(active);
+        break;
     case FAULT_HANGUP:
         fleet_write_settings(active->balancer);
         child_signal(&active->balancer->child, SIGHUP);
--- a/tools/soak/plan.c
+++ b/tools/soak/plan.c
@@ -54,6 +54,7 @@
     [FAULT_ROLL] = {"roll", 2, 0, 0},
     [FAULT_CONFIG] = {"config", 6, 0, 0},
     [FAULT_CONFIG_STORM] = {"config-storm", 2, 500, 1500},
+    [FAULT_DOMAIN_EMPTIED] = {"domain-emptied", 4, 4000, 10000},
     [FAULT_HANGUP] = {"hangup", 1, 0, 0},
 };
 
--- a/tools/soak/plan.h
+++ b/tools/soak/plan.h
@@ -63,6 +63,8 @@
     FAULT_CONFIG,       /* one route gets another service, is removed or is
                            added again */
     FAULT_CONFIG_STORM, /* the configuration changes ten times a second */
+    FAULT_DOMAIN_EMPTIED, /* the operator empties a failure domain, and takes
+                             it back later */
     FAULT_HANGUP, /* one balancer's settings file is rewritten, with SIGHUP */
     FAULT_COUNT,
 };
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -122,9 +122,9 @@
 const char *
 soak_domain(unsigned index)
 {
-    static const char *const names[] = {"domain-0", "domain-1"};
+    static const char *const names[SOAK_DOMAINS] = {"domain-0", "domain-1"};
 
-    return names[index % 2];
+    return names[index % SOAK_DOMAINS];
 }
 
 void
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -34,6 +34,7 @@
 #define SOAK_TARGET_ADDRS_MAX 128
 #define SOAK_CALLERS_MAX 32
 #define SOAK_SERVICES 2
+#define SOAK_DOMAINS 2        /* failure domains */
 #define SOAK_TEXT_SIZE 160    /* bytes */
 #define SOAK_ENDPOINT_SIZE 24 /* bytes of "a.b.c.d:port" and the NUL */
 #define SOAK_PATH_SIZE 512    /* bytes */
@@ -217,6 +218,9 @@
     int services[CHECKER_ROUTES_MAX]; /* of each route, as written last;
                                          CHECKER_NO_SERVICE: route removed */
     unsigned config_version;          /* checker's version of the last write */
+    bool emptied[SOAK_DOMAINS];       /* the operator's order stands */
+    unsigned restores; /* returns of the store from a copy, until what it lost
+                        * is written again */
 
     bool counting;             /* "answered" and "failed" are counted */
     unsigned answered;         /* requests since counting began */
@@ -242,7 +246,7 @@
                    uint16_t port, char out[SOAK_ENDPOINT_SIZE]);
 /* Name of a service, 0 to SOAK_SERVICES - 1. */
 const char *soak_service(int service);
-/* Name of a failure domain; two domains alternate over the indexes. */
+/* Name of a failure domain; the domains alternate over the indexes. */
 const char *soak_domain(unsigned index);
 /* Like soak_endpoint(), as a socket address. */
 void soak_sockaddr(const struct soak *soak, enum soak_net net, unsigned index,
