placing: slow targets, shares of failure domains, copies to other domains

A burst in one failure domain stays there. When all targets of a domain die at once, copies of openings go from one to the next.

Change: coordination/target-speed keeps, for targets with evidence only (256, some 200 bytes each), how many times as long as usual they take, from the time between a request and the caller's acknowledgement of the answer, by kind of request; a request that waits counts too. Long times are told to the peers of the own domain, those of slow targets to all (VIEW_SLOW_TARGETS). A slow target gets a part of its equal share by drawing, so that balancers do not return to it in the same instant. Placing draws the domain by the shares of the request (NULL so far), and a copy of an opening prefers a domain that was not tried.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -1,6 +1,7 @@
 #include "coordination/flow-placement.h"
 
 #include "coordination/passive-health.h"
+#include "state/recent-flows.h"
 
 /* A target in another failure domain has to be better than a local one by this
  * factor and this number of requests per slot: the round trip to it is longer,
@@ -10,6 +11,15 @@
 #define REMOTE_PENALTY 20.0
 /* Factor on the score of a target during its cold start. */
 #define COLD_FACTOR 2.0
+/* Added for a copy of an opening packet to the score of a target in a failure
+ * domain that an earlier copy was sent to. It exceeds the score of a target
+ * without penalties, and is below the ones that follow. */
+#define TRIED_DOMAIN_PENALTY 1e4
+/* Added to the score of a target that is reduced, which gets its flows by
+ * draw_reduced(). */
+#define REDUCED_PENALTY 1e3
+/* Share of the targets of a service that may be slow. */
+#define SLOW_SHARE_MAX (1.0 / 3)
 /* Added to the score of a target that seems not to answer opening packets. It
  * exceeds any score that has neither this penalty nor one of those below. */
 #define SUSPECT_PENALTY 1e5
@@ -40,20 +50,25 @@
            (target->domain == NULL || !target->domain->emptied);
 }
 
-/* Rates a target for a new flow; the lowest score wins. */
+/* Load of a target that a new flow would find, for each of its slots and in
+ * the usual time of a request. */
 static double
-score(const struct placement_request *r, const struct forward_target *target)
+expected_wait(const struct placement_request *r,
+              const struct forward_target *target)
 {
     double slots = target->record.slots == 0 ? 1.0 : target->record.slots;
     double value =
         (1.0 + passive_health_load(&target->observations, r->now)) / slots;
 
-    if (r->now < target->cold_until) {
-        value *= COLD_FACTOR;
-    }
-    if (target->record.domain != r->domain) {
-        value = value * REMOTE_FACTOR + REMOTE_PENALTY;
-    }
+    return r->now < target->cold_until ? value * COLD_FACTOR : value;
+}
+
+/* Penalties of a target that a new flow should not go to. */
+static double
+penalty(const struct placement_request *r, const struct forward_target *target)
+{
+    double value = 0;
+
     if (passive_health_is_suspect(&target->observations, r->now)) {
         value += SUSPECT_PENALTY;
     }
@@ -69,39 +84,216 @@
     return value;
 }
 
-struct forward_target *
-placement_choose_target(const struct placement_request *r,
-                        struct random *random)
+/* Failure domains of the targets that a flow's earlier copies were sent to. */
+struct tried_domains {
+    const char *names[RECENT_TRIED_MAX];
+    size_t count;
+};
+
+static void
+find_tried_domains(const struct placement_request *r,
+                   struct tried_domains *tried)
 {
-    struct forward_target *best = NULL;
-    double best_score = 0;
-    uint32_t ties = 0;
+    tried->count = 0;
+    if (!r->copy) {
+        return;
+    }
+    for (guint i = 0; i < r->service->targets->len; i++) {
+        const struct forward_target *target =
+            g_ptr_array_index(r->service->targets, i);
 
-    if (r->service == NULL) {
+        if (was_tried(r, target->cookie) && tried->count < RECENT_TRIED_MAX) {
+            tried->names[tried->count] = target->record.domain;
+            tried->count++;
+        }
+    }
+}
+
+static bool
+domain_was_tried(const struct tried_domains *tried, const char *domain)
+{
+    for (size_t i = 0; i < tried->count; i++) {
+        if (tried->names[i] == domain) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The best target so far. */
+struct choice {
+    struct forward_target *target;
+    double score;
+    uint32_t ties;
+};
+
+static void
+offer(struct choice *choice, struct forward_target *target, double score,
+      struct random *random)
+{
+    if (choice->target == NULL || score < choice->score - SCORE_TIE_MARGIN) {
+        *choice = (struct choice){target, score, 1};
+    }
+    else if (score < choice->score + SCORE_TIE_MARGIN) {
+        choice->ties++;
+        if (random_below(random, choice->ties) == 0) {
+            choice->target = target;
+        }
+    }
+}
+
+/* Returns what is known of slow targets; NULL when no target of the service is
+ * reduced, and when so many are slow that it is not believed. */
+static const struct target_speed *
+believed_speed(const struct placement_request *r)
+{
+    size_t reduced = 0;
+    size_t slow = 0;
+
+    if (r->speed == NULL || !target_speed_has_evidence(r->speed)) {
+        return NULL;
+    }
+    for (guint i = 0; i < r->service->targets->len; i++) {
+        const struct forward_target *target =
+            g_ptr_array_index(r->service->targets, i);
+
+        if (target_speed_is_reduced(r->speed, target->cookie, r->now)) {
+            reduced++;
+            slow += target_speed_factor(r->speed, target->cookie, r->now) >=
+                    TARGET_SPEED_SLOW;
+        }
+    }
+    if (reduced == 0 ||
+        (double)slow > SLOW_SHARE_MAX * (double)r->service->targets->len) {
+        return NULL;
+    }
+    return r->speed;
+}
+
+/* Rates a target for a new flow. With "domain" set, distance does not count;
+ * with "speed" NULL, no target is reduced. */
+static double
+score(const struct placement_request *r, const struct forward_target *target,
+      const struct target_speed *speed, const char *domain,
+      const struct tried_domains *tried)
+{
+    double value = expected_wait(r, target);
+
+    if (domain == NULL && target->record.domain != r->domain) {
+        value = value * REMOTE_FACTOR + REMOTE_PENALTY;
+    }
+    if (target_speed_is_reduced(speed, target->cookie, r->now)) {
+        value += REDUCED_PENALTY;
+    }
+    if (domain_was_tried(tried, target->record.domain)) {
+        value += TRIED_DOMAIN_PENALTY;
+    }
+    return value + penalty(r, target);
+}
+
+/* Returns the best target of "domain", or with NULL the best of all. The
+ * lowest score wins. */
+static struct choice
+choose_best(const struct placement_request *r, const char *domain,
+            const struct target_speed *speed, struct random *random)
+{
+    struct choice best = {0};
+    struct tried_domains tried;
+
+    find_tried_domains(r, &tried);
+    for (guint i = 0; i < r->service->targets->len; i++) {
+        struct forward_target *target =
+            g_ptr_array_index(r->service->targets, i);
+
+        if (takes_flows(target) &&
+            (domain == NULL || target->record.domain == domain)) {
+            offer(&best, target, score(r, target, speed, domain, &tried),
+                  random);
+        }
+    }
+    return best;
+}
+
+/* Draws a target of the domain, which gets the flow if it is reduced, and then
+ * with a chance of 1 in 2 f - 1, where f is its factor: half of what it bears
+ * when it is very slow, so that a queue there gets shorter, and an equal share
+ * when it has recovered, whatever the other balancers do. Returns NULL
+ * otherwise. */
+static struct forward_target *
+draw_reduced(const struct placement_request *r, const char *domain,
+             const struct target_speed *speed, struct random *random)
+{
+    struct forward_target *drawn = NULL;
+    uint32_t count = 0;
+    double factor;
+
+    if (speed == NULL) {
         return NULL;
     }
     for (guint i = 0; i < r->service->targets->len; i++) {
         struct forward_target *target =
             g_ptr_array_index(r->service->targets, i);
-        double value;
 
-        if (!takes_flows(target)) {
+        if (!takes_flows(target) || target->record.domain != domain) {
             continue;
         }
-        value = score(r, target);
-        if (best == NULL || value < best_score - SCORE_TIE_MARGIN) {
-            best = target;
-            best_score = value;
-            ties = 1;
+        count++;
+        if (random_below(random, count) == 0) {
+            drawn = target;
         }
-        else if (value < best_score + SCORE_TIE_MARGIN) {
-            ties++;
-            if (random_below(random, ties) == 0) {
-                best = target;
-            }
+    }
+    if (drawn == NULL || penalty(r, drawn) > 0 ||
+        !target_speed_is_reduced(speed, drawn->cookie, r->now)) {
+        return NULL;
+    }
+    factor = target_speed_factor(speed, drawn->cookie, r->now);
+    return random_unit(random) * (2.0 * factor - 1.0) < 1.0 ? drawn : NULL;
+}
+
+/* Draws a failure domain by the shares. Returns NULL when there are none. */
+static const char *
+draw_domain(const struct placement_request *r, struct random *random)
+{
+    double left = random_unit(random);
+
+    for (size_t i = 0; i < r->share_count; i++) {
+        if (left < r->shares[i].share) {
+            return r->shares[i].domain;
         }
+        left -= r->shares[i].share;
     }
-    return best;
+    return r->share_count == 0 ? NULL : r->shares[r->share_count - 1].domain;
+}
+
+struct forward_target *
+placement_choose_target(const struct placement_request *r,
+                        struct random *random)
+{
+    const struct target_speed *speed;
+    struct forward_target *reduced;
+    const char *domain;
+
+    if (r->service == NULL) {
+        return NULL;
+    }
+    speed = believed_speed(r);
+    /* A copy is not drawn: it avoids the failure domains that were tried. */
+    domain = r->shares == NULL || r->copy ? NULL : draw_domain(r, random);
+    if (!r->copy) {
+        reduced = draw_reduced(r, domain == NULL ? r->domain : domain, speed,
+                               random);
+        if (reduced != NULL) {
+            return reduced;
+        }
+    }
+    if (domain != NULL) {
+        struct choice drawn = choose_best(r, domain, speed, random);
+
+        if (drawn.target != NULL && drawn.score < SUSPECT_PENALTY) {
+            return drawn.target;
+        }
+    }
+    return choose_best(r, NULL, speed, random).target;
 }
 
 const char *
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/random.h"
 #include "coordination/domain-load.h"
+#include "coordination/target-speed.h"
 #include "state/forward-view.h"
 
 /* Chooses the target of a new flow from what this forwarder knows: the
@@ -19,12 +21,16 @@
      * were sent to */
     const uint32_t *tried;
     size_t tried_count;
+    /* The packet is a copy: no answer to the ones before has arrived. */
+    bool copy;
     /* Regions that the flow may go to, see struct route_record; NULL: any */
     const char *regions;
     /* Shares of the failure domains in the new flows of the service; NULL: the
      * own failure domain is preferred. */
     const struct domain_share *shares;
     size_t share_count;
+    /* NULL: no target is known to be slow. */
+    const struct target_speed *speed;
     /* Monotonic clock, us */
     uint64_t now;
     /* See passive_health_trial_interval() */
@@ -37,7 +43,11 @@
  * did not answer lately: the caller has waited for long enough already.
  *
  * Answers the load of many targets that die at once, a quarter of a service
- * and more, while their entries are still in the store. */
+ * and more, while their entries are still in the store: a copy prefers a
+ * target of a failure domain in which none was tried, since targets that die
+ * at once often share one. Answers the load of targets that are several times
+ * slower than the others: they get new flows in proportion. When more than a
+ * third of the service seems slow, the reports are not believed. */
 struct forward_target *
 placement_choose_target(const struct placement_request *r,
                         struct random *random);
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -3,6 +3,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/target-speed.h"
 #include "state/view-delta.h"
 
 /* Decoded messages between balancers about their views; protocol/view-codec.h
@@ -16,6 +17,7 @@
                         * receiver pulls what it lacks */
     VIEW_PRUNE,        /* asks for announcements instead of deltas, because the
                         * sender gets the deltas sooner from another peer */
+    VIEW_SLOW_TARGETS, /* targets that take longer than usual */
     VIEW_MESSAGE_KIND_END,
 };
 
@@ -51,4 +53,8 @@
     struct view_delta delta;
     size_t observation_count;
     struct observation_record observations[VIEW_OBSERVATIONS_MAX];
+    /* Of VIEW_SLOW_TARGETS; in an encoded message they take the place of the
+     * observations, which it does not have. */
+    size_t slow_target_count;
+    struct slow_target_record slow_targets[SLOW_TARGET_RECORDS_MAX];
 };
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -1,5 +1,6 @@
 #include "coordination/view-sync.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -557,6 +558,54 @@
     view_delta_clear(&m.delta);
 }
 
+/* The receiver of the records decides what is new to it. In a larger fleet it
+ * has that sent on by view_sync_send_slow_targets(). */
+static void
+on_slow_targets(const struct view_sync *vs, const struct view_message *m)
+{
+    if (vs->cb.slow_targets != NULL) {
+        vs->cb.slow_targets(vs->cb.ctx, m->slow_targets, m->slow_target_count,
+                            m->relay_to_neighbors);
+    }
+}
+
+/* Removes the peers of other failure domains. */
+static size_t
+keep_own_domain(const struct member **peers, size_t count)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        if (peers[i]->local) {
+            peers[kept] = peers[i];
+            kept++;
+        }
+    }
+    return kept;
+}
+
+void
+view_sync_send_slow_targets(struct view_sync *vs,
+                            const struct slow_target_record *records,
+                            size_t count, bool wide, uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    bool direct = fleet_is_small(vs);
+    size_t peer_count = collect_peers(vs, direct, now, peers);
+    struct view_message m;
+
+    assert(count <= SLOW_TARGET_RECORDS_MAX);
+    if (!wide && !direct) {
+        peer_count = keep_own_domain(peers, peer_count);
+    }
+    message_init(vs, &m, VIEW_SLOW_TARGETS);
+    m.relay_to_neighbors = !direct;
+    m.slow_target_count = count;
+    memcpy(m.slow_targets, records, count * sizeof(*records));
+    send_to(vs, peers, peer_count, &m);
+    view_delta_clear(&m.delta);
+}
+
 void
 view_sync_receive(struct view_sync *vs, const struct view_message *m,
                   uint64_t now)
@@ -575,6 +624,9 @@
     case VIEW_OBSERVATIONS:
         on_observations(vs, m, now);
         break;
+    case VIEW_SLOW_TARGETS:
+        on_slow_targets(vs, m);
+        break;
     default:
         break;
     }
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -32,6 +32,10 @@
      * regards it as silent. */
     void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
                      uint64_t sent_at);
+    /* A peer has told how long targets take; with "relay" the other peers may
+     * lack it. May be NULL. */
+    void (*slow_targets)(void *ctx, const struct slow_target_record *records,
+                         size_t count, bool relay);
     void *ctx;
 };
 
@@ -59,6 +63,11 @@
 void view_sync_send_observations(struct view_sync *vs,
                                  const struct observation_record *observations,
                                  size_t count, uint64_t now);
+/* Tells the peers how long targets take. Without "wide" a larger fleet tells
+ * only those of its own failure domain. */
+void view_sync_send_slow_targets(struct view_sync *vs,
+                                 const struct slow_target_record *records,
+                                 size_t count, bool wide, uint64_t now);
 /* Asks a random live peer for all changes that this view lacks. */
 void view_sync_pull(struct view_sync *vs, uint64_t now);
 /* Asks one peer, which need not be a known member, for the same. */
--- a/src/daemon/forward-log.c
+++ b/src/daemon/forward-log.c
@@ -14,6 +14,7 @@
 #define MOVED_PER_SECOND_MAX 50
 #define RESET_PER_SECOND_MAX 100
 #define DROPPED_PER_SECOND_MAX 20
+#define SLOW_PER_SECOND_MAX 3
 
 #define FLOW_TEXT_SIZE 64
 #define NUMBER_TEXT_SIZE 24
@@ -22,6 +23,7 @@
     [FORWARD_LOG_PLACED] = "flow_placed",
     [FORWARD_LOG_MOVED] = "flow_moved",
     [FORWARD_LOG_RESET] = "flow_reset",
+    [FORWARD_LOG_SLOW] = "target_slow",
     [FORWARD_LOG_DROPPED] = "packet_dropped",
 };
 
@@ -33,6 +35,7 @@
             [FORWARD_LOG_PLACED] = {.per_second = PLACED_PER_SECOND_MAX},
             [FORWARD_LOG_MOVED] = {.per_second = MOVED_PER_SECOND_MAX},
             [FORWARD_LOG_RESET] = {.per_second = RESET_PER_SECOND_MAX},
+            [FORWARD_LOG_SLOW] = {.per_second = SLOW_PER_SECOND_MAX},
             [FORWARD_LOG_DROPPED] = {.per_second = DROPPED_PER_SECOND_MAX}}};
 }
 
@@ -129,6 +132,27 @@
                         now);
 }
 
+void
+forward_log_slow(struct forward_log *log, const struct forward_target *target,
+                 const struct target_speed *speed, uint64_t now)
+{
+    char factor[NUMBER_TEXT_SIZE];
+
+    if (!log_rate_limit_allow(&log->rate_limits[FORWARD_LOG_SLOW], now)) {
+        return;
+    }
+    snprintf(factor, sizeof(factor), "%.1f",
+             target_speed_factor(speed, target->cookie, now));
+    log_fields(
+        LOG_LEVEL_WARN, LOG_MODULE,
+        LOG_FIELDS({"target", target->record.id},
+                   {"service", target->record.service}, {"factor", factor},
+                   {"told_by", target_speed_told_by_peer(speed, target->cookie)
+                                   ? "peer"
+                                   : "callers"}),
+        "%s", kind_names[FORWARD_LOG_SLOW]);
+}
+
 void
 forward_log_tick(struct forward_log *log)
 {
--- a/src/daemon/forward-log.h
+++ b/src/daemon/forward-log.h
@@ -3,6 +3,7 @@
 #include <stdint.h>
 
 #include "base/log-rate-limit.h"
+#include "coordination/target-speed.h"
 #include "protocol/flow-packet.h"
 #include "state/forward-view.h"
 
@@ -15,6 +16,7 @@
     FORWARD_LOG_MOVED,   /* a retransmitted opening packet (SYN) was assigned a
                           * target */
     FORWARD_LOG_RESET,   /* the caller was sent a reset */
+    FORWARD_LOG_SLOW,    /* a target has become slow */
     FORWARD_LOG_DROPPED, /* a packet was not forwarded, without a reset */
     FORWARD_LOG_KIND_COUNT,
 };
@@ -53,6 +55,10 @@
                          const struct flow_packet *packet, const char *cause,
                          const struct forward_view_info *view_info,
                          uint64_t now);
+/* Logs that a target has become slow, how much, and who found out. */
+void forward_log_slow(struct forward_log *log,
+                      const struct forward_target *target,
+                      const struct target_speed *speed, uint64_t now);
 /* Logs how many lines were suppressed since the last call. To be called once a
  * second. */
 void forward_log_tick(struct forward_log *log);
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "state/metrics-text.h"
 
@@ -32,6 +33,9 @@
     add(f, "openings_total", "", c->openings);
     add(f, "opening_copies_total", "{copy=\"1\"}", c->opening_copies[0]);
     add(f, "opening_copies_total", "{copy=\"2\"}", c->opening_copies[1]);
+    add(f, "openings_to_other_domains_total", "{copy=\"0\"}",
+        c->openings_away);
+    add(f, "openings_to_other_domains_total", "{copy=\"1\"}", c->copies_away);
     add(f, "requests_total", "", c->requests);
     add(f, "request_repeats_total", "", c->repeats);
     for (int i = 0; i < FORWARD_DROP_COUNT; i++) {
@@ -45,6 +49,18 @@
     add(f, "log_lines_lost_total", "", log_lines_lost());
 }
 
+static void
+add_slow_targets(FILE *f, const struct target_speed *speed)
+{
+    const struct target_speed_counters *c = target_speed_counters(speed);
+
+    add(f, "slow_targets", "",
+        target_speed_slow_count(speed, clock_monotonic_us()));
+    add(f, "slow_target_reports_total", "{direction=\"sent\"}", c->sent);
+    add(f, "slow_target_reports_total", "{direction=\"received\"}",
+        c->received);
+}
+
 static void
 add_view(FILE *f, struct view_task *task)
 {
@@ -82,6 +98,7 @@
         return NULL;
     }
     add_packets(f, forward_task_counters(task));
+    add_slow_targets(f, forward_task_speed(task));
     add_view(f, view);
     flow_times_print(forward_task_times(task), f);
     if (fclose(f) != 0) {
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -14,6 +14,7 @@
 #include "coordination/passive-health.h"
 #include "coordination/view-message.h"
 #include "daemon/forward-log.h"
+#include "daemon/forward-speed.h"
 #include "state/flow-times.h"
 #include "state/recent-flows.h"
 
@@ -69,6 +70,7 @@
     GArray *doubted; /* cookies of targets whose silence is due, uint32_t */
     struct recent_flows *flows;
     struct flow_times *times;
+    struct forward_speed *speed;
     struct list early; /* struct early_packet, oldest first */
     size_t early_count;
     struct event *early_timeout; /* ends the wait for the first view */
@@ -466,6 +468,7 @@
         flow->tried_count = 0;
         flow->repeats = 0;
         flow->waiting = false;
+        flow->wait_counted = false;
         flow->seq_end = in->packet.seq + 1;
         flow->ack = 0;
     }
@@ -489,6 +492,21 @@
            in->now - in->arrived > opening_timeout_us[in->packet.ack];
 }
 
+static void
+count_away(struct forward_task *task, const struct inbound_packet *in,
+           const struct forward_target *target)
+{
+    if (target->record.domain == task->domain) {
+        return;
+    }
+    if (in->packet.ack == 0) {
+        task->counters.openings_away++;
+    }
+    else {
+        task->counters.copies_away++;
+    }
+}
+
 static void
 handle_opening(struct forward_task *task, struct inbound_packet *in)
 {
@@ -519,6 +537,8 @@
         service == NULL ? NULL : forward_view_service(task->view, service);
     request.tried = flow->tried;
     request.tried_count = flow->tried_count;
+    request.copy = in->packet.ack != 0;
+    request.speed = forward_speed_targets(task->speed);
     target = placement_choose_target(&request, &task->random);
     if (target == NULL) {
         reset(task, &in->packet, FORWARD_RESET_NO_TARGET);
@@ -535,6 +555,7 @@
     passive_health_on_opening(&target->observations, in->now);
     note_tried(flow, target->cookie, in->now);
     note_caller(task, in, target->cookie);
+    count_away(task, in, target);
     task->format->set_cookie(in->data, target->cookie);
     send_to_target(task, in, target);
 }
@@ -569,6 +590,8 @@
 {
     if (flow->waiting) {
         record_time(task, in, target, FLOW_PHASE_ANSWER, flow->sent_at);
+        forward_speed_on_answer(task->speed, flow, target, &in->route->record,
+                                in->arrived, in->packet.length == 0, in->now);
     }
     flow->ack = in->packet.ack;
     flow->repeats = 0;
@@ -616,6 +639,7 @@
     flow->sent_at = now;
     flow->waiting = true;
     flow->repeats = 0;
+    flow->wait_counted = false;
     passive_health_on_forward(&target->observations, now);
 }
 
@@ -862,6 +886,7 @@
     own_delay_on_transfer(task->own_delay, OWN_DELAY_RECEIVE, size, now);
     if (forward_view_usable(task->view)) {
         handle_packet(task, data, size, now - queued_us, now);
+        forward_speed_check(task->speed, now);
     }
     else {
         queue_early_packet(task, data, size);
@@ -886,21 +911,45 @@
     forward_log_tick(&task->log);
 }
 
+void
+forward_task_slow_targets(struct forward_task *task,
+                          const struct slow_target_record *records,
+                          size_t count, bool relay)
+{
+    forward_speed_receive(task->speed, records, count, relay);
+}
+
+static void
+on_tell_speed(void *ctx, const struct slow_target_record *records,
+              size_t count, bool wide)
+{
+    struct forward_task *task = ctx;
+
+    task->cb.slow_targets(task->cb.ctx, records, count, wide);
+}
+
 static bool
 open_task(struct forward_task *task, struct event_base *base,
           const struct forward_settings *settings, struct status *st)
 {
     const struct timeval interval = {.tv_sec = EXPIRE_INTERVAL_S};
     const struct timeval early = {.tv_usec = EARLY_WAIT_MAX_US};
+    const struct forward_speed_callbacks speed_cb = {on_tell_speed, task};
 
     task->flows = recent_flows_new(RECENT_FLOWS_MAX);
     task->times = flow_times_new();
+    task->speed =
+        task->flows == NULL
+            ? NULL
+            : forward_speed_new(base, task->flows, task->view, task->own_delay,
+                                &task->log, &speed_cb);
     task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
     task->early_timeout = event_new(base, -1, 0, on_early_timeout, task);
     task->confirm = event_new(base, -1, 0, on_confirm, task);
     task->doubted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    if (task->flows == NULL || task->times == NULL || task->expire == NULL ||
-        task->early_timeout == NULL || task->confirm == NULL) {
+    if (task->flows == NULL || task->times == NULL || task->speed == NULL ||
+        task->expire == NULL || task->early_timeout == NULL ||
+        task->confirm == NULL) {
         status_set(st, ERR_NO_MEMORY, "forward: out of memory");
         return false;
     }
@@ -966,6 +1015,7 @@
     if (task->doubted != NULL) {
         g_array_free(task->doubted, TRUE);
     }
+    forward_speed_destroy(task->speed);
     recent_flows_destroy(task->flows);
     flow_times_destroy(task->times);
     free(task);
@@ -977,6 +1027,12 @@
     return task->times;
 }
 
+const struct target_speed *
+forward_task_speed(const struct forward_task *task)
+{
+    return forward_speed_targets(task->speed);
+}
+
 const struct forward_counters *
 forward_task_counters(struct forward_task *task)
 {
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -7,6 +7,7 @@
 
 #include "base/status.h"
 #include "coordination/own-delay.h"
+#include "coordination/target-speed.h"
 #include "daemon/forward-settings.h"
 #include "protocol/flow-packet.h"
 #include "state/flow-times.h"
@@ -31,6 +32,10 @@
      * answer contradicts such misses, and the peers have not been notified
      * yet. */
     void (*target_observed)(void *ctx, struct forward_target *target);
+    /* Tells the peers how long targets take, as view_sync_send_slow_targets().
+     */
+    void (*slow_targets)(void *ctx, const struct slow_target_record *records,
+                         size_t count, bool wide);
     void *ctx;
 };
 
@@ -67,6 +72,10 @@
     uint64_t opening_copies[FORWARD_COPIES_MAX]; /* first copy, later ones */
     uint64_t requests; /* packets with new data on open flows */
     uint64_t repeats;  /* packets that repeat data on open flows */
+    /* Openings, and copies, that were forwarded to a target of another failure
+     * domain. */
+    uint64_t openings_away;
+    uint64_t copies_away;
     uint64_t drops[FORWARD_DROP_COUNT];
     uint64_t resets[FORWARD_RESET_COUNT];
 };
@@ -95,6 +104,11 @@
  * clock. */
 void forward_task_reported(struct forward_task *task, uint32_t cookie,
                            unsigned misses, uint64_t sent_at);
+/* Takes over what a peer has told about how long targets take; with "relay"
+ * it is told on. */
+void forward_task_slow_targets(struct forward_task *task,
+                               const struct slow_target_record *records,
+                               size_t count, bool relay);
 /* Ends the open flows of a target whose address has another target now. */
 void forward_task_target_replaced(struct forward_task *task,
                                   const struct forward_target *target);
@@ -105,3 +119,4 @@
 const struct forward_counters *
 forward_task_counters(struct forward_task *task);
 const struct flow_times *forward_task_times(const struct forward_task *task);
+const struct target_speed *forward_task_speed(const struct forward_task *task);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -89,6 +89,26 @@
     }
 }
 
+static void
+on_peer_slow_targets(void *ctx, const struct slow_target_record *records,
+                     size_t count, bool relay)
+{
+    struct forwarder *f = ctx;
+
+    if (f->forward != NULL) {
+        forward_task_slow_targets(f->forward, records, count, relay);
+    }
+}
+
+static void
+on_own_slow_targets(void *ctx, const struct slow_target_record *records,
+                    size_t count, bool wide)
+{
+    struct forwarder *f = ctx;
+
+    view_task_send_slow_targets(f->view, records, count, wide);
+}
+
 static void
 on_target_replaced(void *ctx, struct forward_target *target)
 {
@@ -254,10 +274,12 @@
                                          .view_age_us = on_view_age,
                                          .forwarder_count = on_forwarder_count,
                                          .target_observed = on_target_observed,
+                                         .slow_targets = on_own_slow_targets,
                                          .ctx = f};
     const struct view_task_callbacks view_cb = {
         .changed = on_view_changed,
         .reported = on_reported,
+        .slow_targets = on_peer_slow_targets,
         .target_replaced = on_target_replaced,
         .ctx = f,
     };
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -243,6 +243,15 @@
     task->cb.reported(task->cb.ctx, cookie, misses, sent_at);
 }
 
+static void
+on_sync_slow_targets(void *ctx, const struct slow_target_record *records,
+                     size_t count, bool relay)
+{
+    struct view_task *task = ctx;
+
+    task->cb.slow_targets(task->cb.ctx, records, count, relay);
+}
+
 /* Returns the time until which a target whose entry was removed from the store
  * at "now" stays in use, 0 for not at all; both are in microseconds of the
  * monotonic clock. */
@@ -875,6 +884,7 @@
         .send = send_view,
         .changed = on_sync_changed,
         .reported = on_sync_reported,
+        .slow_targets = on_sync_slow_targets,
         .ctx = task,
     };
     const struct view_reader_callbacks reader_cb = {
@@ -1023,6 +1033,15 @@
     }
 }
 
+void
+view_task_send_slow_targets(struct view_task *task,
+                            const struct slow_target_record *records,
+                            size_t count, bool wide)
+{
+    view_sync_send_slow_targets(task->sync, records, count, wide,
+                                clock_monotonic_us());
+}
+
 void
 view_task_leave(struct view_task *task)
 {
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -8,6 +8,7 @@
 #include "base/status.h"
 #include "coordination/membership.h"
 #include "coordination/own-delay.h"
+#include "coordination/target-speed.h"
 #include "daemon/forward-settings.h"
 #include "state/forward-view.h"
 #include "transport/store-client.h"
@@ -38,6 +39,10 @@
      * monotonic clock. */
     void (*reported)(void *ctx, uint32_t cookie, unsigned misses,
                      uint64_t sent_at);
+    /* A peer has told how long targets take; with "relay" the other peers may
+     * lack it. */
+    void (*slow_targets)(void *ctx, const struct slow_target_record *records,
+                         size_t count, bool relay);
     /* Another target has taken over the address of this one, so it is gone for
      * certain. */
     void (*target_replaced)(void *ctx, struct forward_target *target);
@@ -76,6 +81,11 @@
  * targets. */
 void view_task_report_target(struct view_task *task,
                              struct forward_target *target);
+/* Tells the peers at once how long targets take, as
+ * view_sync_send_slow_targets(). */
+void view_task_send_slow_targets(struct view_task *task,
+                                 const struct slow_target_record *records,
+                                 size_t count, bool wide);
 /* Begins the planned stop: announces it to the peers and stops reading the
  * store. */
 void view_task_leave(struct view_task *task);
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -9,6 +9,7 @@
 /* Number of msgpack array elements that encode one object of each type. */
 #define MESSAGE_FIELD_COUNT 15
 #define OBSERVATION_FIELD_COUNT 3
+#define SLOW_TARGET_FIELD_COUNT 3
 #define ROUTE_FIELD_COUNT 8
 /* Further elements of a route that has regions or limits of cold starts, and
  * of a record that describes no target. Balancers that do not know them ignore
@@ -154,6 +155,17 @@
     }
 }
 
+static void
+put_slow_targets(msgpack_packer *pk, const struct view_message *m)
+{
+    msgpack_pack_array(pk, SLOW_TARGET_FIELD_COUNT * m->slow_target_count);
+    for (size_t i = 0; i < m->slow_target_count; i++) {
+        put_number(pk, m->slow_targets[i].cookie);
+        put_number(pk, m->slow_targets[i].ratio);
+        put_number(pk, m->slow_targets[i].age_ms);
+    }
+}
+
 static void
 put_message(msgpack_packer *pk, const struct view_message *m)
 {
@@ -183,7 +195,12 @@
         put_target(pk,
                    &g_array_index(delta->targets, struct target_record, i));
     }
-    put_observations(pk, m);
+    if (m->kind == VIEW_SLOW_TARGETS) {
+        put_slow_targets(pk, m);
+    }
+    else {
+        put_observations(pk, m);
+    }
 }
 
 /* Compresses "plain". Returns the number of bytes written to "out", 0 when
@@ -514,6 +531,28 @@
     r->failed = r->failed || fields.failed;
 }
 
+static void
+take_slow_targets(struct array_reader *r, struct view_message *m)
+{
+    struct array_reader fields = take_array(r);
+
+    if (fields.left % SLOW_TARGET_FIELD_COUNT != 0 ||
+        fields.left / SLOW_TARGET_FIELD_COUNT > SLOW_TARGET_RECORDS_MAX) {
+        r->failed = true;
+        return;
+    }
+    m->slow_target_count = 0;
+    while (fields.left > 0 && !fields.failed) {
+        m->slow_targets[m->slow_target_count] = (struct slow_target_record){
+            .cookie = (uint32_t)take_number(&fields, UINT32_MAX),
+            .ratio = (uint32_t)take_number(&fields, UINT32_MAX),
+            .age_ms = (uint32_t)take_number(&fields, UINT32_MAX),
+        };
+        m->slow_target_count++;
+    }
+    r->failed = r->failed || fields.failed;
+}
+
 static bool
 take_message(struct array_reader *r, struct view_message *m)
 {
@@ -538,7 +577,12 @@
     m->delta.routes_complete = (complete_flags & 1) != 0;
     m->delta.targets_complete = (complete_flags & 2) != 0;
     take_records(r, &m->delta);
-    take_observations(r, m);
+    if (m->kind == VIEW_SLOW_TARGETS) {
+        take_slow_targets(r, m);
+    }
+    else {
+        take_observations(r, m);
+    }
     return !r->failed && m->kind != 0;
 }
 
--- a/src/state/recent-flows.c
+++ b/src/state/recent-flows.c
@@ -116,3 +116,20 @@
                ? NULL
                : container_of(flow->link.next, struct recent_flow, link);
 }
+
+struct recent_flow *
+recent_flows_last(struct recent_flows *flows)
+{
+    return list_empty(&flows->order)
+               ? NULL
+               : container_of(flows->order.prev, struct recent_flow, link);
+}
+
+struct recent_flow *
+recent_flows_previous(struct recent_flows *flows,
+                      const struct recent_flow *flow)
+{
+    return flow->link.prev == &flows->order
+               ? NULL
+               : container_of(flow->link.prev, struct recent_flow, link);
+}
--- a/src/state/recent-flows.h
+++ b/src/state/recent-flows.h
@@ -38,6 +38,7 @@
     bool waiting;     /* the request sent at "sent_at" is not answered yet */
     bool closing;     /* the caller has sent its last byte (FIN) */
     uint8_t repeats;  /* retransmissions of that request */
+    bool wait_counted; /* see target_speed_on_waiting() */
     uint8_t tried_count;
     uint32_t tried[RECENT_TRIED_MAX]; /* cookies of the targets tried so far */
 };
@@ -65,4 +66,8 @@
 struct recent_flow *recent_flows_first(struct recent_flows *flows);
 struct recent_flow *recent_flows_next(struct recent_flows *flows,
                                       const struct recent_flow *flow);
+/* Iterate in the other direction, most recently seen first. */
+struct recent_flow *recent_flows_last(struct recent_flows *flows);
+struct recent_flow *recent_flows_previous(struct recent_flows *flows,
+                                          const struct recent_flow *flow);
 size_t recent_flows_count(const struct recent_flows *flows);
--- a/tests/fuzz/fuzz-view.c
+++ b/tests/fuzz/fuzz-view.c
@@ -8,7 +8,8 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /* A view message that decodes can be encoded again, and the encoded message
- * decodes to the same number of routes, targets and observations. */
+ * decodes to the same number of routes, targets, observations and slow
+ * targets. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -26,7 +27,8 @@
         if (encoded == NULL || !view_decode(&again, encoded, encoded_size) ||
             again.delta.routes->len != m.delta.routes->len ||
             again.delta.targets->len != m.delta.targets->len ||
-            again.observation_count != m.observation_count) {
+            again.observation_count != m.observation_count ||
+            again.slow_target_count != m.slow_target_count) {
             abort();
         }
         free(encoded);
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -130,6 +130,27 @@
 {
 }
 
+static void
+on_slow_targets(void *ctx, const struct slow_target_record *records,
+                size_t count, bool relay)
+{
+    struct fleet_node *node = ctx;
+
+    target_speed_receive(node->speed, records, count, relay, node->fleet->now);
+}
+
+static void
+send_slow_targets(struct fleet_node *node, bool wide, uint64_t now)
+{
+    struct slow_target_record records[SLOW_TARGET_RECORDS_MAX];
+    size_t count = target_speed_export(node->speed, records,
+                                       SLOW_TARGET_RECORDS_MAX, wide, now);
+
+    if (count > 0) {
+        view_sync_send_slow_targets(node->sync, records, count, wide, now);
+    }
+}
+
 static void
 on_member_changed(void *ctx, const struct member *m)
 {
@@ -505,6 +526,12 @@
     if (node->snapshot_call != VIEW_SNAPSHOT_NONE) {
         run_snapshot_call(node);
     }
+    if ((now / FLEET_STEP_US + node->index) %
+            (FLEET_SPEED_US / FLEET_STEP_US) ==
+        0) {
+        send_slow_targets(node, true, now);
+        send_slow_targets(node, false, now);
+    }
     if ((now / FLEET_STEP_US + node->index) %
             (MEMBERSHIP_TICK_US / FLEET_STEP_US) ==
         0) {
@@ -656,6 +683,8 @@
     const struct view_sync_callbacks sync_cb = {.send = send_view,
                                                 .changed = on_changed,
                                                 .reported = on_reported,
+                                                .slow_targets =
+                                                    on_slow_targets,
                                                 .ctx = node};
     const struct view_reader_callbacks reader_cb = {
         .read_snapshot = on_read_snapshot,
@@ -676,6 +705,7 @@
         membership_add_seed(node->members, SUBNET_ADDR + 1 + i, PORT);
     }
     view_snapshot_init(&node->snapshot);
+    node->speed = target_speed_new(node->index);
     node->view = forward_view_new(&view_cb);
     node->sync = view_sync_new(node->view, node->members, &node->freshness,
                                &node->target_lapse, &node->random, &sync_cb);
@@ -710,6 +740,7 @@
     node->last_fault_at = fleet->now;
     view_reader_destroy(node->reader);
     view_sync_destroy(node->sync);
+    target_speed_destroy(node->speed);
     forward_view_destroy(node->view);
     membership_destroy(node->members);
     g_hash_table_destroy(node->links);
--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "coordination/membership.h"
 #include "coordination/target-lapse.h"
+#include "coordination/target-speed.h"
 #include "coordination/view-freshness.h"
 #include "coordination/view-reader.h"
 #include "coordination/view-snapshot.h"
@@ -30,6 +31,9 @@
  * the time for which the store may delay its answer is added. */
 #define FLEET_CALL_TIMEOUT_US 1000000ULL
 
+/* Interval at which a balancer tells its peers of slow targets */
+#define FLEET_SPEED_US 50000ULL
+
 /* How the store responds to the calls of one balancer. */
 enum fleet_store_mode {
     FLEET_STORE_ANSWERS, /* answers */
@@ -68,6 +72,7 @@
     struct target_lapse target_lapse;
     struct view_sync *sync;
     struct view_reader *reader;
+    struct target_speed *speed; /* its news are sent every FLEET_SPEED_US */
     /* Call to the store. A balancer has at most one in progress. */
     bool calling;          /* a call is in progress */
     bool call_is_read;     /* true: read of all entries, false: watch */
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -194,6 +194,139 @@
     }
 }
 
+/* The failure domain of a flow: two targets in each of "a", the own one, "b"
+ * and "c". */
+static void
+test_choice_of_domain(void **state)
+{
+    static const struct {
+        const char *name;
+        double shares[3]; /* of a, b, c; all 0: none are known */
+        uint32_t tried[2];
+        bool copy;
+        enum target_condition conditions[6];
+        int percent[3]; /* flows that each domain gets of a hundred */
+    } cases[] = {
+        {.name = "own domain", .percent = {100, 0, 0}},
+        {.name = "by shares",
+         .shares = {0.5, 0.3, 0.2},
+         .percent = {50, 30, 20}},
+        {.name = "all to another",
+         .shares = {0, 0, 1},
+         .percent = {0, 0, 100}},
+        {.name = "none to take a share",
+         .shares = {0.5, 0.5, 0},
+         .conditions = {0, 0, DRAINING, GONE},
+         .percent = {100, 0, 0}},
+        {.name = "a share of avoided ones",
+         .shares = {0.5, 0.5, 0},
+         .conditions = {0, 0, AVOIDED, SUSPECTED},
+         .percent = {100, 0, 0}},
+        {.name = "first copy",
+         .tried = {1},
+         .copy = true,
+         .percent = {0, 50, 50}},
+        {.name = "second copy",
+         .tried = {1, 3},
+         .copy = true,
+         .percent = {0, 0, 100}},
+        {.name = "copy regardless of shares",
+         .shares = {1, 0, 0},
+         .tried = {1},
+         .copy = true,
+         .percent = {0, 50, 50}},
+        {.name = "copy, others not usable",
+         .tried = {1},
+         .copy = true,
+         .conditions = {0, 0, SUSPECTED, AVOIDED, DRAINING, GONE},
+         .percent = {100, 0, 0}},
+        {.name = "another attempt, no copy",
+         .tried = {1},
+         .percent = {100, 0, 0}},
+    };
+    static const char *const domains[] = {"a", "b", "c"};
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct domain_share shares[3];
+        struct placement_request r = {.service = &service,
+                                      .domain = g_intern_string("a"),
+                                      .tried = cases[i].tried,
+                                      .copy = cases[i].copy,
+                                      .now = NOW_US};
+        int counts[3] = {0};
+
+        make_targets(6);
+        for (int k = 0; k < 6; k++) {
+            targets[k].record.domain = g_intern_string(domains[k / 2]);
+            apply_condition(&targets[k], cases[i].conditions[k]);
+        }
+        while (r.tried_count < 2 && cases[i].tried[r.tried_count] != 0) {
+            r.tried_count++;
+        }
+        for (int k = 0; k < 3; k++) {
+            shares[k] = (struct domain_share){g_intern_string(domains[k]),
+                                              cases[i].shares[k]};
+            if (cases[i].shares[k] > 0) {
+                r.shares = shares;
+                r.share_count = 3;
+            }
+        }
+        for (int k = 0; k < 2000; k++) {
+            counts[(placement_choose_target(&r, &random) - targets) / 2]++;
+        }
+        for (int k = 0; k < 3; k++) {
+            if (abs(counts[k] - 20 * cases[i].percent[k]) > 80) {
+                fail_msg("%s: %d of 2000 flows to %s", cases[i].name,
+                         counts[k], domains[k]);
+            }
+        }
+    }
+}
+
+/* Targets that take nearly four times as long get a quarter of their share of
+ * the new flows, unless more than a third of the targets seem slow. */
+static void
+test_slow_targets(void **state)
+{
+    static const struct {
+        uint32_t slow;
+        bool believed;
+    } cases[] = {{0, false}, {1, true}, {2, true}, {3, false}, {6, false}};
+    struct random random;
+
+    random_seed(&random, SEED);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct target_speed *speed = target_speed_new(SEED);
+        const struct placement_request r = {.service = &service,
+                                            .domain = g_intern_string("a"),
+                                            .speed = speed,
+                                            .now = NOW_US};
+        uint32_t to_slow = 0;
+
+        make_targets(6);
+        for (uint32_t k = 1; k <= cases[i].slow; k++) {
+            for (uint32_t i = 0; i < 4; i++) {
+                const struct slow_target_record record = {k, 600 + i, 1};
+
+                target_speed_receive(speed, &record, 1, false, NOW_US);
+            }
+        }
+        for (int k = 0; k < 600; k++) {
+            to_slow +=
+                placement_choose_target(&r, &random)->cookie <= cases[i].slow;
+        }
+        if (cases[i].believed) {
+            assert_in_range(to_slow, 10 * cases[i].slow, 45 * cases[i].slow);
+        }
+        else {
+            assert_in_range(to_slow, 85 * cases[i].slow, 115 * cases[i].slow);
+        }
+        target_speed_destroy(speed);
+    }
+}
+
 /* Equal targets get equal numbers of flows: the order of the list has no
  * influence. */
 static void
@@ -504,6 +637,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_choice_of_two, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_choice_of_domain, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_slow_targets, setup, teardown),
         cmocka_unit_test_setup_teardown(test_equal_targets, setup, teardown),
         cmocka_unit_test(test_service_by_weight),
         cmocka_unit_test(test_simulated_load),
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -137,6 +137,38 @@
     free(data);
 }
 
+/* Makes the message one of slow targets, which has no observations. */
+static void
+make_slow_targets(void)
+{
+    message.kind = VIEW_SLOW_TARGETS;
+    message.observation_count = 0;
+    message.slow_target_count = SLOW_TARGET_RECORDS_MAX;
+    for (uint32_t i = 0; i < SLOW_TARGET_RECORDS_MAX; i++) {
+        message.slow_targets[i] =
+            (struct slow_target_record){UINT32_MAX - i, 100 + 9 * i, 77 * i};
+    }
+}
+
+static void
+test_slow_targets(void **state)
+{
+    struct view_message m;
+    size_t size;
+    uint8_t *data;
+
+    make_slow_targets();
+    data = view_encode(&message, &size);
+    assert_true(decode(data, size, &m));
+    assert_int_equal(m.kind, VIEW_SLOW_TARGETS);
+    assert_int_equal(m.observation_count, 0);
+    assert_int_equal(m.slow_target_count, SLOW_TARGET_RECORDS_MAX);
+    assert_memory_equal(m.slow_targets, message.slow_targets,
+                        sizeof(m.slow_targets));
+    view_delta_clear(&m.delta);
+    free(data);
+}
+
 /* A message that was truncated to any length is refused. */
 static void
 test_truncated(void **state)
@@ -174,6 +206,7 @@
         if (decode(copy, size, &m)) {
             assert_true(m.kind > 0 && m.kind < VIEW_MESSAGE_KIND_END);
             assert_true(m.observation_count <= VIEW_OBSERVATIONS_MAX);
+            assert_true(m.slow_target_count <= SLOW_TARGET_RECORDS_MAX);
             for (guint j = 0; j < m.delta.routes->len; j++) {
                 assert_true(
                     g_array_index(m.delta.routes, struct route_record, j)
@@ -186,6 +219,13 @@
     free(data);
 }
 
+static void
+test_mutated_slow_targets(void **state)
+{
+    make_slow_targets();
+    test_mutations(state);
+}
+
 /* Decodes a target with an empty id, service or failure domain. The library
  * that decodes the message returns a null pointer for an empty text, which
  * fuzz-view found. Only the failure domain may be empty. */
@@ -342,6 +382,9 @@
         cmocka_unit_test_setup_teardown(test_round_trip, setup, teardown),
         cmocka_unit_test_setup_teardown(test_truncated, setup, teardown),
         cmocka_unit_test_setup_teardown(test_mutations, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_slow_targets, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_mutated_slow_targets, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_empty_names, setup, teardown),
         cmocka_unit_test_setup_teardown(test_large_view_size, setup, teardown),
         cmocka_unit_test_setup_teardown(test_compressed_mutations, setup,
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -381,6 +381,80 @@
     }
 }
 
+static uint64_t
+bytes_out(const struct fleet *fleet)
+{
+    uint64_t bytes = 0;
+
+    for (size_t i = 0; i < fleet->node_count; i++) {
+        bytes += fleet->nodes[i].bytes_out;
+    }
+    return bytes;
+}
+
+/* Within half a second all balancers know of a slow target that one of them
+ * has found, although some messages are lost. While fourteen targets are slow,
+ * and someone finds that out about each of them three times a second, the
+ * messages take at most 10 KB a second of each balancer in a fleet of 64. Once
+ * it is over, nothing is sent. */
+static void
+test_slow_targets(void **state)
+{
+    static const struct {
+        size_t balancers;
+        double loss;
+    } cases[] = {{7, 0.0}, {64, 0.0}, {64, 0.05}, {300, 0.0}};
+    const uint32_t slow_count = 14;
+    const double bytes_max = 10e3;
+
+    for (size_t c = 0; c < sizeof(cases) / sizeof(*cases); c++) {
+        size_t size = cases[c].balancers;
+        struct fleet *fleet = fleet_new(size, 4, BOUND_US, SEED);
+        struct slow_target_record record = {1, 600, 0};
+        uint64_t bytes;
+        uint64_t quiet;
+        size_t unaware = 0;
+
+        fleet_run(fleet, SETTLE_US);
+        bytes = bytes_out(fleet);
+        fleet_run(fleet, 2 * USEC_PER_SEC);
+        quiet = bytes_out(fleet) - bytes;
+        fleet->loss = cases[c].loss;
+        for (record.ratio = 610; record.ratio < 630; record.ratio += 5) {
+            target_speed_receive(fleet->nodes[2].speed, &record, 1, true,
+                                 fleet->now);
+        }
+        fleet_run(fleet, USEC_PER_SEC / 2);
+        for (size_t i = 0; i < size; i++) {
+            unaware +=
+                !target_speed_is_reduced(fleet->nodes[i].speed, 1, fleet->now);
+        }
+        bytes = bytes_out(fleet);
+        for (uint32_t k = 0; k < 6 * slow_count; k++) {
+            record.cookie = 1 + k % slow_count;
+            record.ratio = 500 + k;
+            target_speed_receive(fleet->nodes[(37 * (size_t)k) % size].speed,
+                                 &record, 1, true, fleet->now);
+            fleet_run(fleet, 2 * USEC_PER_SEC / (6 * (uint64_t)slow_count));
+        }
+        bytes = bytes_out(fleet) - bytes;
+        print_message("%zu balancers, loss %.2f: %zu unaware "
+                      "after 500 ms, %.1f KB/s a balancer\n",
+                      size, cases[c].loss, unaware,
+                      ((double)bytes - (double)quiet) / 2e3 / (double)size);
+        assert_int_equal(unaware, 0);
+        assert_true(size > 64 || (double)bytes - (double)quiet <=
+                                     2 * bytes_max * (double)size);
+        fleet_run(fleet, 10 * USEC_PER_SEC);
+        for (size_t i = 0; i < size; i++) {
+            assert_true(target_speed_factor(fleet->nodes[i].speed, 1,
+                                            fleet->now) < 1.1);
+            assert_false(target_speed_has_news(fleet->nodes[i].speed));
+        }
+        fleet_destroy(fleet);
+    }
+}
+
 /* The remaining balancers apply a change within 1 s although a quarter of the
  * fleet, some of which relayed earlier changes, has just been killed. */
 static void
@@ -816,6 +890,7 @@
         cmocka_unit_test(test_time_to_apply),
         cmocka_unit_test(test_connections),
         cmocka_unit_test(test_copies_of_a_change),
+        cmocka_unit_test(test_slow_targets),
         cmocka_unit_test(test_time_to_apply_after_kills),
         cmocka_unit_test(test_time_to_apply_many_changes),
         cmocka_unit_test(test_calls_after_many_changes),
