--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "coordination/domain-load.h"
+#include "coordination/target-speed.h"
 #include "state/view-delta.h"
 
 /* Decoded messages between balancers about their views; protocol/view-codec.h
@@ -18,6 +19,7 @@
     VIEW_PRUNE,        /* asks for announcements instead of deltas, because the
                         * sender gets the deltas sooner from another peer */
     VIEW_LOAD,         /* load of the services by failure domain */
+    VIEW_SLOW_TARGETS, /* targets that take longer than usual */
     VIEW_MESSAGE_KIND_END,
 };
 
@@ -55,4 +57,8 @@
     struct observation_record observations[VIEW_OBSERVATIONS_MAX];
     size_t load_count; /* of VIEW_LOAD only */
     struct domain_load_record load[DOMAIN_LOAD_RECORDS_MAX];
+    /* Of VIEW_SLOW_TARGETS; in an encoded message they take the place of the
+     * observations, which it does not have. */
+    size_t slow_target_count;
+    struct slow_target_record slow_targets[SLOW_TARGET_RECORDS_MAX];
 };
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -36,6 +36,10 @@
     /* A peer has sent records of load by failure domain; may be NULL. */
     void (*load_told)(void *ctx, const struct domain_load_record *records,
                       size_t count, uint64_t now);
+    /* A peer has told how long targets take; with "relay" the other peers may
+     * lack it. May be NULL. */
+    void (*slow_targets)(void *ctx, const struct slow_target_record *records,
+                         size_t count, bool relay);
     void *ctx;
 };
 
@@ -69,6 +73,11 @@
 void view_sync_send_load(struct view_sync *vs,
                          const struct domain_load_record *records,
                          size_t count);
+/* Tells the peers how long targets take. Without "wide" a larger fleet tells
+ * only those of its own failure domain. */
+void view_sync_send_slow_targets(struct view_sync *vs,
+                                 const struct slow_target_record *records,
+                                 size_t count, bool wide, uint64_t now);
 /* Asks a random live peer for all changes that this view lacks. */
 void view_sync_pull(struct view_sync *vs, uint64_t now);
 /* Asks one peer, which need not be a known member, for the same. */
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -35,6 +35,9 @@
     add(f, "openings_total", "", c->openings);
     add(f, "opening_copies_total", "{copy=\"1\"}", c->opening_copies[0]);
     add(f, "opening_copies_total", "{copy=\"2\"}", c->opening_copies[1]);
+    add(f, "openings_to_other_domains_total", "{copy=\"0\"}",
+        c->openings_away);
+    add(f, "openings_to_other_domains_total", "{copy=\"1\"}", c->copies_away);
     add(f, "requests_total", "", c->requests);
     add(f, "request_repeats_total", "", c->repeats);
     for (int i = 0; i < FORWARD_DROP_COUNT; i++) {
@@ -48,6 +51,18 @@
     add(f, "log_lines_lost_total", "", log_lines_lost());
 }
 
+static void
+add_slow_targets(FILE *f, const struct target_speed *speed)
+{
+    const struct target_speed_counters *c = target_speed_counters(speed);
+
+    add(f, "slow_targets", "",
+        target_speed_slow_count(speed, clock_monotonic_us()));
+    add(f, "slow_target_reports_total", "{direction=\"sent\"}", c->sent);
+    add(f, "slow_target_reports_total", "{direction=\"received\"}",
+        c->received);
+}
+
 static void
 add_view(FILE *f, struct view_task *task)
 {
@@ -133,6 +148,7 @@
         return NULL;
     }
     add_packets(f, forward_task_counters(task));
+    add_slow_targets(f, forward_task_speed(task));
     add_view(f, view);
     forward_view_each_emptied(view_task_view(view), add_emptied_domain,
                               &(struct domain_output){.out = f, .task = task});
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -297,6 +297,15 @@
                "sharing_changed");
 }
 
+static void
+on_sync_slow_targets(void *ctx, const struct slow_target_record *records,
+                     size_t count, bool relay)
+{
+    struct view_task *task = ctx;
+
+    task->cb.slow_targets(task->cb.ctx, records, count, relay);
+}
+
 /* Returns the time until which a target whose entry was removed from the store
  * at "now" stays in use, 0 for not at all; both are in microseconds of the
  * monotonic clock. */
@@ -1076,6 +1085,7 @@
         .changed = on_sync_changed,
         .reported = on_sync_reported,
         .load_told = on_load_told,
+        .slow_targets = on_sync_slow_targets,
         .ctx = task,
     };
     const struct view_reader_callbacks reader_cb = {
@@ -1253,6 +1263,15 @@
     }
 }
 
+void
+view_task_send_slow_targets(struct view_task *task,
+                            const struct slow_target_record *records,
+                            size_t count, bool wide)
+{
+    view_sync_send_slow_targets(task->sync, records, count, wide,
+                                clock_monotonic_us());
+}
+
 void
 view_task_leave(struct view_task *task)
 {
