transport, coordination: a host that starts in a restored store's era hears its peers

The answer to its pull had been sent on host-1's own connection to the earlier process of host-2, which ZeroMQ connects again after 100 ms and more; beside load the new process is later than the first attempt. The answer had the same position as the copy, and was ignored, so the lost drain stayed lost.

- An answer goes on the connection that the peer has just opened, when nothing has come on the own one since.
- A host without a view waits for 300 ms for the first answer of a peer; a peer without a view answers that it has none, so a fleet that starts as a whole waits for 100 ms as before.
- What a complete list that is not newer than the view knows of earlier eras is taken, by what targets and operator state.

Without the first, test_answer_to_restarted_peer fails; without the second, test_start_after_restore; without the answer of the peer that has no view, test_whole_start_after_restore; without the third, test_peer_knows_more.

--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -25,6 +25,10 @@
 /* Time for which a balancer that meets a new era of the store waits for what
  * its peers know, before it reads the store, which may have lost that. */
 #define PEERS_FIRST_US (100 * USEC_PER_MSEC)
+/* The same for a balancer without a view when no peer has answered at all: it
+ * would use the copy as it is. Packets that arrive meanwhile are kept for
+ * longer than that (EARLY_WAIT_MAX_US in daemon/forward-task.c). */
+#define PEERS_FIRST_AT_START_US (300 * USEC_PER_MSEC)
 
 struct view_reader {
     struct forward_view *view;
@@ -43,6 +47,10 @@
     bool read_snapshot_needed; /* the snapshot has to be read again */
     uint64_t awaited_era; /* last one for which peers were asked, 0: none */
     bool awaiting_peers;  /* the read waits for their answers */
+    uint64_t asked_at;    /* when they were asked, us */
+    /* Answers of peers without a view until then; see
+     * view_sync_empty_answers(). */
+    uint64_t empty_answers;
     bool leaving;
 };
 
@@ -108,6 +116,8 @@
     }
     reader->awaited_era = era;
     reader->awaiting_peers = true;
+    reader->asked_at = now;
+    reader->empty_answers = view_sync_empty_answers(reader->sync);
     reader->not_before = now + PEERS_FIRST_US;
     reader->cb.ask_peers(reader->cb.ctx);
     return true;
@@ -122,6 +132,18 @@
            forward_view_position(reader->view).era >= reader->awaited_era;
 }
 
+/* Whether a balancer that has just started waits longer for its peers: none
+ * has answered yet. A fleet that starts as a whole does not wait, since a peer
+ * without a view answers that it has none. */
+static bool
+waits_for_any_peer(const struct view_reader *reader, uint64_t now)
+{
+    return reader->awaiting_peers &&
+           now < reader->asked_at + PEERS_FIRST_AT_START_US &&
+           store_position_is_none(forward_view_position(reader->view)) &&
+           view_sync_empty_answers(reader->sync) == reader->empty_answers;
+}
+
 void
 view_reader_on_snapshot(struct view_reader *reader,
                         const struct view_delta *delta, bool outdated,
@@ -251,7 +273,7 @@
         reader->first_read_done = true;
         reader->not_before = now;
     }
-    if (now < reader->not_before) {
+    if (now < reader->not_before || waits_for_any_peer(reader, now)) {
         return;
     }
     reader->awaiting_peers = false;
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -54,6 +54,7 @@
      * are missing. */
     bool behind;
     uint64_t dropped_deltas; /* of an earlier era */
+    uint64_t empty_answers;  /* of peers without a view */
 };
 
 struct view_sync *
@@ -434,8 +435,9 @@
     send_without_records(vs, VIEW_PULL, addr, port);
 }
 
-/* Sends the requested changes. The link to the peer is no longer pruned,
- * because other links did not bring these changes in time. */
+/* Sends the requested changes, or that there is no view yet. The link to the
+ * peer is no longer pruned, because other links did not bring these changes in
+ * time. */
 static void
 answer_pull(struct view_sync *vs, const struct view_message *pull,
             uint64_t now)
@@ -452,6 +454,8 @@
         return;
     }
     if (store_position_is_none(forward_view_position(vs->view))) {
+        send_without_records(vs, VIEW_DELTA, pull->sender_addr,
+                             pull->sender_port);
         return;
     }
     message_init(vs, &m, VIEW_DELTA);
@@ -492,8 +496,13 @@
     if (m->confirmed && m->age_us >= now) {
         return;
     }
+    if (store_position_is_none(m->delta.to)) {
+        vs->empty_answers++;
+        return;
+    }
     if (m->delta.to.era < before.view.era) {
         vs->dropped_deltas++;
+        forward_view_merge_earlier(vs->view, &m->delta, now);
         return;
     }
     if (!apply_delta(vs, &m->delta, m->confirmed, at, now)) {
@@ -586,6 +595,12 @@
     return vs->dropped_deltas;
 }
 
+uint64_t
+view_sync_empty_answers(const struct view_sync *vs)
+{
+    return vs->empty_answers;
+}
+
 /* Pulls from a member that is connected to this balancer, if there is any. */
 void
 view_sync_pull(struct view_sync *vs, uint64_t now)
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -14,9 +14,10 @@
  * the store sends the changes to the others at once. A balancer that finds
  * that it lacks changes, or receives nothing for too long, pulls from a peer.
  * All data is ordered by the store's position, so messages may be lost,
- * duplicated or reordered. A delta of an earlier era of the store is dropped;
- * one of a later era is applied only as a complete list. Times are monotonic,
- * in microseconds. */
+ * duplicated or reordered. A delta of an earlier era of the store is dropped,
+ * but for what a complete list knows better than the copy that the store was
+ * restored from; one of a later era is applied only as a complete list. Times
+ * are monotonic, in microseconds. */
 
 struct view_sync;
 
@@ -69,6 +70,8 @@
 
 /* Number of deltas dropped because they were of an earlier era. */
 uint64_t view_sync_dropped_deltas(const struct view_sync *vs);
+/* Number of answers of peers that have no view themselves. */
+uint64_t view_sync_empty_answers(const struct view_sync *vs);
 
 /* Place of this balancer in the order in which balancers watch the store, from
  * 0 (first) up to but not including 1. */
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -1,5 +1,6 @@
 #include "state/forward-view.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -606,6 +607,7 @@
 {
     struct forward_domain *domain = order->domain;
 
+    assert(domain != NULL);
     if (domain->emptied != emptied) {
         domain->emptied = emptied;
         domain->emptied_at = now;
@@ -931,6 +933,49 @@
     }
 }
 
+/* Applies one record of a list that is not newer than the view, if the view
+ * has a record of a later era that does not replace it. An unknown target is
+ * not added: its entry may have been removed since. An order is, where the
+ * list is as new as the view. */
+static void
+merge_earlier_target(struct forward_view *view,
+                     const struct target_record *record, bool list_is_as_new,
+                     uint64_t now)
+{
+    struct forward_target *target =
+        g_hash_table_lookup(view->targets, record->id);
+
+    if (target == NULL && is_order(record) && !record->removed &&
+        list_is_as_new) {
+        target = add_target(view, record);
+        target->seen_generation = view->generation;
+        apply_record(view, target, record, now);
+        return;
+    }
+    if (target != NULL && record->position.era < target->record.position.era) {
+        apply_record(view, target, record, now);
+    }
+}
+
+void
+forward_view_merge_earlier(struct forward_view *view,
+                           const struct view_delta *delta, uint64_t now)
+{
+    if (!delta->targets_complete) {
+        return;
+    }
+    view->era_changes = false;
+    view->generation++;
+    if (delta->routes_position.era < view->routes_position.era) {
+        apply_routes(view, delta, now);
+    }
+    for (guint i = 0; i < delta->targets->len; i++) {
+        merge_earlier_target(
+            view, &g_array_index(delta->targets, struct target_record, i),
+            store_position_equal(delta->to, view->position), now);
+    }
+}
+
 bool
 forward_view_apply(struct forward_view *view, const struct view_delta *delta,
                    uint64_t now)
@@ -944,6 +989,7 @@
         return false;
     }
     if (!empty && !store_position_is_after(delta->to, view->position)) {
+        forward_view_merge_earlier(view, delta, now);
         return true;
     }
     if (list_is_newer(view, delta) && !routes_are_newer(view, delta)) {
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -132,6 +132,12 @@
  */
 bool forward_view_apply(struct forward_view *view,
                         const struct view_delta *delta, uint64_t now);
+/* Applies what a complete list of a peer knows of earlier eras and the view
+ * does not: a balancer that has started from the copy of a restored store may
+ * get the answer of a peer only afterwards. Other deltas are ignored. Also
+ * done by forward_view_apply() with a list that is not newer than the view. */
+void forward_view_merge_earlier(struct forward_view *view,
+                                const struct view_delta *delta, uint64_t now);
 /* Fills "delta" with the changes for a peer whose view is complete up to the
  * position "from" and has the list of routes of position "routes_base". Where
  * the changes are not known, as across eras, "delta" contains the complete
--- a/src/transport/gossip-endpoint.c
+++ b/src/transport/gossip-endpoint.c
@@ -52,6 +52,7 @@
 /* The newest connection that a peer has opened. */
 struct incoming_connection {
     uint8_t id[ROUTING_ID_SIZE];
+    uint64_t opened_at;   /* time of the first message, us */
     uint64_t received_at; /* time of the last message, us */
 };
 
@@ -65,6 +66,7 @@
     uint32_t addr;  /* host byte order */
     uint16_t port;
     uint64_t last_used_us; /* when a message was last sent; 0 if never */
+    uint64_t received_at;  /* time of the last message, us; 0 if none */
     void *socket;          /* ZeroMQ DEALER socket, owned */
 };
 
@@ -150,11 +152,14 @@
     }
     in = g_hash_table_lookup(ep->incoming, &key);
     if (in == NULL) {
-        in = g_new(struct incoming_connection, 1);
+        in = g_new0(struct incoming_connection, 1);
         g_hash_table_insert(ep->incoming, g_memdup2(&key, sizeof(key)), in);
     }
-    memcpy(in->id, id, ROUTING_ID_SIZE);
     in->received_at = clock_monotonic_us();
+    if (memcmp(in->id, id, ROUTING_ID_SIZE) != 0) {
+        memcpy(in->id, id, ROUTING_ID_SIZE);
+        in->opened_at = in->received_at;
+    }
 }
 
 static void
@@ -228,6 +233,7 @@
             zmq_msg_close(&part);
             break;
         }
+        conn->received_at = clock_monotonic_us();
         deliver(conn->ep, &part);
         zmq_msg_close(&part);
     }
@@ -421,7 +427,10 @@
 
 /* Whether a message to a peer goes on the connection that the peer has opened:
  * it is in use, and there is no own one, or the own one is to become idle.
- * When both have opened one, that of the lower address stays. */
+ * When both have opened one, that of the lower address stays. An own one that
+ * has brought nothing since the peer opened another may lead to an earlier
+ * process of the peer, and ZeroMQ takes up to RECONNECT_MAX_MS to reconnect
+ * it. */
 static bool
 uses_incoming(const struct gossip_endpoint *ep,
               const struct peer_connection *conn, uint32_t addr, uint16_t port,
@@ -434,7 +443,8 @@
     if (in == NULL || now > in->received_at + INCOMING_FRESH_US) {
         return false;
     }
-    return conn == NULL || key < peer_key(ep->public_addr, ep->public_port);
+    return conn == NULL || key < peer_key(ep->public_addr, ep->public_port) ||
+           conn->received_at < in->opened_at;
 }
 
 /* Returns false when the peer is not connected or its queue is full. */
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -89,7 +89,7 @@
         return;
     }
     d = g_new0(struct delivery, 1);
-    d->due_at = fleet->now + DELAY_MIN_US +
+    d->due_at = fleet->now + fleet->delay_us + DELAY_MIN_US +
                 random_below(&fleet->random, DELAY_RANGE_US);
     d->from = node->index;
     d->to = to;
--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -101,6 +101,7 @@
                         * effect, see freshness_init() */
     struct random random;
     double loss; /* probability that a message between balancers is lost */
+    uint64_t delay_us; /* by which each such message is late */
     size_t node_count;
     struct fleet_node *nodes;
     GQueue *deliveries; /* messages in transit: struct delivery, in sending
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -728,31 +728,49 @@
 }
 
 /* What a peer tells after the copy was read is older by position, but not by
- * what the target states. */
+ * what the target and the operator state. This holds also where the balancer
+ * that started from the copy has read it as late as its peer, or later; but an
+ * order is then taken from a list that is as new only, since it may have been
+ * taken back. */
 static void
 test_peer_knows_more(void **state)
 {
+    static const struct {
+        uint64_t revision; /* at which the balancer has read the copy */
+        bool emptied;      /* the lost order is in effect afterwards */
+    } cases[] = {{12, true}, {14, true}, {16, false}};
     const struct target_record known = written_target(DRAINING, 0, 40, 1, 9);
     const struct target_record copy = written_target(READY, 1, 10, 1, 5);
-    struct forward_view *peer = forward_view_new(&callbacks);
+    const char *domain = g_intern_string("a");
+    struct target_record order = target("", "s", 41);
 
-    apply_copy(view, &known, 0, 40, 1, NOW_US);
-    apply_copy(view, &copy, 1, 14, 1, NOW_US);
-    apply_copy(peer, &copy, 1, 12, 1, NOW_US);
-    assert_int_equal(state_of(peer, "i-1"), READY);
-    {
+    order.kind = RECORD_EMPTIED_DOMAIN;
+    emptied_domain_id(domain, order.id);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_view *peer = forward_view_new(&callbacks);
         struct view_delta delta;
 
+        apply_copy(view, &known, 0, 40, 9, NOW_US);
+        assert_true(apply_target(40, order, NOW_US));
+        apply_copy(view, &copy, 1, 14, 5, NOW_US);
+        apply_copy(peer, &copy, 1, cases[i].revision, 5, NOW_US);
+        assert_int_equal(state_of(peer, "i-1"), READY);
         view_delta_init(&delta);
         forward_view_delta_since(view, (struct store_position){0},
                                  (struct store_position){0}, NOW_US, &delta);
-        assert_int_equal(delta.targets->len, 2);
+        assert_int_equal(delta.targets->len, 3);
         assert_true(forward_view_apply(peer, &delta, NOW_US));
         view_delta_clear(&delta);
+        assert_int_equal(state_of(peer, "i-1"), DRAINING);
+        assert_int_equal(forward_view_held_count(peer), 1);
+        assert_int_equal(forward_view_routes_version(peer), 9);
+        assert_int_equal(forward_view_domain(peer, domain) != NULL &&
+                             forward_view_domain(peer, domain)->emptied,
+                         cases[i].emptied);
+        forward_view_destroy(peer);
+        teardown(state);
+        setup(state);
     }
-    assert_int_equal(state_of(peer, "i-1"), DRAINING);
-    assert_int_equal(forward_view_held_count(peer), 1);
-    forward_view_destroy(peer);
 }
 
 /* A target that left is told to a balancer that has met only the copy. */
--- a/tests/unit/test-gossip-endpoint.c
+++ b/tests/unit/test-gossip-endpoint.c
@@ -211,6 +211,36 @@
     pair_close(&p);
 }
 
+/* The answer to a peer that has started again goes on the connection that the
+ * peer has just opened, not on the own one to its earlier process, which is
+ * not yet connected again. */
+static void
+test_answer_to_restarted_peer(void **state)
+{
+    struct pair p;
+
+    pair_open(&p);
+    send_bytes(p.a.ep, ADDR_B, 10);
+    run_loop_until(p.base, &p.b.received, 1);
+    gossip_endpoint_destroy(p.b.ep);
+    /* The next attempt to connect comes 0.5 s later at the earliest. */
+    run_loop_until(p.base, &p.a.received, 1);
+    p.b.ep = open_endpoint(&p, &p.b, ADDR_B, PORT);
+    send_bytes(p.b.ep, ADDR_A, 20);
+    run_loop_until(p.base, &p.a.received, 1);
+    assert_int_equal(p.a.bytes, 20);
+    assert_true(send_bytes(p.a.ep, ADDR_B, 30));
+    for (int i = 0; i < 3 && p.b.received == 1; i++) {
+        const struct timeval tv = {.tv_usec = 100000};
+
+        event_base_loopexit(p.base, &tv);
+        event_base_dispatch(p.base);
+    }
+    assert_int_equal(p.b.received, 2);
+    assert_int_equal(p.b.bytes, 40);
+    pair_close(&p);
+}
+
 /* A connection that is replaced by a newer one of the same peer, and then
  * breaks, must not end the process: with ids of connections that are used
  * again, the library stopped at an assertion at its next heartbeat (seen on
@@ -289,6 +319,7 @@
         cmocka_unit_test(test_two_endpoints),
         cmocka_unit_test(test_one_connection_for_two),
         cmocka_unit_test(test_restarted_peer),
+        cmocka_unit_test(test_answer_to_restarted_peer),
         cmocka_unit_test(test_replaced_connection),
         cmocka_unit_test(test_source_address),
     };
--- a/tests/unit/test-view-sync.c
+++ b/tests/unit/test-view-sync.c
@@ -754,36 +754,77 @@
 }
 
 /* A balancer that starts at any moment of such a return learns from the others
- * that the target drains before it uses any. */
+ * that the target drains before it uses any. Where their answers come too late
+ * for that, it learns it from them afterwards. */
 static void
 test_start_after_restore(void **state)
 {
     static const size_t restarted[] = {0, 5}; /* a seed, and another */
+    static const struct {
+        uint64_t delay_us; /* of messages */
+        uint64_t wrong_us; /* time in which the target may be used */
+    } cases[] = {{0, 0},
+                 {70 * USEC_PER_MSEC, 0},
+                 {250 * USEC_PER_MSEC, 300 * USEC_PER_MSEC}};
     const uint64_t step_us = 130 * USEC_PER_MSEC;
+    const uint64_t after_max_us = 2 * USEC_PER_SEC;
 
-    for (size_t r = 0; r < sizeof(restarted) / sizeof(*restarted); r++) {
-        for (uint64_t after = 0; after < 2 * USEC_PER_SEC; after += step_us) {
+    for (size_t c = 0; c < sizeof(cases) / sizeof(*cases); c++) {
+        for (uint64_t after = 0; after < 2 * after_max_us; after += step_us) {
             struct fleet *fleet = fleet_new(7, 4, BOUND_US, SEED + after);
-            struct fleet_node *node = &fleet->nodes[restarted[r]];
+            struct fleet_node *node =
+                &fleet->nodes[restarted[after / after_max_us]];
+            uint64_t wrong_us = 0;
             size_t target;
 
             fleet_run(fleet, SETTLE_US);
             target = lose_changes(fleet);
-            fleet_run(fleet, after);
+            fleet_run(fleet, after % after_max_us);
             fleet_kill_node(fleet, node->index);
             fleet_run(fleet, 50 * USEC_PER_MSEC);
+            fleet->delay_us = cases[c].delay_us;
             fleet_start_node(fleet, node->index);
             for (uint64_t end = fleet->now + 2 * USEC_PER_SEC;
                  fleet->now < end;) {
                 fleet_step(fleet);
-                assert_false(uses_target(node, target));
+                wrong_us += uses_target(node, target) ? FLEET_STEP_US : 0;
             }
+            assert_true(wrong_us <= cases[c].wrong_us);
+            assert_false(uses_target(node, target));
             assert_true(forward_view_usable(node->view));
             fleet_destroy(fleet);
         }
     }
 }
 
+/* A fleet that starts as a whole after such a return does not wait for peers
+ * longer than for their answers that they know nothing. */
+static void
+test_whole_start_after_restore(void **state)
+{
+    static const size_t sizes[] = {2, 7, 24};
+    const uint64_t bound_us = 250 * USEC_PER_MSEC;
+
+    for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++) {
+        struct fleet *fleet = fleet_new(sizes[s], 4, BOUND_US, SEED);
+
+        fleet_run(fleet, SETTLE_US);
+        lose_changes(fleet);
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            fleet_kill_node(fleet, i);
+        }
+        fleet_run(fleet, USEC_PER_SEC);
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            fleet_start_node(fleet, i);
+        }
+        fleet_run(fleet, bound_us);
+        for (size_t i = 0; i < fleet->node_count; i++) {
+            assert_true(forward_view_usable(fleet->nodes[i].view));
+        }
+        fleet_destroy(fleet);
+    }
+}
+
 /* A balancer that was cut off from the others and from the store meanwhile
  * learns from them that the target drains. */
 static void
@@ -825,6 +866,7 @@
         cmocka_unit_test(test_snapshot_writes),
         cmocka_unit_test(test_restored_store),
         cmocka_unit_test(test_start_after_restore),
+        cmocka_unit_test(test_whole_start_after_restore),
         cmocka_unit_test(test_cut_off_during_restore),
     };
 
