state: a delta without routes fits only those that hold its list

The delta now names the list that its sender holds; who lacks that refuses it and pulls. test_targets_without_routes fails without this.

--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -1088,6 +1088,8 @@
     if (complete) {
         add_held_records(view, delta);
     }
+    /* Without routes the delta fits those that hold this list only. */
+    delta->routes_base = view->routes_position;
     if (routes_base.era != view->routes_position.era ||
         store_position_is_after(view->routes_position, routes_base)) {
         delta->routes_complete = !knows_list(view, routes_base);
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -773,6 +773,33 @@
     }
 }
 
+/* A balancer that enters a new era and keeps its routes tells those that hold
+ * them all targets and no routes. One that has just started holds none, and
+ * refuses that: it would have targets without routes from then on. */
+static void
+test_targets_without_routes(void **state)
+{
+    const struct target_record known = written_target(READY, 0, 40, 1, 9);
+    const struct target_record copy = written_target(READY, 1, 10, 1, 5);
+    struct forward_view *peer = forward_view_new(&callbacks);
+    struct store_position before;
+    struct view_delta delta;
+
+    apply_copy(view, &known, 0, 40, 9, NOW_US);
+    before = forward_view_position(view);
+    apply_copy(view, &copy, 1, 12, 5, NOW_US);
+    view_delta_init(&delta);
+    forward_view_delta_since(view, before, forward_view_routes_position(view),
+                             NOW_US, &delta);
+    assert_true(delta.targets_complete);
+    assert_int_equal(delta.routes->len, 0);
+    assert_false(forward_view_apply(peer, &delta, NOW_US));
+    view_delta_clear(&delta);
+    assert_true(send_delta(view, peer));
+    assert_true(forward_view_usable(peer));
+    forward_view_destroy(peer);
+}
+
 /* A target that left is told to a balancer that has met only the copy. */
 static void
 test_peer_knows_removal(void **state)
@@ -888,6 +915,8 @@
         cmocka_unit_test_setup_teardown(test_copy_of_target, setup, teardown),
         cmocka_unit_test_setup_teardown(test_held_record, setup, teardown),
         cmocka_unit_test_setup_teardown(test_peer_knows_more, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_targets_without_routes, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_peer_knows_removal, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_copy_of_routes, setup, teardown),
