--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -948,6 +948,49 @@
     }
 }
 
+/* Applies one record of a list that is not newer than the view, if the view
+ * has a record of a later era that does not replace it. An unknown target is
+ * not added: its entry may have been removed since. An order is, where the
+ * list is as new as the view. */
+static void
+merge_earlier_target(struct forward_view *view,
+                     const struct target_record *record, bool list_is_as_new,
+                     uint64_t now)
+{
+    struct forward_target *target =
+        g_hash_table_lookup(view->targets, record->id);
+
+    if (target == NULL && is_order(record) && !record->removed &&
+        list_is_as_new) {
+        target = add_target(view, record);
+        target->seen_generation = view->generation;
+        apply_record(view, target, record, now);
+        return;
+    }
+    if (target != NULL && record->position.era < target->record.position.era) {
+        apply_record(view, target, record, now);
+    }
+}
+
+void
+forward_view_merge_earlier(struct forward_view *view,
+                           const struct view_delta *delta, uint64_t now)
+{
+    if (!delta->targets_complete) {
+        return;
+    }
+    view->era_changes = false;
+    view->generation++;
+    if (delta->routes_position.era < view->routes_position.era) {
+        apply_routes(view, delta, now);
+    }
+    for (guint i = 0; i < delta->targets->len; i++) {
+        merge_earlier_target(
+            view, &g_array_index(delta->targets, struct target_record, i),
+            store_position_equal(delta->to, view->position), now);
+    }
+}
+
 bool
 forward_view_apply(struct forward_view *view, const struct view_delta *delta,
                    uint64_t now)
@@ -961,6 +1004,7 @@
         return false;
     }
     if (!empty && !store_position_is_after(delta->to, view->position)) {
+        forward_view_merge_earlier(view, delta, now);
         return true;
     }
     if (list_is_newer(view, delta) && !routes_are_newer(view, delta)) {
@@ -1068,6 +1112,8 @@
     if (complete) {
         add_held_records(view, delta);
     }
+    /* Without routes the delta fits those that hold this list only. */
+    delta->routes_base = view->routes_position;
     if (routes_base.era != view->routes_position.era ||
         store_position_is_after(view->routes_position, routes_base)) {
         delta->routes_complete = !knows_list(view, routes_base);
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -948,30 +948,75 @@
 }
 
 /* What a peer tells after the copy was read is older by position, but not by
- * what the target states. */
+ * what the target and the operator state. This holds also where the balancer
+ * that started from the copy has read it as late as its peer, or later; but an
+ * order is then taken from a list that is as new only, since it may have been
+ * taken back. */
 static void
 test_peer_knows_more(void **state)
 {
+    static const struct {
+        uint64_t revision; /* at which the balancer has read the copy */
+        bool emptied;      /* the lost order is in effect afterwards */
+    } cases[] = {{12, true}, {14, true}, {16, false}};
     const struct target_record known = written_target(DRAINING, 0, 40, 1, 9);
     const struct target_record copy = written_target(READY, 1, 10, 1, 5);
-    struct forward_view *peer = forward_view_new(&callbacks);
+    const char *domain = g_intern_string("a");
+    struct target_record order = target("", "s", 41);
 
-    apply_copy(view, &known, 0, 40, 1, NOW_US);
-    apply_copy(view, &copy, 1, 14, 1, NOW_US);
-    apply_copy(peer, &copy, 1, 12, 1, NOW_US);
-    assert_int_equal(state_of(peer, "i-1"), READY);
-    {
+    order.kind = RECORD_EMPTIED_DOMAIN;
+    emptied_domain_id(domain, order.id);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_view *peer = forward_view_new(&callbacks);
         struct view_delta delta;
 
+        apply_copy(view, &known, 0, 40, 9, NOW_US);
+        assert_true(apply_target(40, order, NOW_US));
+        apply_copy(view, &copy, 1, 14, 5, NOW_US);
+        apply_copy(peer, &copy, 1, cases[i].revision, 5, NOW_US);
+        assert_int_equal(state_of(peer, "i-1"), READY);
         view_delta_init(&delta);
         forward_view_delta_since(view, (struct store_position){0},
                                  (struct store_position){0}, NOW_US, &delta);
-        assert_int_equal(delta.targets->len, 2);
+        assert_int_equal(delta.targets->len, 3);
         assert_true(forward_view_apply(peer, &delta, NOW_US));
         view_delta_clear(&delta);
+        assert_int_equal(state_of(peer, "i-1"), DRAINING);
+        assert_int_equal(forward_view_held_count(peer), 1);
+        assert_int_equal(forward_view_routes_version(peer), 9);
+        assert_int_equal(forward_view_domain(peer, domain) != NULL &&
+                             forward_view_domain(peer, domain)->emptied,
+                         cases[i].emptied);
+        forward_view_destroy(peer);
+        teardown(state);
+        setup(state);
     }
-    assert_int_equal(state_of(peer, "i-1"), DRAINING);
-    assert_int_equal(forward_view_held_count(peer), 1);
+}
+
+/* A balancer that enters a new era and keeps its routes tells those that hold
+ * them all targets and no routes. One that has just started holds none, and
+ * refuses that: it would have targets without routes from then on. */
+static void
+test_targets_without_routes(void **state)
+{
+    const struct target_record known = written_target(READY, 0, 40, 1, 9);
+    const struct target_record copy = written_target(READY, 1, 10, 1, 5);
+    struct forward_view *peer = forward_view_new(&callbacks);
+    struct store_position before;
+    struct view_delta delta;
+
+    apply_copy(view, &known, 0, 40, 9, NOW_US);
+    before = forward_view_position(view);
+    apply_copy(view, &copy, 1, 12, 5, NOW_US);
+    view_delta_init(&delta);
+    forward_view_delta_since(view, before, forward_view_routes_position(view),
+                             NOW_US, &delta);
+    assert_true(delta.targets_complete);
+    assert_int_equal(delta.routes->len, 0);
+    assert_false(forward_view_apply(peer, &delta, NOW_US));
+    view_delta_clear(&delta);
+    assert_true(send_delta(view, peer));
+    assert_true(forward_view_usable(peer));
     forward_view_destroy(peer);
 }
 
@@ -1090,6 +1135,8 @@
         cmocka_unit_test_setup_teardown(test_copy_of_target, setup, teardown),
         cmocka_unit_test_setup_teardown(test_held_record, setup, teardown),
         cmocka_unit_test_setup_teardown(test_peer_knows_more, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_targets_without_routes, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_peer_knows_removal, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_copy_of_routes, setup, teardown),
