coordination: a peer's time of 0 for a request is not averaged in

receive_time() took any number for an estimate. A record with 0 us, once told, pulled the estimate down by a fifth each time, so 20 of them made the room of two slots 17,347 requests/s instead of 200 (test_receive_no_time before the change; 200 after it). Such a record is ignored now. Nothing in the tree sends one on purpose; a mean below 1 us would be sent as 0.

--- a/src/coordination/domain-load.c
+++ b/src/coordination/domain-load.c
@@ -745,10 +745,15 @@
 }
 
 /* Takes a peer's estimate of the time that a request takes into account. One
- * that was passed on is of no use: whoever knows the service tells its own. */
+ * that was passed on is of no use: whoever knows the service tells its own.
+ * One of 0 is none: averaged in repeatedly it would make any room look
+ * unlimited. */
 static void
 receive_time(struct service_time *time, double time_us, uint64_t age)
 {
+    if (time_us <= 0.0) {
+        return;
+    }
     if (time->value_us <= 0.0) {
         time->value_us = time_us;
     }
--- a/tests/unit/test-domain-load.c
+++ b/tests/unit/test-domain-load.c
@@ -960,6 +960,69 @@
     }
 }
 
+/* Returns the key of the only record that tells a time of 10 ms. */
+static uint32_t
+find_time_key(struct domain_load *dl, uint64_t now)
+{
+    struct domain_load_record out[16];
+    size_t count = domain_load_export(dl, out, 16, now);
+
+    for (size_t i = 0; i < count; i++) {
+        if (out[i].rate == 10000) {
+            return out[i].key;
+        }
+    }
+    fail_msg("no record of a time among %zu", count);
+    return 0;
+}
+
+static void
+find_info(void *ctx, const struct domain_load_info *info)
+{
+    struct domain_load_info *found = ctx;
+
+    if (info->domain == found->domain) {
+        *found = *info;
+    }
+}
+
+/* A peer that tells a time of 0 does not change the time that a request takes.
+ */
+static void
+test_receive_no_time(void **state)
+{
+    static const struct {
+        uint32_t time_us; /* told often after one of 10 ms */
+        double room_min;  /* of two slots, requests/s */
+        double room_max;
+    } cases[] = {{0, 199, 201}, {10000, 199, 201}, {5000, 380, 401}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct domain_load_record r = {0, cases[i].time_us, 0};
+        struct domain_load *dl = domain_load_new(domain_name(0));
+        struct domain_load_info found = {.domain = domain_name(0)};
+        uint64_t now = 100 * SECOND;
+
+        memset(&fleet, 0, sizeof(fleet));
+        make_view(1);
+        for (size_t n = 0; n < 8; n++) {
+            domain_load_on_forward(dl, fleet.first[0], false, now);
+            domain_load_on_answer(dl, fleet.first[0], 17000, now);
+        }
+        domain_load_tick(dl, fleet.view, 1, now);
+        r.key = find_time_key(dl, now);
+        for (size_t n = 0; n < 20; n++) {
+            domain_load_receive(dl, &r, 1, now);
+        }
+        domain_load_each(dl, find_info, &found);
+        if (found.room < cases[i].room_min || found.room > cases[i].room_max) {
+            fail_msg("time of %u us: room %.1f", cases[i].time_us, found.room);
+        }
+        domain_load_destroy(dl);
+        forward_view_destroy(fleet.view);
+    }
+}
+
 int
 main(void)
 {
@@ -970,6 +1033,7 @@
         cmocka_unit_test(test_table),
         cmocka_unit_test(test_table_bound),
         cmocka_unit_test(test_receive_ages),
+        cmocka_unit_test(test_receive_no_time),
         cmocka_unit_test(test_pause),
         cmocka_unit_test(test_message_size),
         cmocka_unit_test(test_busy),
