cold claims: none is used before the start of its era is noted

The view learns an era of the store when a change arrives, the claims at the next tick, up to 100 ms later. A claim whose write was not answered and whose read showed it in the restored store had the position of the new era, so it was used between the two, although the host that has the claim in the earlier era may not know of the new one yet. The era that the claims have noted decides now. test_read_in_later_era: case 3 (both know the era, no tick yet) fails without the change; test_faults as before.

--- a/src/coordination/cold-claim.c
+++ b/src/coordination/cold-claim.c
@@ -452,13 +452,15 @@
     claims->counters.lost++;
 }
 
-/* Whether a claim may be used now, apart from its limit. */
+/* Whether a claim may be used now, apart from its limit. The view may know of
+ * a later era before update_era() has ended the use of the claims. */
 static bool
 is_usable(const struct cold_claims *claims, const struct claim *claim,
           uint64_t now)
 {
     return claim != NULL && claim->state == CLAIM_OWNED && !claim->retired &&
-           claim->position.era == current_era(claims) &&
+           claims->era == current_era(claims) &&
+           claim->position.era == claims->era &&
            freshness_age(claims->freshness, now) <=
                claims->options.confirm_max_us;
 }
--- a/tests/unit/test-cold-claim.c
+++ b/tests/unit/test-cold-claim.c
@@ -507,11 +507,71 @@
     }
 }
 
+/* A claim whose write was not answered, and which the read shows in a store
+ * that has been restored meanwhile, is not used: a host that has claimed the
+ * target in the earlier era may not know of the new one. The view learns the
+ * new era before the next tick, or after it. */
+static void
+test_read_in_later_era(void **state)
+{
+    static const struct {
+        uint64_t read_era;
+        uint64_t view_era;
+        bool tick;
+        bool allowed;
+    } cases[] = {
+        {1, 1, false, true},  {1, 1, true, true},  {1, 2, false, false},
+        {2, 2, false, false}, {2, 2, true, false}, {2, 1, false, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const uint64_t settled_ms = CONFIRM_MAX_US / MS + 2000;
+        struct sim_host *h = &sim.hosts[0];
+        struct store_position position = {.era = cases[i].read_era,
+                                          .revision = 30};
+        struct cold_claim_call call;
+
+        memset(&sim, 0, sizeof(sim));
+        sim.host_count = 1;
+        sim.now = START_US;
+        sim.position = (struct store_position){.era = 1, .revision = 10};
+        start_host(0);
+        apply_store(h, 1, 60000);
+        assert_false(
+            cold_claims_next(h->claims, rank, h, true, &call, host_now(h)));
+        sim.now += (settled_ms + 1000) * MS;
+        freshness_confirm(&h->freshness, host_now(h));
+        assert_true(
+            cold_claims_next(h->claims, rank, h, true, &call, host_now(h)));
+        cold_claims_on_result(h->claims, TARGET_ID, COLD_CLAIM_UNKNOWN,
+                              position, host_now(h));
+        assert_true(
+            cold_claims_next(h->claims, rank, h, true, &call, host_now(h)));
+        assert_int_equal(call.action, COLD_CLAIM_READ);
+        cold_claims_on_read(h->claims, TARGET_ID, COLD_CLAIM_DONE, h->owner,
+                            strlen(h->owner), position, host_now(h));
+        sim.position =
+            (struct store_position){.era = cases[i].view_era, .revision = 40};
+        apply_store(h, 1, 50000);
+        if (cases[i].tick) {
+            cold_claims_next(h->claims, rank, h, true, &call, host_now(h));
+        }
+        if (cold_claims_allow(
+                h->claims,
+                forward_view_target(h->view, forward_cookie(TARGET_ID)),
+                host_now(h)) != cases[i].allowed) {
+            fail_msg("case %zu", i);
+        }
+        end_play();
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_faults),
+        cmocka_unit_test(test_read_in_later_era),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
