view: regions that the settings no longer name are forgotten

A reload set the regions that it found and left the others: a failure domain that was taken out of the settings kept its region until the next start, and got the flows of routes that are bound to it. The regions are cleared first now. test_regions_replaced fails with an empty forward_view_clear_regions() (third case: region of "a" still set).

--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -901,9 +901,11 @@
     }
 }
 
+/* Replaces the regions of all failure domains by those of the settings. */
 static void
 set_regions(struct view_task *task)
 {
+    forward_view_clear_regions(task->view);
     for (size_t i = 0; i < task->settings.region_count; i++) {
         const struct forward_domain_region *r = &task->settings.regions[i];
 
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -230,6 +230,20 @@
     return domain;
 }
 
+void
+forward_view_clear_regions(struct forward_view *view)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->domains);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct forward_domain *domain = value;
+
+        domain->region = NULL;
+    }
+}
+
 void
 forward_view_set_region(struct forward_view *view, const char *domain,
                         const char *region)
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -185,6 +185,8 @@
  * forward_view_set_region() or an order. "name" must be interned. */
 struct forward_domain *forward_view_domain(const struct forward_view *view,
                                            const char *name);
+/* Makes the regions of all failure domains unknown. */
+void forward_view_clear_regions(struct forward_view *view);
 /* Sets the region of a failure domain. Both names must be interned. */
 void forward_view_set_region(struct forward_view *view, const char *domain,
                              const char *region);
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -611,6 +611,35 @@
     assert_int_equal(changes, 3);
 }
 
+/* The regions are those that were set last; a failure domain that is no longer
+ * among them is in none. */
+static void
+test_regions_replaced(void **state)
+{
+    static const struct {
+        const char *region_a; /* NULL: not set */
+        const char *region_b;
+    } cases[] = {
+        {"north", "south"}, {"east", "south"}, {NULL, "south"}, {NULL, NULL}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const char *names[] = {g_intern_string("a"), g_intern_string("b")};
+        const char *regions[] = {g_intern_string(cases[i].region_a),
+                                 g_intern_string(cases[i].region_b)};
+
+        forward_view_clear_regions(view);
+        for (size_t n = 0; n < 2; n++) {
+            if (regions[n] != NULL) {
+                forward_view_set_region(view, names[n], regions[n]);
+            }
+        }
+        for (size_t n = 0; n < 2; n++) {
+            assert_ptr_equal(forward_view_domain(view, names[n])->region,
+                             regions[n]);
+        }
+    }
+}
+
 /* A model of the store that changes at random, and forwarders that read from
  * it and from each other in random order. Every CHECK_INTERVAL_STEPS steps,
  * after a further exchange, all of them must have the content of the store.
@@ -1100,6 +1129,8 @@
         cmocka_unit_test_setup_teardown(test_order_histories, setup, teardown),
         cmocka_unit_test_setup_teardown(test_orders_of_domains, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_regions_replaced, setup,
+                                        teardown),
         cmocka_unit_test(test_convergence),
     };
 
