settings: regions that are no object are refused

They were taken for none without a line in the log, so all routes with regions were refused as no_target_in_region. The row ["a"] of test_regions_and_cold_limits fails without the change.

--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -147,6 +147,8 @@
         {"", "", NULL},
         {"\"zones\":{\"a\":7},", "", "zones"},
         {"\"zones\":{\"a\":\"\"},", "", "zones"},
+        {"\"zones\":[\"a\"],", "", "zones"},
+        {"\"zones\":null,", "", NULL},
         {"", "\"coldOverage\":\"x\",", "coldOverage"},
         {"", "\"coldSlack\":-1,", "coldSlack"},
         {"\"zones\":{\"a\":\"north\",\"b\":\"south\"},",
