records: a limit of cold starts below one in 1000 s is no absent limit

It was rounded down to 0, which stands for none: the smallest limits were the only ones that allowed everything. The row 0.0004 of test_cold_limits fails without the change.

--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -168,7 +168,7 @@
         {"\"coldPerS\":2.5", 2500}, {"\"coldPerS\":4", 4000},
         {"\"coldPerS\":0.0", 0},    {"\"coldStartS\":2.0", 0},
         {"\"coldPerS\":\"4\"", 0},  {"\"coldPerS\":-1", 0},
-        {"\"coldPerS\":1e300", 0},
+        {"\"coldPerS\":1e300", 0},  {"\"coldPerS\":0.0004", 1},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
