metrics: names in the load of failure domains are escaped

A name with a quote or backslash made the whole answer unreadable for a scraper; the other labels with names were escaped already. No unit test reaches this file (it needs the sockets of the tasks); compiled and read only.

--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -115,10 +115,14 @@
         {"domain_utilization", info->utilization},
         {"domain_share", info->share},
     };
+    char service[METRICS_LABEL_SIZE(ID_SIZE)];
+    char domain[METRICS_LABEL_SIZE(ID_SIZE)];
 
+    metrics_escape_label(info->service, service, sizeof(service));
+    metrics_escape_label(info->domain, domain, sizeof(domain));
     for (size_t i = 0; i < sizeof(values) / sizeof(*values); i++) {
         fprintf(f, METRICS_PREFIX "%s{service=\"%s\",domain=\"%s\"} %.3f\n",
-                values[i].name, info->service, info->domain, values[i].value);
+                values[i].name, service, domain, values[i].value);
     }
 }
 
