placement: warm targets cost what they did before limits and regions

The checks of regions and limits of cold starts came before the questions that decide nearly always: no regions, a warm target. The result is the same, so no test can fail without it; test-flow-placement passes as before.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -66,11 +66,13 @@
 is_in_region(const struct placement_request *r,
              const struct forward_target *target)
 {
-    const char *region =
-        target->domain == NULL ? NULL : target->domain->region;
+    const char *region;
 
-    return r->regions == NULL ||
-           (region != NULL && region_list_contains(r->regions, region));
+    if (r->regions == NULL) {
+        return true;
+    }
+    region = target->domain == NULL ? NULL : target->domain->region;
+    return region != NULL && region_list_contains(r->regions, region);
 }
 
 /* Whether the limit of the target's cold start, if it has one, allows a flow.
@@ -79,7 +81,8 @@
 is_warm_enough(const struct placement_request *r,
                const struct forward_target *target)
 {
-    return !cold_claims_is_limited(target, r->now) ||
+    return r->now >= target->cold_until ||
+           !cold_claims_is_limited(target, r->now) ||
            (r->cold_claims != NULL &&
             cold_claims_allow(r->cold_claims, target, r->now));
 }
@@ -114,14 +117,14 @@
     double value =
         (1.0 + passive_health_load(&target->observations, r->now)) / slots;
 
-    if (cold_claims_is_limited(target, r->now)) {
-        value -= CLAIMED_BONUS;
+    if (r->now >= target->cold_until) {
+        value *= warm_up_factor(r, target);
     }
-    else if (r->now < target->cold_until) {
-        value *= COLD_FACTOR;
+    else if (cold_claims_is_limited(target, r->now)) {
+        value -= CLAIMED_BONUS;
     }
     else {
-        value *= warm_up_factor(r, target);
+        value *= COLD_FACTOR;
     }
     if (target->record.domain != r->domain) {
         value = value * REMOTE_FACTOR + REMOTE_PENALTY;
