view: the tick that updates the load by failure domain is checked

domain_load_tick() has to be called every DOMAIN_LOAD_TICK_US, and is called every VIEW_TASK_TICK_US, which is that of the membership: equal by chance. An assertion at compile time ties them; it fails to compile with 50 ms.

--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -849,6 +849,9 @@
     task->last_tick = now;
 }
 
+_Static_assert(VIEW_TASK_TICK_US == DOMAIN_LOAD_TICK_US,
+               "the weights of the load by failure domain are per tick");
+
 /* Updates the load by failure domain and tells some peers when it is time. */
 static void
 update_load(struct view_task *task, uint64_t now)
