--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -70,11 +70,13 @@
 is_in_region(const struct placement_request *r,
              const struct forward_target *target)
 {
-    const char *region =
-        target->domain == NULL ? NULL : target->domain->region;
+    const char *region;
 
-    return r->regions == NULL ||
-           (region != NULL && region_list_contains(r->regions, region));
+    if (r->regions == NULL) {
+        return true;
+    }
+    region = target->domain == NULL ? NULL : target->domain->region;
+    return region != NULL && region_list_contains(r->regions, region);
 }
 
 /* Whether the limit of the target's cold start, if it has one, allows a flow.
@@ -83,7 +85,8 @@
 is_warm_enough(const struct placement_request *r,
                const struct forward_target *target)
 {
-    return !cold_claims_is_limited(target, r->now) ||
+    return r->now >= target->cold_until ||
+           !cold_claims_is_limited(target, r->now) ||
            (r->cold_claims != NULL &&
             cold_claims_allow(r->cold_claims, target, r->now));
 }
@@ -128,13 +131,11 @@
     double value =
         (1.0 + passive_health_load(&target->observations, r->now)) / slots;
 
-    if (cold_claims_is_limited(target, r->now)) {
-        return value - CLAIMED_BONUS;
-    }
-    if (r->now < target->cold_until) {
-        return value * COLD_FACTOR;
+    if (r->now >= target->cold_until) {
+        return value * warm_up_factor(r, target);
     }
-    return value * warm_up_factor(r, target);
+    return cold_claims_is_limited(target, r->now) ? value - CLAIMED_BONUS
+                                                  : value * COLD_FACTOR;
 }
 
 /* Penalties of a target that a new flow should not go to. */
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -858,6 +858,9 @@
     task->last_tick = now;
 }
 
+_Static_assert(VIEW_TASK_TICK_US == DOMAIN_LOAD_TICK_US,
+               "the weights of the load by failure domain are per tick");
+
 /* Updates the load by failure domain and tells some peers when it is time. */
 static void
 update_load(struct view_task *task, uint64_t now)
@@ -910,9 +913,11 @@
     }
 }
 
+/* Replaces the regions of all failure domains by those of the settings. */
 static void
 set_regions(struct view_task *task)
 {
+    forward_view_clear_regions(task->view);
     for (size_t i = 0; i < task->settings.region_count; i++) {
         const struct forward_domain_region *r = &task->settings.regions[i];
 
