--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -108,6 +108,9 @@
     char name[METRICS_LABEL_SIZE(ID_SIZE)];
     char label[sizeof(name) + DOMAIN_LABEL_FRAME_SIZE];
 
+    if (!domain->emptied) {
+        return;
+    }
     snprintf(label, sizeof(label), "{domain=\"%s\"}",
              metrics_escape_label(domain->name, name, sizeof(name)));
     add(output->out, "domain_emptied_seconds", label,
@@ -154,8 +157,8 @@
     add_packets(f, forward_task_counters(task));
     add_slow_targets(f, forward_task_speed(task));
     add_view(f, view);
-    forward_view_each_emptied(view_task_view(view), add_emptied_domain,
-                              &(struct domain_output){.out = f, .task = task});
+    forward_view_each_domain(view_task_view(view), add_emptied_domain,
+                             &(struct domain_output){.out = f, .task = task});
     domain_load_each(view_task_load(view), add_domain_load, f);
     flow_times_print(forward_task_times(task), f);
     if (fclose(f) != 0) {
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -257,25 +257,6 @@
     return view->order_count > 0;
 }
 
-void
-forward_view_each_emptied(const struct forward_view *view,
-                          void (*cb)(void *ctx,
-                                     const struct forward_domain *domain),
-                          void *ctx)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, view->domains);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct forward_domain *domain = value;
-
-        if (domain->emptied) {
-            cb(ctx, domain);
-        }
-    }
-}
-
 struct forward_target *
 forward_view_target(const struct forward_view *view, uint32_t cookie)
 {
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -198,11 +198,6 @@
                              const char *region);
 /* Whether any failure domain is emptied. */
 bool forward_view_has_emptied(const struct forward_view *view);
-/* Calls "cb" for each emptied failure domain. */
-void forward_view_each_emptied(const struct forward_view *view,
-                               void (*cb)(void *ctx,
-                                          const struct forward_domain *domain),
-                               void *ctx);
 /* Finds a target by its cookie, including lapsed and removed ones. Returns
  * NULL when there is none. */
 struct forward_target *forward_view_target(const struct forward_view *view,
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -565,6 +565,12 @@
     (*(unsigned *)ctx)++;
 }
 
+static void
+count_emptied(void *ctx, const struct forward_domain *domain)
+{
+    *(unsigned *)ctx += domain->emptied;
+}
+
 /* Orders concern the domains that they name only, count as no targets, and may
  * name a domain that nobody knows yet. */
 static void
@@ -590,7 +596,7 @@
     assert_int_equal(changes, 2);
     assert_false(forward_view_usable(view));
     assert_int_equal(forward_view_target_count(view), 0);
-    forward_view_each_emptied(view, count_domain, &emptied);
+    forward_view_each_domain(view, count_emptied, &emptied);
     assert_int_equal(emptied, 2);
     assert_int_equal(
         forward_view_domain(view, g_intern_string("c"))->emptied_at,
