forward: refuse the least urgent openings while there is more load than room

Cause: with more load than room of all targets, full targets refuse and cut requests of any class, also those that may not be repeated.

Change: coordination/opening-admission, wired into handle_opening; reset cause no_room, openings_refused_total, refusing_changed; domain_load_state(), domain_load_on_refused().

test-opening-admission fails without the mechanism (all admitted), with the time of a request taken at any load, without each of: the wait after a start, the age, the part of new flows, regions, the order of classes; with 0.8 in place of 1.4; and when refused openings do not count as load.

--- a/src/coordination/domain-load.c
+++ b/src/coordination/domain-load.c
@@ -250,6 +250,18 @@
     }
 }
 
+void
+domain_load_on_refused(struct domain_load *dl, const char *service,
+                       uint64_t now)
+{
+    struct service_load *s = find_service(dl, service);
+
+    if (s != NULL) {
+        rate_meter_add(&s->openings, now);
+        rate_meter_add(&domain_at(s, 0)->requests, now);
+    }
+}
+
 void
 domain_load_on_answer(struct domain_load *dl,
                       const struct forward_target *target, uint64_t took_us,
@@ -816,6 +828,30 @@
     return quotient(demand, total_room);
 }
 
+bool
+domain_load_state(const struct domain_load *dl, const char *service,
+                  uint64_t now, struct domain_load_state *state)
+{
+    const struct service_load *s = find_service(dl, service);
+
+    if (s == NULL || s->time.value_us <= 0.0 ||
+        !is_recent(dl, domain_at(s, 0)->known_at)) {
+        return false;
+    }
+    *state = (struct domain_load_state){.time_us = s->time.value_us,
+                                        .new_flows = s->new_flows,
+                                        .age_us = now - dl->now,
+                                        .measuring_us =
+                                            dl->now - dl->measuring_since};
+    for (guint i = 0; i < s->domains->len; i++) {
+        struct domain_demand d = sum_demand(dl, s, domain_at(s, i));
+
+        state->demand += d.demand;
+        state->room += d.room;
+    }
+    return state->room > 0.0;
+}
+
 double
 domain_load_domain_utilization(const struct domain_load *dl,
                                const struct forward_service *service,
--- a/src/coordination/domain-load.h
+++ b/src/coordination/domain-load.h
@@ -63,6 +63,10 @@
 void domain_load_on_forward(struct domain_load *dl,
                             const struct forward_target *target, bool opening,
                             uint64_t now);
+/* A flow was refused for lack of room. Its request counts as load of the own
+ * domain, or the load would seem to end when refusing begins. */
+void domain_load_on_refused(struct domain_load *dl, const char *service,
+                            uint64_t now);
 /* A request was answered "took_us" after it was forwarded. The time that an
  * opening packet takes to the target and back is taken off, where it is known.
  */
@@ -109,6 +113,22 @@
                                       const struct forward_service *service,
                                       const char *domain);
 
+/* What is known of the targets of a service in all failure domains. A domain
+ * whose callers are unknown counts with its room, so that the load is rather
+ * underestimated. */
+struct domain_load_state {
+    double demand;         /* requests/s of all callers known */
+    double room;           /* requests/s that the targets can run */
+    double time_us;        /* that a request takes, as contained in "room" */
+    double new_flows;      /* part of the requests that come on new flows */
+    uint64_t age_us;       /* time since the last tick */
+    uint64_t measuring_us; /* time since the start or the last pause */
+};
+
+/* Returns false when the load or the room is unknown. */
+bool domain_load_state(const struct domain_load *dl, const char *service,
+                       uint64_t now, struct domain_load_state *state);
+
 /* What is known of the targets of a service in one failure domain. */
 struct domain_load_info {
     const char *service; /* interned */
--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -27,6 +27,21 @@
     add(f, name, label, value);
 }
 
+/* Adds the openings refused for lack of room, by priority. */
+static void
+add_refused(FILE *f, const struct forward_counters *c)
+{
+    char label[64];
+
+    for (size_t i = 0; i < OPENING_CLASSES; i++) {
+        snprintf(label, sizeof(label), "{priority=\"%zu\",repeatable=\"%zu\"}",
+                 i / 2, i % 2);
+        if (c->refused[i] > 0) {
+            add(f, "openings_refused_total", label, c->refused[i]);
+        }
+    }
+}
+
 static void
 add_packets(FILE *f, const struct forward_counters *c)
 {
@@ -45,6 +60,7 @@
         add_cause(f, "flows_reset_total",
                   forward_reset_name((enum forward_reset)i), c->resets[i]);
     }
+    add_refused(f, c);
     add(f, "log_lines_lost_total", "", log_lines_lost());
 }
 
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -1,5 +1,6 @@
 #include "daemon/forward-task.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 
 #define LOG_MODULE "forward"
 #include "base/clock.h"
+#include "base/log-rate-limit.h"
 #include "base/log.h"
 #include "coordination/flow-placement.h"
 #include "coordination/own-delay.h"
@@ -28,6 +30,9 @@
  * packets. */
 #define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
 #define EXPIRE_INTERVAL_S 1
+/* Maximum number of log lines per second on openings that begin or cease to be
+ * refused. */
+#define REFUSING_LINES_PER_SECOND 5
 /* Maximum number of packets that wait for the first view, and maximum wait. A
  * view is normally received within tens of milliseconds after the start, from
  * a peer within 300 ms. If it takes longer, neither store nor peer can be
@@ -56,6 +61,7 @@
     struct own_delay *own_delay;     /* not owned */
     struct cold_claims *cold_claims; /* not owned */
     struct domain_load *load;        /* not owned */
+    struct opening_admission *admission;
     struct forward_callbacks cb;
     const char *domain;   /* this failure domain, interned */
     uint64_t host_hash;   /* id_hash() of this host */
@@ -79,6 +85,7 @@
     struct random random;
     struct forward_counters counters;
     struct forward_log log;
+    struct log_rate_limit refusing_log;
 };
 
 /* A packet being handled. */
@@ -110,6 +117,7 @@
     [FORWARD_RESET_DOMAIN_EMPTIED] = "domain_emptied",
     [FORWARD_RESET_REGION] = "no_target_in_region",
     [FORWARD_RESET_COLD_LIMIT] = "cold_limit",
+    [FORWARD_RESET_NO_ROOM] = "no_room",
 };
 
 const char *
@@ -530,6 +538,40 @@
     reset(task, &in->packet, causes[placement_refusal(request)]);
 }
 
+/* Whether a new flow fits the room of the targets. Copies of its opening
+ * packet are not refused. */
+static bool
+has_room(struct forward_task *task, const struct inbound_packet *in,
+         const struct forward_route *route,
+         const struct forward_target *target)
+{
+    const char *service = target->record.service;
+    struct domain_load_state state;
+
+    if (in->packet.ack != 0) {
+        return true;
+    }
+    if (opening_admission_is_due(task->admission, service, in->now)) {
+        bool known = domain_load_state(task->load, service, in->now, &state);
+
+        opening_admission_update(task->admission, service,
+                                 known ? &state : NULL, in->now);
+    }
+    return opening_admission_admits(task->admission, service, &route->record,
+                                    &task->random, in->now);
+}
+
+static void
+refuse_for_room(struct forward_task *task, const struct inbound_packet *in,
+                const struct forward_route *route, struct recent_flow *flow,
+                const struct forward_target *target)
+{
+    flow->tried_count = 0;
+    task->counters.refused[opening_class(&route->record)]++;
+    domain_load_on_refused(task->load, target->record.service, in->now);
+    reset(task, &in->packet, FORWARD_RESET_NO_ROOM);
+}
+
 static void
 handle_opening(struct forward_task *task, struct inbound_packet *in)
 {
@@ -569,6 +611,10 @@
         refuse_opening(task, in, &request);
         return;
     }
+    if (!has_room(task, in, route, target)) {
+        refuse_for_room(task, in, route, flow, target);
+        return;
+    }
     if (passive_health_needs_trial(&target->observations)) {
         passive_health_on_trial(&target->observations, in->now);
     }
@@ -955,6 +1001,24 @@
     forward_log_tick(&task->log);
 }
 
+static void
+on_refusing_changed(void *ctx, const char *service, bool refusing,
+                    double utilization)
+{
+    struct forward_task *task = ctx;
+    char text[24];
+
+    if (!log_rate_limit_allow(&task->refusing_log, clock_monotonic_us())) {
+        return;
+    }
+    snprintf(text, sizeof(text), "%.2f", utilization);
+    log_fields(LOG_LEVEL_WARN, LOG_MODULE,
+               LOG_FIELDS({"service", service},
+                          {"openings", refusing ? "refused" : "admitted"},
+                          {"utilization", text}),
+               "refusing_changed");
+}
+
 static bool
 open_task(struct forward_task *task, struct event_base *base,
           const struct forward_settings *settings, struct status *st)
@@ -962,6 +1026,12 @@
     const struct timeval interval = {.tv_sec = EXPIRE_INTERVAL_S};
     const struct timeval early = {.tv_usec = EARLY_WAIT_MAX_US};
 
+    task->admission = opening_admission_new();
+    if (task->admission == NULL) {
+        status_set(st, ERR_NO_MEMORY, "forward: out of memory");
+        return false;
+    }
+    opening_admission_on_change(task->admission, on_refusing_changed, task);
     task->flows = recent_flows_new(RECENT_FLOWS_MAX);
     task->times = flow_times_new();
     task->expire = event_new(base, -1, EV_PERSIST, on_expire, task);
@@ -1004,6 +1074,7 @@
     task->flow_max_us = settings->flow_max_us;
     task->change_bound_us = settings->change_bound_us;
     forward_log_init(&task->log);
+    task->refusing_log.per_second = REFUSING_LINES_PER_SECOND;
     list_init(&task->early);
     update_trial_interval(task);
     task->started = clock_monotonic_us();
@@ -1040,6 +1111,7 @@
     }
     recent_flows_destroy(task->flows);
     flow_times_destroy(task->times);
+    opening_admission_destroy(task->admission);
     free(task);
 }
 
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -8,6 +8,7 @@
 #include "base/status.h"
 #include "coordination/cold-claim.h"
 #include "coordination/domain-load.h"
+#include "coordination/opening-admission.h"
 #include "coordination/own-delay.h"
 #include "daemon/forward-settings.h"
 #include "protocol/flow-packet.h"
@@ -60,6 +61,7 @@
     FORWARD_RESET_DOMAIN_EMPTIED,
     FORWARD_RESET_REGION,     /* no target in the regions of the route */
     FORWARD_RESET_COLD_LIMIT, /* the targets left bear no more while cold */
+    FORWARD_RESET_NO_ROOM,    /* see opening-admission.h */
     FORWARD_RESET_COUNT,
 };
 
@@ -75,6 +77,8 @@
     uint64_t repeats;  /* packets that repeat data on open flows */
     uint64_t drops[FORWARD_DROP_COUNT];
     uint64_t resets[FORWARD_RESET_COUNT];
+    /* Resets FORWARD_RESET_NO_ROOM by class of the opening. */
+    uint64_t refused[OPENING_CLASSES];
 };
 
 /* Names of the causes in metrics and logs. */
