--- a/src/daemon/forward-settings.h
+++ b/src/daemon/forward-settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -34,7 +35,11 @@
                                * configuration is applied */
     uint64_t stop_timeout_us; /* maximum duration of a planned stop */
     uint64_t flow_max_us;     /* maximum lifetime of a flow */
-    size_t region_count;      /* elements in "regions" */
+    /* Openings are refused by their class while the targets of a service have
+     * less room than their callers ask for; see
+     * coordination/opening-admission.h. */
+    bool refuse_excess;
+    size_t region_count; /* elements in "regions" */
     struct forward_domain_region regions[FORWARD_DOMAINS_MAX];
     /* All hosts together open at most limit x "cold_overage" + "cold_slack"
      * flows to a cold target in any second, where "limit" is that of its
--- a/tests/unit/test-platform-settings.c
+++ b/tests/unit/test-platform-settings.c
@@ -134,6 +134,30 @@
     return load(text, s, st);
 }
 
+/* Openings are refused for lack of room only where the contracts ask for it.
+ */
+static void
+test_contracts(void **state)
+{
+    static const struct {
+        const char *added;
+        bool refuse_excess;
+    } cases[] = {
+        {"", false},
+        {"\"contracts\":[],", false},
+        {"\"contracts\":[\"base\",\"places\",7],", false},
+        {"\"contracts\":[\"base\",\"pressure\"],", true},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct forward_settings s;
+        struct status st;
+
+        assert_true(load_with(cases[i].added, "", &s, &st));
+        assert_int_equal(s.refuse_excess, cases[i].refuse_excess);
+    }
+}
+
 /* Regions of the failure domains and factors of the limits of cold starts;
  * without them all regions are unknown. */
 static void
@@ -234,6 +258,7 @@
         cmocka_unit_test(test_unknown_link),
         cmocka_unit_test(test_change_bound),
         cmocka_unit_test(test_invalid_values),
+        cmocka_unit_test(test_contracts),
         cmocka_unit_test(test_regions_and_cold_limits),
         cmocka_unit_test(test_missing_file),
     };
