--- a/tests/unit/test-opening-admission.c
+++ b/tests/unit/test-opening-admission.c
@@ -315,7 +315,7 @@
     double left = -log(1.0 - random_unit(&world.random));
     GArray *again = world.again[world.now % RING];
 
-    for (; left < rate; left -= log(1.0 - random_unit(&world.random))) {
+    while (left < rate) {
         struct request r = {.route = random_unit(&world.random) < URGENT_PART
                                          ? &urgent
                                          : &usual,
@@ -326,6 +326,7 @@
 
         result_of(&r)->asked++;
         send_request(r);
+        left -= log(1.0 - random_unit(&world.random));
     }
     for (guint i = 0; i < again->len; i++) {
         struct request r = g_array_index(again, struct request, i);
