--- a/src/coordination/target-speed.c
+++ b/src/coordination/target-speed.c
@@ -22,10 +22,10 @@
 #define LONG_MIN_US ((double)(20 * USEC_PER_MSEC))
 /* Share of long times from which on a kind counts as noisy: its work often
  * takes long on any target. Its times count less, by a power of the ratio, so
- * that three long ones are needed for what two show of another kind. */
+ * that four long ones are needed for what two show of another kind. */
 #define NOISY_LONG_SHARE 0.005
 #define LONG_SHARE_WEIGHT (1.0 / 512) /* of the newest answer */
-#define NOISY_POWER 0.68
+#define NOISY_POWER 0.5
 /* Minimum ratio of a peer's record on a target without evidence. */
 #define RECORD_MIN 2.0
 /* Share of the answers of a kind that callers have to acknowledge at once for
@@ -55,7 +55,9 @@
  * is the same one, which has come another way: how long a record is under way
  * is not part of its age. */
 #define SAME_TIME_US (300 * USEC_PER_MSEC)
-#define LATEST_MAX 8 /* times of a target that are compared */
+/* Times of a target that are compared. With fewer, one that is under way by
+ * several peers counts as new again and is told again. */
+#define LATEST_MAX 32
 /* Maximum age of a time that is told on. */
 #define RELAY_AGE_MAX_US (500 * USEC_PER_MSEC)
 /* Maximum number of records that wait to be told; more are dropped. */
@@ -315,7 +317,6 @@
     struct entry *e = get_entry(ts, cookie, now);
     const struct taken_time taken = {
         (uint32_t)lround(fmin(ratio, RATIO_MAX) * RATIO_UNIT), now};
-
     bool tell;
 
     if (e == NULL) {
--- a/src/coordination/target-speed.h
+++ b/src/coordination/target-speed.h
@@ -16,7 +16,7 @@
  * sees one of them less than once a second, so they tell each other. */
 
 /* Maximum number of targets with evidence, and of records in a message. A
- * record takes some 120 bytes. */
+ * record takes some 600 bytes. */
 #define TARGET_SPEED_MAX 256
 #define SLOW_TARGET_RECORDS_MAX 32
 /* A target whose factor is at least this counts as slow. */
--- a/src/daemon/forward-speed.c
+++ b/src/daemon/forward-speed.c
@@ -12,7 +12,7 @@
 #define CHECK_INTERVAL_US (50 * USEC_PER_MSEC)
 /* Time between two messages on targets that are not reduced: most long times
  * are of such targets, and show nothing. */
-#define TELL_INTERVAL_US (250 * USEC_PER_MSEC)
+#define TELL_INTERVAL_US (500 * USEC_PER_MSEC)
 #define WAITING_AGE_MAX_US (2 * USEC_PER_SEC)
 #define WAITING_FLOWS_MAX 1024
 
