target-speed: fewer messages on failures, no waits while flows move

Each placing looked up all targets of the service while any single failure was known, each failure was told on by every host of the domain, and hosts that came took flows whose answers the others then missed.

Change: placing looks only while a target may be reduced or failing; what is told on begins with the second failure of a target; waits of all fleets, not only of small ones, do not count for 2.5 s after a balancer of the domain came or went; failures go out each 100 ms.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -258,7 +258,7 @@
     size_t slow = 0;
     size_t failing = 0;
 
-    if (r->speed == NULL || !target_speed_has_evidence(r->speed)) {
+    if (r->speed == NULL || !target_speed_concerns_any(r->speed, r->now)) {
         return believed;
     }
     for (guint i = 0; i < r->service->targets->len; i++) {
--- a/src/coordination/target-speed.c
+++ b/src/coordination/target-speed.c
@@ -47,8 +47,10 @@
 #define FAILURES_TOLD_PER_S 40
 #define FAILURE_TOLD_MIN 1.0
 /* Score of failures from which on the peers are told of all answers of the
- * target. */
-#define TELL_ANSWERS_SCORE 3.0
+ * target, and what they tell of its failures is told on: one failure shows
+ * nothing. Answers are told at once while requests wait, so that the target is
+ * not taken for dead. */
+#define TELL_ALL_SCORE 5.0
 /* Interval of the trials of a failing target until it is set. */
 #define TRIAL_INTERVAL_DEFAULT_US (1 * USEC_PER_SEC)
 #define RATIO_UNIT 100.0
@@ -89,6 +91,8 @@
     struct request_kinds kinds;
     uint64_t seed;
     uint64_t trial_interval_us;
+    /* Time until which any target may be reduced or failing, us */
+    uint64_t concerned_until;
     struct random random;
     /* Failures of targets that do not count as failing, which may be told
      * before the next second begins */
@@ -218,16 +222,17 @@
 
 /* Has a target get its flows in proportion for some time. */
 static void
-reduce(const struct target_speed *ts, struct entry *e, uint64_t now)
+reduce(struct target_speed *ts, struct entry *e, uint64_t now)
 {
     e->reduced_until =
         now + REDUCED_US + random_mix(ts->seed, e->cookie) % REDUCED_SPREAD_US;
+    ts->concerned_until = now + REDUCED_US + REDUCED_SPREAD_US;
 }
 
 /* Adds a time of a target to what is known of its speed. An older one weighs
  * less. */
 static void
-add_time(const struct target_speed *ts, struct entry *e,
+add_time(struct target_speed *ts, struct entry *e,
          const struct outcome *outcome, uint64_t now)
 {
     double before = e->at == 0 ? 0.0 : decayed(e, now);
@@ -324,7 +329,7 @@
         return false;
     }
     tell = is_long || decayed(e, now) >= TELL_ALL_MIN ||
-           e->failures.score >= TELL_ANSWERS_SCORE;
+           e->failures.score >= TELL_ALL_SCORE || e->failures.waits > 0;
     if (is_failure(outcome)) {
         tell = concerns_all(e, now) || may_tell_failure(ts, outcome, now);
     }
@@ -468,7 +473,7 @@
         *noted |= WAIT_NOTED_LONG;
         changed = add_long_wait(ts, cookie, kind, waited, now);
     }
-    if ((*noted & WAIT_NOTED_FAILURE) == 0 &&
+    if ((*noted & WAIT_NOTED_FAILURE) == 0 && !wait->may_have_moved &&
         waited >= request_kind_wait_limit(kind)) {
         *noted |= WAIT_NOTED_FAILURE;
         changed =
@@ -578,9 +583,9 @@
 }
 
 bool
-target_speed_has_evidence(const struct target_speed *ts)
+target_speed_concerns_any(const struct target_speed *ts, uint64_t now)
 {
-    return g_hash_table_size(ts->entries) > 0;
+    return now < ts->concerned_until;
 }
 
 bool
--- a/src/coordination/target-speed.h
+++ b/src/coordination/target-speed.h
@@ -83,6 +83,9 @@
 struct seen_wait {
     uint64_t waited_us;
     uint16_t caller;
+    /* Another balancer may get the packets of the flow now, so a missing
+     * answer is no failure. */
+    bool may_have_moved;
 };
 
 struct target_speed_counters {
@@ -121,8 +124,8 @@
 size_t target_speed_export(struct target_speed *ts,
                            struct slow_target_record *out, size_t max,
                            enum target_speed_reach reach, uint64_t now);
-/* Whether there is evidence on any target. */
-bool target_speed_has_evidence(const struct target_speed *ts);
+/* Whether any target may be reduced or failing. */
+bool target_speed_concerns_any(const struct target_speed *ts, uint64_t now);
 /* Whether there are records for the peers. */
 bool target_speed_has_news(const struct target_speed *ts);
 /* Removes the records whose evidence is too old to count. */
--- a/src/daemon/forward-speed.c
+++ b/src/daemon/forward-speed.c
@@ -17,10 +17,10 @@
 #define WAITING_AGE_MAX_US (2 * USEC_PER_SEC)
 #define WAITING_FLOWS_MAX 1024
 
-/* Number of balancers of a failure domain from which on a change of one moves
- * so few flows that their waits do not add up at a target; and the time in
- * which the routers follow a change. */
-#define MANY_HOSTS 10
+/* Time between two messages on failures of targets that do not count as
+ * failing. */
+#define TELL_SOON_INTERVAL_US (100 * USEC_PER_MSEC)
+/* Time in which the routers follow a change of the balancers. */
 #define FLOWS_MOVE_US (2500 * USEC_PER_MSEC)
 
 struct forward_speed {
@@ -34,7 +34,8 @@
     /* Requests forwarded before this may belong to flows that the routers have
      * handed to another balancer, us. */
     uint64_t flows_move_until;
-    uint64_t next_tell; /* of targets that are not reduced, us */
+    uint64_t next_tell;      /* of targets that are not reduced, us */
+    uint64_t next_tell_soon; /* of failures of others, us */
     /* Tells the peers of records that came from other peers, should no packet
      * arrive. */
     struct event *relay;
@@ -61,7 +62,10 @@
         return;
     }
     tell_some(fs, TARGET_SPEED_ALL, now);
-    tell_some(fs, TARGET_SPEED_DOMAIN_SOON, now);
+    if (now >= fs->next_tell_soon) {
+        fs->next_tell_soon = now + TELL_SOON_INTERVAL_US;
+        tell_some(fs, TARGET_SPEED_DOMAIN_SOON, now);
+    }
     if (now >= fs->next_tell) {
         fs->next_tell = now + TELL_INTERVAL_US;
         tell_some(fs, TARGET_SPEED_DOMAIN, now);
@@ -221,12 +225,9 @@
 }
 
 void
-forward_speed_on_routers_changed(struct forward_speed *fs, size_t hosts,
-                                 uint64_t now)
+forward_speed_on_routers_changed(struct forward_speed *fs, uint64_t now)
 {
-    if (hosts < MANY_HOSTS) {
-        fs->flows_move_until = now + FLOWS_MOVE_US;
-    }
+    fs->flows_move_until = now + FLOWS_MOVE_US;
 }
 
 /* Counts a request that waits for its answer. */
@@ -237,10 +238,12 @@
         fs->view, flow->key.route_addr, flow->key.route_port);
     const struct forward_target *target =
         forward_view_target(fs->view, flow->cookie);
-    const struct seen_wait wait = {now - flow->sent_at, caller_hash(flow)};
+    const struct seen_wait wait = {.waited_us = now - flow->sent_at,
+                                   .caller = caller_hash(flow),
+                                   .may_have_moved =
+                                       flow->sent_at < fs->flows_move_until};
 
     if (route == NULL || target == NULL ||
-        flow->sent_at < fs->flows_move_until ||
         own_delay_covers(fs->own_delay, flow->sent_at, now)) {
         return;
     }
@@ -255,7 +258,9 @@
 static void
 check_flow(struct forward_speed *fs, struct recent_flow *flow, uint64_t now)
 {
-    if (flow->wait_noted != (WAIT_NOTED_LONG | WAIT_NOTED_FAILURE)) {
+    if ((flow->wait_noted & WAIT_NOTED_LONG) == 0 ||
+        ((flow->wait_noted & WAIT_NOTED_FAILURE) == 0 &&
+         flow->sent_at >= fs->flows_move_until)) {
         check_waiting(fs, flow, now);
     }
     if ((flow->wait_noted & WAIT_NOTED_FAILURE) != 0 &&
--- a/src/daemon/forward-speed.h
+++ b/src/daemon/forward-speed.h
@@ -67,11 +67,9 @@
 void forward_speed_receive(struct forward_speed *fs,
                            const struct slow_target_record *records,
                            size_t count, bool relay);
-/* The routers are about to hand other flows to the "hosts" balancers of the
- * own failure domain. The answers of the flows that another one gets are not
- * seen here. */
-void forward_speed_on_routers_changed(struct forward_speed *fs, size_t hosts,
-                                      uint64_t now);
+/* The routers are about to hand flows to other balancers, since one has come
+ * or gone. The answers on flows that another one gets are not seen here. */
+void forward_speed_on_routers_changed(struct forward_speed *fs, uint64_t now);
 /* Looks at the requests that wait for an answer, and tells the peers what they
  * may lack, if that is due. To be called for each packet. */
 void forward_speed_check(struct forward_speed *fs, uint64_t now);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -1055,9 +1055,9 @@
 }
 
 void
-forward_task_routers_changed(struct forward_task *task, size_t hosts)
+forward_task_routers_changed(struct forward_task *task)
 {
-    forward_speed_on_routers_changed(task->speed, hosts, clock_monotonic_us());
+    forward_speed_on_routers_changed(task->speed, clock_monotonic_us());
 }
 
 static void
--- a/src/daemon/forward-task.h
+++ b/src/daemon/forward-task.h
@@ -127,9 +127,9 @@
 void forward_task_slow_targets(struct forward_task *task,
                                const struct slow_target_record *records,
                                size_t count, bool relay);
-/* The routers are about to hand other flows to the balancers of the own
- * failure domain, of which there are "hosts". */
-void forward_task_routers_changed(struct forward_task *task, size_t hosts);
+/* The routers are about to hand flows to other balancers of the own failure
+ * domain, since one has come or gone, or this one stops. */
+void forward_task_routers_changed(struct forward_task *task);
 /* Ends the open flows of a target whose address has another target now. */
 void forward_task_target_replaced(struct forward_task *task,
                                   const struct forward_target *target);
--- a/src/daemon/forwarder.c
+++ b/src/daemon/forwarder.c
@@ -110,12 +110,12 @@
 }
 
 static void
-on_domain_peer_changed(void *ctx, size_t hosts)
+on_domain_peer_changed(void *ctx)
 {
     struct forwarder *f = ctx;
 
     if (f->forward != NULL) {
-        forward_task_routers_changed(f->forward, hosts);
+        forward_task_routers_changed(f->forward);
     }
 }
 
@@ -274,7 +274,7 @@
     delay.tv_usec = (suseconds_t)(stop_delay % USEC_PER_SEC);
     LOG_INFO("planned stop begins");
     view_task_leave(f->view);
-    forward_task_routers_changed(f->forward, 1);
+    forward_task_routers_changed(f->forward);
     event_add(f->stopped, &delay);
 }
 
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -206,10 +206,7 @@
     struct view_task *task = ctx;
 
     if (m->local) {
-        task->cb.domain_peer_changed(
-            task->cb.ctx,
-            1 + member_table_count(membership_table(task->members),
-                                   MEMBER_ALIVE, true));
+        task->cb.domain_peer_changed(task->cb.ctx);
     }
     log_fields(LOG_LEVEL_INFO, LOG_MODULE,
                LOG_FIELDS({"host", m->info.id},
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -45,9 +45,8 @@
      * lack it. */
     void (*slow_targets)(void *ctx, const struct slow_target_record *records,
                          size_t count, bool relay);
-    /* A balancer of the own failure domain has come or gone; "hosts" is the
-     * number of those that are left, this one included. */
-    void (*domain_peer_changed)(void *ctx, size_t hosts);
+    /* A balancer of the own failure domain has come or gone. */
+    void (*domain_peer_changed)(void *ctx);
     /* Another target has taken over the address of this one, so it is gone for
      * certain. */
     void (*target_replaced)(void *ctx, struct forward_target *target);
