forward: no resets to records of callers' openings; decayed score for telling

A target that is dead had its open flows reset, and with them the records that the table keeps of callers' last openings: a reset to port 0.

Whether the peers are told of a target's answers went by the score of its last failure, however old; it goes by the score that falls with time.

--- a/src/coordination/failure-test.c
+++ b/src/coordination/failure-test.c
@@ -35,8 +35,8 @@
  * time. */
 #define DEAD_US (800 * USEC_PER_MSEC)
 
-static double
-decayed(const struct failure_test *test, uint64_t now)
+double
+failure_test_score(const struct failure_test *test, uint64_t now)
 {
     double age = now > test->at ? (double)(now - test->at) : 0.0;
 
@@ -102,7 +102,7 @@
     if (at > test->failed_at) {
         test->failed_at = at;
     }
-    set_score(test, decayed(test, now) + weight, now);
+    set_score(test, failure_test_score(test, now) + weight, now);
 }
 
 void
@@ -120,7 +120,7 @@
     }
     share = fmin(fmax(test->share, SHARE_MIN), SHARE_MAX);
     test->share -= SHARE_WEIGHT * test->share;
-    set_score(test, decayed(test, now) + log(1.0 - share), now);
+    set_score(test, failure_test_score(test, now) + log(1.0 - share), now);
 }
 
 void
@@ -131,14 +131,14 @@
     if (test->at == 0) {
         return;
     }
-    set_score(test, decayed(test, now) - weight, now);
+    set_score(test, failure_test_score(test, now) - weight, now);
     failure_test_on_success(test, at, now);
 }
 
 bool
 failure_test_is_failing(const struct failure_test *test, uint64_t now)
 {
-    return test->failing && decayed(test, now) >= RECOVERED_SCORE;
+    return test->failing && failure_test_score(test, now) >= RECOVERED_SCORE;
 }
 
 bool
@@ -151,5 +151,5 @@
 bool
 failure_test_is_over(const struct failure_test *test, uint64_t now)
 {
-    return decayed(test, now) < SCORE_MIN;
+    return failure_test_score(test, now) < SCORE_MIN;
 }
--- a/src/coordination/failure-test.h
+++ b/src/coordination/failure-test.h
@@ -51,6 +51,9 @@
 void failure_test_on_late_answer(struct failure_test *test, double weight,
                                  uint64_t at, uint64_t now);
 
+/* Returns the logarithm of how much likelier the outcomes are at a failing
+ * target than at others; it falls with time. */
+double failure_test_score(const struct failure_test *test, uint64_t now);
 /* Whether most requests to the target fail. Without an outcome for some
  * seconds it counts as unknown again. */
 bool failure_test_is_failing(const struct failure_test *test, uint64_t now);
--- a/src/coordination/target-speed.c
+++ b/src/coordination/target-speed.c
@@ -74,7 +74,7 @@
     uint64_t reduced_until;
     struct failure_test failures;
     uint64_t next_trial; /* of a failing target, us */
-    bool ended; /* its open flows were ended, see target_speed_dead() */
+    bool ended;          /* target_speed_take_dead() has returned it */
     size_t latest_next;
     struct outcome latest[LATEST_MAX]; /* ring */
 };
@@ -329,7 +329,8 @@
         return false;
     }
     tell = is_long || decayed(e, now) >= TELL_ALL_MIN ||
-           e->failures.score >= TELL_ALL_SCORE || e->failures.waits > 0;
+           failure_test_score(&e->failures, now) >= TELL_ALL_SCORE ||
+           e->failures.waits > 0;
     if (is_failure(outcome)) {
         tell = concerns_all(e, now) || may_tell_failure(ts, outcome, now);
     }
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -219,8 +219,9 @@
 {
     for (struct recent_flow *flow = recent_flows_first(task->flows);
          flow != NULL; flow = recent_flows_next(task->flows, flow)) {
+        /* The record of a caller's last opening is no flow. */
         if (flow->cookie == target->cookie && flow->open &&
-            (flow->waiting || !flow->closing)) {
+            flow->key.caller_port != 0 && (flow->waiting || !flow->closing)) {
             reset_flow(task, flow, why);
         }
     }
