--- a/review/standins/case-cold-restart.c
+++ b/review/standins/case-cold-restart.c
@@ -52,8 +52,8 @@
     for (size_t i = 0; i < b->opened_count; i++) {
         unsigned count = 0;
 
-        for (size_t j = i; j < b->opened_count &&
-                           b->opened_at[j] < b->opened_at[i] + 1000;
+        for (size_t j = i;
+             j < b->opened_count && b->opened_at[j] < b->opened_at[i] + 1000;
              j++) {
             count += b->opened_at[j] >= from && b->opened_at[j] < until;
         }
--- a/review/standins/case-frozen-backend.c
+++ b/review/standins/case-frozen-backend.c
@@ -9,7 +9,9 @@
 
 #define ROUTE_PORT 8080
 #define CONSOLES 4
-#define BODY_SIZE 3600 /* three packets and a part, as the largest requests */
+#define BODY_SIZE                                                             \
+    3600 /* three packets and a part, as the largest requests                 \
+          */
 
 static const char routes[] =
     "{\"name\":\"r-rig\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
@@ -80,8 +82,8 @@
         b->frozen = false;
         lab_record("backend %s goes on", b->id);
     }
-    /* Longer than stableWindowMs. */
-    lab_run(4500);
+    /* Longer than stableWindowMs, 4,000 and 5,000 on the users' sites. */
+    lab_run(5500);
     lab_request(idle, "POST", BODY_SIZE);
     lab_run(2500);
     broken = idle->reset_while_open && idle->reset_by_daemon;
--- a/review/standins/case-missing-fields.c
+++ b/review/standins/case-missing-fields.c
@@ -1,5 +1,5 @@
-/* ROUTE: an entry of another writer, with fields missing, is used as a backend,
- * and its address is that of a backend of another service. */
+/* ROUTE: an entry of another writer, with fields missing, is used as a
+ * backend, and its address is that of a backend of another service. */
 
 #include "lab.h"
 
--- a/review/standins/lab.c
+++ b/review/standins/lab.c
@@ -24,7 +24,9 @@
 #define STORE_PORT 8169
 #define BACKEND_PORT 8080
 #define GOSSIP_PORT 7720
-#define ROUTE_ADDR 0xC6120001U /* 198.18.0.1, an address inside packets only */
+#define ROUTE_ADDR                                                            \
+    0xC6120001U /* 198.18.0.1, an address inside packets only                 \
+                 */
 
 #define HEAD_SIZE 31
 #define DATA_MAX 1200
@@ -44,7 +46,6 @@
 #define CALLS_MAX 128
 #define CALL_SIZE_MAX 65536
 #define CHANGES_MAX 20000
-#define BODY_SIZE_MAX 65536
 
 struct packet {
     uint32_t src;
@@ -81,12 +82,16 @@
 struct lab_daemon lab_daemons[LAB_DAEMONS_MAX];
 uint64_t lab_stale_ms;
 const char *lab_extra_bounds = "";
+unsigned lab_change_ms = 3000;
+unsigned lab_stable_ms = 4000;
+uint64_t lab_watch_answered_at;
 
 static FILE *record;
 static char folder[64];
 static uint32_t net; /* 127.x.y.0 */
 static uint64_t started;
-static int store_fd = -1;
+static int store_fds[2] = {-1, -1};
+static unsigned store_index; /* of the address in the settings files */
 static int client_fds[LAB_CLIENTS_MAX];
 static struct change changes[CHANGES_MAX];
 static size_t change_count;
@@ -158,7 +163,7 @@
 static uint32_t
 store_addr(void)
 {
-    return net + 200;
+    return net + 200 + store_index;
 }
 
 const char *
@@ -222,13 +227,13 @@
     if (mkdtemp(folder) == NULL) {
         lab_cannot_run("no temporary folder");
     }
-    for (int i = 0; i < 50 && store_fd < 0; i++) {
+    for (int i = 0; i < 50 && store_fds[0] < 0; i++) {
         seed = seed * 1103515245U + 12345U;
         net = 0x7F000000U | (16U + (seed >> 8) % 200U) << 16 |
               ((seed >> 16) % 250U) << 8;
-        store_fd = open_socket(SOCK_STREAM, store_addr(), STORE_PORT);
+        store_fds[0] = open_socket(SOCK_STREAM, store_addr(), STORE_PORT);
     }
-    if (store_fd < 0) {
+    if (store_fds[0] < 0) {
         lab_cannot_run("no free loopback address");
     }
     for (int i = 0; i < LAB_BACKENDS_MAX; i++) {
@@ -516,8 +521,8 @@
 find_server_flow(const struct lab_backend *b, const struct packet *p)
 {
     for (struct lab_server_flow *f = b->flows; f != NULL; f = f->next) {
-        if (f->client == p->src && f->sport == p->sport &&
-            f->dst == p->dst && f->dport == p->dport) {
+        if (f->client == p->src && f->sport == p->sport && f->dst == p->dst &&
+            f->dport == p->dport) {
             return f;
         }
     }
@@ -611,8 +616,8 @@
 {
     f->open = true;
     b->openings++;
-    b->opened_at = realloc(b->opened_at,
-                           (b->opened_count + 1) * sizeof(*b->opened_at));
+    b->opened_at =
+        realloc(b->opened_at, (b->opened_count + 1) * sizeof(*b->opened_at));
     b->opened_at[b->opened_count] = f->opened_at;
     b->opened_count++;
     lab_record("backend %s of %s: flow %s:%u is open", b->id, b->service,
@@ -634,8 +639,8 @@
     sscanf(attempt == NULL ? "" : attempt, "Attempt-Id: %39s", f->attempt);
     f->end.parsed += size;
     b->runs++;
-    f->answer_at = (b->free_at[slot] > now ? b->free_at[slot] : now) +
-                   b->work_ms;
+    f->answer_at =
+        (b->free_at[slot] > now ? b->free_at[slot] : now) + b->work_ms;
     b->free_at[slot] = f->answer_at;
     lab_record("backend %s of %s: runs %s of flow %s:%u", b->id, b->service,
                f->attempt, addr_text(f->client), f->sport);
@@ -748,8 +753,7 @@
 static void
 client_syn(struct lab_flow *f)
 {
-    struct packet p = {
-        .flags = FLAG_SYN, .seq = f->end.iss, .ack = f->copies};
+    struct packet p = {.flags = FLAG_SYN, .seq = f->end.iss, .ack = f->copies};
 
     client_send(f, &p);
     f->copies++;
@@ -916,14 +920,14 @@
 client_read(unsigned client, uint64_t now)
 {
     uint8_t data[HEAD_SIZE + DATA_MAX];
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t from_len = sizeof(from);
     ssize_t size;
-    struct packet p;
+    struct packet p = {0};
 
-    while ((size = recvfrom(client_fds[client], data, sizeof(data),
-                            MSG_DONTWAIT, (struct sockaddr *)&from,
-                            &from_len)) > 0) {
+    while (
+        (size = recvfrom(client_fds[client], data, sizeof(data), MSG_DONTWAIT,
+                         (struct sockaddr *)&from, &from_len)) > 0) {
         if (!decode(data, (size_t)size, &p)) {
             continue;
         }
@@ -1013,23 +1017,38 @@
     c->key = strdup(key);
     c->value = value;
     c->at = lab_now();
-    c->created = last != NULL && last->value != NULL ? last->created
-                                                     : change_count + 1;
+    c->created =
+        last != NULL && last->value != NULL ? last->created : change_count + 1;
     change_count++;
     return change_count;
 }
 
+/* Writes all of a text; the daemon reads at the same time. */
+static void
+write_all(int fd, const char *text)
+{
+    size_t len = strlen(text);
+    ssize_t size;
+
+    while (len > 0 && (size = write(fd, text, len)) > 0) {
+        text += size;
+        len -= (size_t)size;
+    }
+}
+
 static void
 reply(struct call *call, int status, const char *body)
 {
     char head[128];
 
+    fcntl(call->fd, F_SETFL, 0);
+
     snprintf(head, sizeof(head),
              "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
              "Connection: close\r\nContent-Length: %zu\r\n\r\n",
              status, strlen(body));
-    (void)!write(call->fd, head, strlen(head));
-    (void)!write(call->fd, body, strlen(body));
+    write_all(call->fd, head);
+    write_all(call->fd, body);
     close(call->fd);
     call->fd = -1;
 }
@@ -1067,8 +1086,8 @@
     size_t used = 0;
 
     out[0] = '\0';
-    while (at != NULL && (strncmp(at + 1, name, len) != 0 ||
-                          at[1 + len] != '=')) {
+    while (at != NULL &&
+           (strncmp(at + 1, name, len) != 0 || at[1 + len] != '=')) {
         at = strchr(at + 1, '&');
     }
     if (at == NULL) {
@@ -1153,9 +1172,8 @@
 
     json_array_foreach(json_object_get(json, "expected"), i, row)
     {
-        const struct change *c =
-            find_change(json_string_value(json_object_get(row, "key")),
-                        change_count);
+        const struct change *c = find_change(
+            json_string_value(json_object_get(row, "key")), change_count);
         json_int_t revision =
             c == NULL || c->value == NULL ? 0 : (json_int_t)(c - changes) + 1;
 
@@ -1194,6 +1212,7 @@
         json_array_append_new(events, item_json(&changes[i]));
     }
     call->waits = false;
+    lab_watch_answered_at = now;
     reply_json(call, 200,
                json_pack("{s:o,s:I}", "events", events, "asOf",
                          (json_int_t)change_count));
@@ -1211,8 +1230,8 @@
         return;
     }
     length = strstr(call->buf, "Content-Length: ");
-    if (length != NULL && strlen(head_end + 4) <
-                              strtoul(length + 16, NULL, 10)) {
+    if (length != NULL &&
+        strlen(head_end + 4) < strtoul(length + 16, NULL, 10)) {
         return;
     }
     if (strncmp(target, "/api/kv-range", 13) == 0) {
@@ -1258,12 +1277,12 @@
 }
 
 static void
-store_accept(void)
+store_accept(int listener)
 {
     int fd;
 
-    while ((fd = accept4(store_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
-           0) {
+    while ((fd = accept4(listener, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
         int i = 0;
 
         while (i < CALLS_MAX && calls[i] != NULL && calls[i]->fd >= 0) {
@@ -1297,7 +1316,7 @@
 {
     uint64_t revision = append_change(key, to_base64(value));
 
-    lab_record("store: %s = %s", key, value);
+    lab_record("store: %s = %.400s", key, value);
     store_tick(lab_now());
     return revision;
 }
@@ -1313,15 +1332,17 @@
 void
 lab_write_config(const char *routes, const char *services, unsigned idle_ms)
 {
-    char value[BODY_SIZE_MAX];
+    size_t size = strlen(routes) + strlen(services) + 512;
+    char *value = malloc(size);
 
     config_version += 3;
-    snprintf(value, sizeof(value),
+    snprintf(value, size,
              "{\"version\":%u,\"routes\":[%s],\"services\":[%s],"
              "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
              "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":%u}}",
              config_version, routes, services, idle_ms);
     lab_put("op/config", value);
+    free(value);
 }
 
 /* ---- daemons ---- */
@@ -1340,7 +1361,8 @@
             "{\"nodeName\":\"front-%d\",\"role\":\"balancer\","
             "\"machineClass\":\"front\",\"serves\":[\"front\",\"control\"],"
             "\"ip\":\"%s\",\"zone\":\"%s\",\"region\":\"region\","
-            "\"zones\":{\"zone-a\":\"region\",\"zone-b\":\"region\"},"
+            "\"zones\":{\"zone-a\":\"region\",\"zone-b\":\"region\","
+            "\"zone-c\":\"region\",\"zone-d\":\"region\"},"
             "\"listen\":{\"datagramAddr\":\"%s:%d\",\"ready\":\"%s:%d\","
             "\"control\":\"%s:%d\"},\"internalPorts\":[%d,%d],",
             index, addr, d->zone, addr, PACKET_PORT, addr, READY_PORT, addr,
@@ -1359,18 +1381,45 @@
             "\"faultTolerance\":{\"machines\":2,\"zones\":1,\"regions\":0},");
     fprintf(file,
             "\"bounds\":{\"seedLagS\":3,\"addrReuseS\":2,"
-            "\"stableWindowMs\":4000,\"ackMs\":5000,\"catchUpS\":4,"
-            "\"drainMs\":3000,\"graceS\":6,\"lossSlackMs\":200,"
-            "\"configApplyMs\":3000,\"downgradeSlackMs\":250,"
+            "\"stableWindowMs\":%u,\"ackMs\":5000,\"catchUpS\":4,"
+            "\"drainMs\":%u,\"graceS\":6,\"lossSlackMs\":200,"
+            "\"configApplyMs\":%u,\"downgradeSlackMs\":250,"
             "\"maxStretchMs\":12000,\"recoveryS\":12,\"reorderMs\":2000,"
             "\"maxFlowS\":60%s},\"hash\":\"steady\","
             "\"forwardingMode\":\"echo\",\"platform\":{\"address\":\"%s:%d\","
             "\"forwardingMode\":\"kv\",\"writesPerS\":400,\"readsPerS\":2000,"
             "\"historyS\":20,\"valueBytes\":1048576,\"minTtlMs\":1000}}\n",
-            lab_extra_bounds, addr_text(store_addr()), STORE_PORT);
+            lab_stable_ms, lab_change_ms, lab_change_ms, lab_extra_bounds,
+            addr_text(store_addr()), STORE_PORT);
     fclose(file);
 }
 
+void
+lab_store_move(void)
+{
+    store_index = 1;
+    store_fds[1] = open_socket(SOCK_STREAM, store_addr(), STORE_PORT);
+    if (store_fds[1] < 0) {
+        lab_cannot_run("the store's second address is in use");
+    }
+    lab_record("the store listens at %s:%d as well; settings files changed",
+               addr_text(store_addr()), STORE_PORT);
+    for (int i = 0; i < LAB_DAEMONS_MAX; i++) {
+        if (lab_daemons[i].pid > 0) {
+            write_boot(i);
+            lab_daemon_signal(i, SIGHUP);
+        }
+    }
+}
+
+void
+lab_store_leave(void)
+{
+    close(store_fds[0]);
+    store_fds[0] = -1;
+    lab_record("the store no longer listens at its first address");
+}
+
 void
 lab_daemon_start(int index, const char *zone)
 {
@@ -1481,7 +1530,7 @@
 
 /* ---- the loop ---- */
 
-#define FDS_MAX (1 + LAB_CLIENTS_MAX + LAB_BACKENDS_MAX + CALLS_MAX)
+#define FDS_MAX (2 + LAB_CLIENTS_MAX + LAB_BACKENDS_MAX + CALLS_MAX)
 
 static void
 poll_once(void)
@@ -1489,7 +1538,11 @@
     struct pollfd fds[FDS_MAX];
     nfds_t count = 0;
 
-    fds[count++] = (struct pollfd){store_fd, POLLIN, 0};
+    for (int i = 0; i < 2; i++) {
+        if (store_fds[i] >= 0) {
+            fds[count++] = (struct pollfd){store_fds[i], POLLIN, 0};
+        }
+    }
     for (int i = 0; i < LAB_CLIENTS_MAX; i++) {
         fds[count++] = (struct pollfd){client_fds[i], POLLIN, 0};
     }
@@ -1515,7 +1568,11 @@
     do {
         poll_once();
         now = lab_now();
-        store_accept();
+        for (int i = 0; i < 2; i++) {
+            if (store_fds[i] >= 0) {
+                store_accept(store_fds[i]);
+            }
+        }
         for (int i = 0; i < CALLS_MAX; i++) {
             if (calls[i] != NULL && calls[i]->fd >= 0) {
                 call_read(calls[i], now);
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -107,6 +107,11 @@
 /* Fields that every settings file has in addition, JSON with a leading comma,
  * within "bounds". */
 extern const char *lab_extra_bounds;
+/* Bounds of the settings files: configApplyMs and drainMs; stableWindowMs. */
+extern unsigned lab_change_ms;
+extern unsigned lab_stable_ms;
+/* When the store last answered a watch, ms. */
+extern uint64_t lab_watch_answered_at;
 
 /* Reads the environment and opens the record, and the stand-ins' addresses. */
 void lab_init(const char *record_path);
@@ -124,6 +129,12 @@
 uint64_t lab_put(const char *key, const char *value);
 void lab_delete(const char *key);
 
+/* Has the store listen at a second address as well, writes that to all
+ * settings files and sends the daemons SIGHUP. */
+void lab_store_move(void);
+/* The store no longer listens at its first address. */
+void lab_store_leave(void);
+
 /* Starts a backend at the address with this index; does not register it. */
 struct lab_backend *lab_backend_start(int index, int address, const char *id,
                                       const char *service, const char *zone);
