--- a/review/standins/lab.c
+++ b/review/standins/lab.c
@@ -1407,9 +1407,9 @@
     for (int i = 0; i < LAB_DAEMONS_MAX; i++) {
         if (lab_daemons[i].pid > 0) {
             write_boot(i);
-            lab_daemon_signal(i, SIGHUP);
         }
     }
+    lab_daemon_signal(0, SIGHUP);
 }
 
 void
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -130,7 +130,7 @@
 void lab_delete(const char *key);
 
 /* Has the store listen at a second address as well, writes that to all
- * settings files and sends the daemons SIGHUP. */
+ * settings files and sends the first daemon SIGHUP. */
 void lab_store_move(void);
 /* The store no longer listens at its first address. */
 void lab_store_leave(void);
