--- a/review/standins/case-cold-restart.c
+++ b/review/standins/case-cold-restart.c
@@ -12,10 +12,13 @@
 #define COLD_MS 8000
 /* coldPerS x coldOverage + coldSlack */
 #define COLD_MAX 11
+/* Shorter than the second of the rule: what arrives inside it was also sent
+ * inside one second. */
+#define WINDOW_MS 990
 #define GAP_MS 20 /* between two openings: 50 a second */
 
 static const char routes[] =
-    "{\"name\":\"r-stock\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+    "{\"name\":\"r-stock\",\"host\":\"@ROUTE@\",\"prefix\":\"/8080/\","
     "\"kind\":\"safe\",\"timeoutMs\":2000,\"targetLatencyMs\":400,"
     "\"priority\":2,\"service\":\"stock\",\"maxAttempts\":2}";
 static const char services[] =
@@ -52,8 +55,8 @@
     for (size_t i = 0; i < b->opened_count; i++) {
         unsigned count = 0;
 
-        for (size_t j = i;
-             j < b->opened_count && b->opened_at[j] < b->opened_at[i] + 1000;
+        for (size_t j = i; j < b->opened_count &&
+                           b->opened_at[j] < b->opened_at[i] + WINDOW_MS;
              j++) {
             count += b->opened_at[j] >= from && b->opened_at[j] < until;
         }
@@ -68,7 +71,9 @@
     struct lab_backend *b;
     uint64_t cold_from;
     unsigned max;
+    unsigned served;
 
+    lab_extra_contracts = ",\"health\",\"places\",\"pressure\"";
     lab_extra_bounds = ",\"coldOverage\":1.5,\"coldSlack\":5,"
                        "\"evacuateMs\":5000";
     lab_stale_ms = 3000;
@@ -109,7 +114,9 @@
         lab_daemon_start(2, "zone-a");
         lab_daemon_wait_ready(2);
     }
-    send_load(3500, 2);
+    served = lab_backends[1].runs + lab_backends[2].runs;
+    send_load(3100, 2);
+    served = lab_backends[1].runs + lab_backends[2].runs - served;
     if (lab_trouble()) {
         lab_daemon_start(0, "zone-a");
         lab_daemon_start(1, "zone-a");
@@ -120,8 +127,8 @@
     lab_record_log(2, "cold_claim");
     lab_record_log(2, "possibly outdated");
     lab_record("the cold backend got at most %u requests in a second; %d are "
-               "allowed",
-               max, COLD_MAX);
+               "allowed; the others ran %u meanwhile",
+               max, COLD_MAX, served);
     lab_close();
-    return max > COLD_MAX ? 1 : 0;
+    return max > COLD_MAX ? 1 : served > 0 ? 0 : 2;
 }
--- a/review/standins/case-foreign-entry.c
+++ b/review/standins/case-foreign-entry.c
@@ -7,9 +7,10 @@
 
 #define ROUTE_PORT 8080
 #define FLOWS 6
+#define WORK_MS 60 /* of a request; up to 120 on the users' sites */
 
 static const char routes[] =
-    "{\"name\":\"r-live\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+    "{\"name\":\"r-live\",\"host\":\"@ROUTE@\",\"prefix\":\"/8080/\","
     "\"kind\":\"unsafe\",\"timeoutMs\":600,\"targetLatencyMs\":120,"
     "\"priority\":1,\"service\":\"live\",\"maxAttempts\":2}";
 static const char services[] =
@@ -44,6 +45,8 @@
     b[1] = lab_backend_start(1, 1, "i-11d04be7", "live", "zone-b");
     lab_register(b[0], "ready", 0, 0);
     lab_register(b[1], "ready", 0, 0);
+    b[0]->work_ms = WORK_MS;
+    b[1]->work_ms = WORK_MS;
     lab_daemon_start(0, "zone-a");
     lab_daemon_start(1, "zone-b");
     lab_daemon_wait_ready(0);
@@ -56,16 +59,15 @@
         lab_run(50);
     }
     lab_run(500);
+    /* Edits that are being worked on when the entry is written. */
+    for (unsigned i = 0; i < FLOWS; i++) {
+        lab_request(flows[i], "POST", 900);
+    }
+    lab_run(20);
     if (lab_trouble()) {
         write_foreign_entry();
     }
-    lab_run(1500);
-    for (unsigned i = 0; i < FLOWS; i++) {
-        if (!flows[i]->closed) {
-            lab_request(flows[i], "POST", 900);
-        }
-    }
-    lab_run(2000);
+    lab_run(3500);
     for (unsigned i = 0; i < FLOWS; i++) {
         answered += flows[i]->answers;
         broken += flows[i]->reset_while_open && flows[i]->reset_by_daemon;
@@ -73,8 +75,8 @@
     lab_record_log(0, "target_changed");
     lab_record_log(0, "reset");
     lab_record("%u of %u open flows of living backends reset by daemons; %u "
-               "answers",
-               broken, FLOWS, answered);
+               "requests run, %u answered",
+               broken, FLOWS, b[0]->runs + b[1]->runs, answered);
     lab_close();
     return broken > 0 ? 1 : answered == 2 * FLOWS ? 0 : 2;
 }
--- a/review/standins/case-frozen-backend.c
+++ b/review/standins/case-frozen-backend.c
@@ -14,7 +14,7 @@
           */
 
 static const char routes[] =
-    "{\"name\":\"r-rig\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+    "{\"name\":\"r-rig\",\"host\":\"@ROUTE@\",\"prefix\":\"/8080/\","
     "\"kind\":\"unsafe\",\"timeoutMs\":600,\"targetLatencyMs\":120,"
     "\"priority\":1,\"service\":\"rig\",\"maxAttempts\":2}";
 static const char services[] =
--- a/review/standins/case-missing-fields.c
+++ b/review/standins/case-missing-fields.c
@@ -11,10 +11,10 @@
 #define FLOWS 12
 
 static const char routes[] =
-    "{\"name\":\"r-live\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+    "{\"name\":\"r-live\",\"host\":\"@ROUTE@\",\"prefix\":\"/8080/\","
     "\"kind\":\"unsafe\",\"timeoutMs\":600,\"targetLatencyMs\":120,"
     "\"priority\":1,\"service\":\"live\",\"maxAttempts\":2},"
-    "{\"name\":\"r-export\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
+    "{\"name\":\"r-export\",\"host\":\"@ROUTE@\",\"prefix\":\"/8443/\","
     "\"kind\":\"download\",\"timeoutMs\":3000,\"targetLatencyMs\":500,"
     "\"priority\":2,\"service\":\"export\",\"maxAttempts\":2}";
 static const char services[] =
--- a/review/standins/case-moved-store.c
+++ b/review/standins/case-moved-store.c
@@ -12,7 +12,7 @@
 #define APPLY_MS 3000
 
 #define ROUTE(name, port)                                                     \
-    "{\"name\":\"" name "\",\"host\":\"198.18.0.1\",\"prefix\":\"/" port      \
+    "{\"name\":\"" name "\",\"host\":\"@ROUTE@\",\"prefix\":\"/" port         \
     "/\",\"kind\":\"unsafe\",\"timeoutMs\":600,\"targetLatencyMs\":120,"      \
     "\"priority\":1,\"service\":\"live\",\"maxAttempts\":2}"
 
--- a/review/standins/lab.c
+++ b/review/standins/lab.c
@@ -24,9 +24,7 @@
 #define STORE_PORT 8169
 #define BACKEND_PORT 8080
 #define GOSSIP_PORT 7720
-#define ROUTE_ADDR                                                            \
-    0xC6120001U /* 198.18.0.1, an address inside packets only                 \
-                 */
+#define ROUTE_MARK "@ROUTE@" /* stands for the address of the routes */
 
 #define HEAD_SIZE 31
 #define DATA_MAX 1200
@@ -82,6 +80,7 @@
 struct lab_daemon lab_daemons[LAB_DAEMONS_MAX];
 uint64_t lab_stale_ms;
 const char *lab_extra_bounds = "";
+const char *lab_extra_contracts = "";
 unsigned lab_change_ms = 3000;
 unsigned lab_stable_ms = 4000;
 uint64_t lab_watch_answered_at;
@@ -160,6 +159,14 @@
     return net + 150 + (uint32_t)address;
 }
 
+/* The address of all routes. Nothing listens there; it is only named in
+ * configurations and packets. */
+static uint32_t
+route_addr(void)
+{
+    return net + 240;
+}
+
 static uint32_t
 store_addr(void)
 {
@@ -745,7 +752,7 @@
 {
     p->src = client_addr(f->client);
     p->sport = f->sport;
-    p->dst = ROUTE_ADDR;
+    p->dst = route_addr();
     p->dport = f->dport;
     send_to(client_fds[f->client], daemon_addr(f->via), PACKET_PORT, p);
 }
@@ -860,6 +867,7 @@
         p->seq > expected ? p->seq - expected : expected - p->seq;
 
     f->reset_by_daemon = is_daemon(from);
+    f->reset_from = from;
     f->reset_while_open = f->open;
     f->reset_at = lab_now();
     lab_record("client: flow %s (%s:%u) is reset by %s %s, %s, seq %u off",
@@ -1329,18 +1337,39 @@
     store_tick(lab_now());
 }
 
+/* Returns a copy of "routes" with the address of the routes in place of each
+ * mark. */
+static char *
+put_route_addr(const char *routes)
+{
+    char *text = calloc(1, 3 * strlen(routes) + 1);
+    char *at = text;
+    const char *mark;
+
+    while ((mark = strstr(routes, ROUTE_MARK)) != NULL) {
+        at += sprintf(at, "%.*s%s", (int)(mark - routes), routes,
+                      addr_text(route_addr()));
+        routes = mark + strlen(ROUTE_MARK);
+    }
+    strcpy(at, routes);
+    return text;
+}
+
 void
 lab_write_config(const char *routes, const char *services, unsigned idle_ms)
 {
-    size_t size = strlen(routes) + strlen(services) + 512;
+    size_t size = 3 * strlen(routes) + strlen(services) + 512;
     char *value = malloc(size);
 
+    char *text = put_route_addr(routes);
+
     config_version += 3;
     snprintf(value, size,
              "{\"version\":%u,\"routes\":[%s],\"services\":[%s],"
              "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
              "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":%u}}",
-             config_version, routes, services, idle_ms);
+             config_version, text, services, idle_ms);
+    free(text);
     lab_put("op/config", value);
     free(value);
 }
@@ -1377,8 +1406,9 @@
             "\"dataDir\":null,\"discovery\":\"platform\","
             "\"entryMode\":\"announce\",\"heartbeatMs\":1200,"
             "\"contracts\":[\"base\",\"drain\",\"config\",\"cost\","
-            "\"recover\",\"flows\",\"platform\"],"
-            "\"faultTolerance\":{\"machines\":2,\"zones\":1,\"regions\":0},");
+            "\"recover\",\"flows\",\"platform\"%s],"
+            "\"faultTolerance\":{\"machines\":2,\"zones\":1,\"regions\":0},",
+            lab_extra_contracts);
     fprintf(file,
             "\"bounds\":{\"seedLagS\":3,\"addrReuseS\":2,"
             "\"stableWindowMs\":%u,\"ackMs\":5000,\"catchUpS\":4,"
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -88,6 +88,7 @@
     bool reset_while_open; /* the flow was open at its backend */
     bool reset_out_of_window;
     uint64_t reset_at;
+    uint32_t reset_from;         /* its sender's address */
     char served_by[LAB_ID_SIZE]; /* service and backend of the last answer */
     struct lab_end end;
 };
@@ -107,6 +108,8 @@
 /* Fields that every settings file has in addition, JSON with a leading comma,
  * within "bounds". */
 extern const char *lab_extra_bounds;
+/* The same for the list of "contracts". */
+extern const char *lab_extra_contracts;
 /* Bounds of the settings files: configApplyMs and drainMs; stableWindowMs. */
 extern unsigned lab_change_ms;
 extern unsigned lab_stable_ms;
@@ -160,7 +163,8 @@
 /* Closes a flow in the ordinary way. */
 void lab_finish(struct lab_flow *f);
 
-/* The last route in "routes" that has been written. */
+/* Writes the next version of the configuration. "@ROUTE@" in "routes" stands
+ * for the address of the routes, a loopback address. */
 void lab_write_config(const char *routes, const char *services,
                       unsigned idle_ms);
 /* Appends the lines of a daemon's log that contain a text to the record. */
