--- a/review/standins/lab.c
+++ b/review/standins/lab.c
@@ -1351,7 +1351,7 @@
                       addr_text(route_addr()));
         routes = mark + strlen(ROUTE_MARK);
     }
-    strcpy(at, routes);
+    memcpy(at, routes, strlen(routes) + 1);
     return text;
 }
 
