forward-view: no two targets share a cookie

Callers saw their open flows reset by the newer target.

Cause: the cookie was a hash of the id alone, so whose it is had to be decided by which entries exist, which a balancer that starts does not know from before. Handing the cookie over after the lifetime of a flow hid that from balancers that keep running only.

Now the target that is learned of later gets a hash with another seed, and keeps it: nothing is handed over any more, and both targets get new flows at once.

--- a/src/coordination/cold-claim.c
+++ b/src/coordination/cold-claim.c
@@ -234,7 +234,7 @@
     uint64_t turn;
 
     if (!has_limit(target) || target->record.draining || target->replaced ||
-        target->cookie_conflict ||
+        target->cookie == 0 ||
         (target->domain != NULL && target->domain->emptied) ||
         now + CLAIM_MIN_US > target->cold_until ||
         !era_is_settled(claims, now) ||
--- a/src/coordination/domain-load.c
+++ b/src/coordination/domain-load.c
@@ -284,9 +284,8 @@
 {
     double slots = t->record.slots == 0 ? 1.0 : t->record.slots;
 
-    if (t->presence == TARGET_GONE || t->record.draining ||
-        t->cookie_conflict || t->replaced ||
-        (t->domain != NULL && t->domain->emptied) ||
+    if (t->presence == TARGET_GONE || t->record.draining || t->cookie == 0 ||
+        t->replaced || (t->domain != NULL && t->domain->emptied) ||
         passive_health_needs_trial(&t->observations)) {
         return 0;
     }
--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -56,7 +56,7 @@
 is_available(const struct forward_target *target)
 {
     return target->presence != TARGET_GONE && !target->record.draining &&
-           !target->cookie_conflict && !target->replaced;
+           target->cookie != 0 && !target->replaced;
 }
 
 static bool
--- a/src/coordination/view-snapshot.c
+++ b/src/coordination/view-snapshot.c
@@ -35,12 +35,14 @@
     s->answered_at = now;
 }
 
-/* Whether the view is large enough for a snapshot. An existing one is kept up
- * to date also when the view has become smaller. */
+/* Whether the view is large enough for a snapshot, or has what the entries in
+ * the store do not tell. An existing one is kept up to date also when the view
+ * has become smaller. */
 static bool
 is_worthwhile(const struct view_snapshot *s, const struct forward_view *view)
 {
     return (s->key_known && s->key_position.revision != 0) ||
+           forward_view_other_forms(view) > 0 ||
            forward_view_route_count(view) * ROUTE_SIZE +
                    forward_view_target_count(view) * TARGET_SIZE >=
                ENTRIES_SIZE_MIN;
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -379,11 +379,10 @@
                           {"domain", forward_target_domain_name(target)},
                           {"revision", revision.text}),
                "target_changed");
-    if (target->cookie_conflict) {
-        LOG_WARN(
-            "target %s has the same cookie as another target and gets no new "
-            "flows",
-            target->record.id);
+    if (target->cookie_form > 0) {
+        LOG_INFO("target %s has a cookie of form %u: the hash of its id is "
+                 "that of another target",
+                 target->record.id, (unsigned)target->cookie_form);
     }
 }
 
@@ -454,6 +453,14 @@
     }
 }
 
+static void
+pull_from_all_seeds(struct view_task *task, uint64_t now)
+{
+    for (size_t i = 0; i < task->settings.seed_count; i++) {
+        pull_from(task, &task->settings.seeds[i], now);
+    }
+}
+
 /* Asks all seeds and a known peer for all that they know. */
 static void
 ask_peers(void *ctx)
@@ -462,9 +469,7 @@
     uint64_t now = clock_monotonic_us();
 
     LOG_INFO("the store has a new era; asking the peers first");
-    for (size_t i = 0; i < task->settings.seed_count; i++) {
-        pull_from(task, &task->settings.seeds[i], now);
-    }
+    pull_from_all_seeds(task, now);
     view_sync_pull(task->sync, now);
 }
 
@@ -791,6 +796,10 @@
                  store_position_format(position).text,
                  task->stale_read_pending ? ", possibly outdated" : "");
         handle_answer(task, true, position, entries, count);
+        if (task->stale_read_pending) {
+            /* Entries do not tell the forms of cookies. */
+            pull_from_all_seeds(task, clock_monotonic_us());
+        }
         return;
     }
     LOG_WARN("%s", st->message);
@@ -1118,7 +1127,6 @@
     view_snapshot_init(&task->snapshot);
     task->view = forward_view_new(&view_cb);
     if (task->view != NULL) {
-        forward_view_set_flow_max(task->view, task->settings.flow_max_us);
         init_claim_options(task);
         task->cold_claims = cold_claims_new(task->view, &task->freshness,
                                             &task->claim_options);
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -22,6 +22,7 @@
 /* Further elements of a route that has regions or limits of cold starts.
  * Balancers that do not know them ignore them. */
 #define ROUTE_EXTRA_FIELD_COUNT 2
+/* Without the form of the cookie, which few targets have. */
 #define TARGET_FIELD_COUNT 14
 
 /* Number of array elements of a compressed message: the version, the size of
@@ -112,7 +113,9 @@
 static void
 put_target(msgpack_packer *pk, const struct target_record *t)
 {
-    msgpack_pack_array(pk, TARGET_FIELD_COUNT);
+    bool other_form = t->cookie_form > 0;
+
+    msgpack_pack_array(pk, TARGET_FIELD_COUNT + (other_form ? 1U : 0U));
     put_text(pk, t->id);
     put_text(pk, t->service);
     put_text(pk, t->domain);
@@ -128,6 +131,9 @@
     put_position(pk, t->position);
     put_number(pk, t->born);
     put_number(pk, t->sequence);
+    if (other_form) {
+        put_number(pk, t->cookie_form);
+    }
 }
 
 /* Appends the observations and, as one more with the cookie 0, which no target
@@ -527,6 +533,8 @@
     t->position = take_position(&fields);
     t->born = take_added_number(&fields);
     t->sequence = take_added_number(&fields);
+    t->cookie_form =
+        fields.left == 0 ? 0 : (uint8_t)take_number(&fields, UINT8_MAX);
     r->failed = r->failed || fields.failed || t->id[0] == '\0' ||
                 t->service == NULL || store_position_is_none(t->position) ||
                 !target_record_set_kind(t);
--- a/src/state/cookie-owners.c
+++ b/src/state/cookie-owners.c
@@ -4,207 +4,122 @@
 
 #include <glib.h>
 
-#include "base/list.h"
 #include "state/forward-view.h"
 
-/* A target whose cookie is another one's. */
-struct waiting_target {
-    struct list link;
-    struct forward_target *target;
-    uint64_t due_at; /* when it gets the cookie; 0: it does not */
-};
-
 struct cookie_owners {
     GHashTable *targets; /* cookie -> struct forward_target */
-    struct list waiting; /* struct waiting_target, owned */
-    uint64_t flow_max_us;
-    cookie_owners_cb cb;
-    void *ctx;
+    size_t other_forms;  /* targets with a form other than 0 */
+    uint64_t conflicts;  /* see cookie_owners_conflicts() */
 };
 
 struct cookie_owners *
-cookie_owners_new(cookie_owners_cb cb, void *ctx)
+cookie_owners_new(void)
 {
     struct cookie_owners *owners = g_new0(struct cookie_owners, 1);
 
     owners->targets = g_hash_table_new(g_direct_hash, g_direct_equal);
-    list_init(&owners->waiting);
-    owners->cb = cb;
-    owners->ctx = ctx;
     return owners;
 }
 
-static void
-waiting_free(struct waiting_target *w)
-{
-    list_remove(&w->link);
-    g_free(w);
-}
-
 void
 cookie_owners_destroy(struct cookie_owners *owners)
 {
     if (owners == NULL) {
         return;
     }
-    list_for_each_safe (it, &owners->waiting) {
-        waiting_free(container_of(it, struct waiting_target, link));
-    }
     g_hash_table_destroy(owners->targets);
     g_free(owners);
 }
 
-void
-cookie_owners_set_flow_max(struct cookie_owners *owners, uint64_t us)
-{
-    owners->flow_max_us = us;
-}
-
 struct forward_target *
 cookie_owners_find(const struct cookie_owners *owners, uint32_t cookie)
 {
     return g_hash_table_lookup(owners->targets, GUINT_TO_POINTER(cookie));
 }
 
-static void
-set_conflict(struct cookie_owners *owners, struct forward_target *target,
-             bool conflict)
+size_t
+cookie_owners_other_forms(const struct cookie_owners *owners)
 {
-    if (target->cookie_conflict != conflict) {
-        target->cookie_conflict = conflict;
-        owners->cb(owners->ctx, target);
-    }
+    return owners->other_forms;
 }
 
-static void
-set_owner(struct cookie_owners *owners, struct forward_target *target)
+uint64_t
+cookie_owners_conflicts(const struct cookie_owners *owners)
 {
-    g_hash_table_insert(owners->targets, GUINT_TO_POINTER(target->cookie),
-                        target);
-    set_conflict(owners, target, false);
+    return owners->conflicts;
 }
 
 static void
-add_waiting(struct cookie_owners *owners, struct forward_target *target)
+set_owner(struct cookie_owners *owners, struct forward_target *target,
+          uint32_t cookie, unsigned form)
 {
-    struct waiting_target *w = g_new0(struct waiting_target, 1);
-
-    w->target = target;
-    list_push_back(&owners->waiting, &w->link);
-    set_conflict(owners, target, true);
+    g_hash_table_insert(owners->targets, GUINT_TO_POINTER(cookie), target);
+    target->cookie = cookie;
+    target->cookie_form = (uint8_t)form;
+    target->record.cookie_form = (uint8_t)form;
+    owners->other_forms += form > 0;
 }
 
-static struct waiting_target *
-find_waiting(const struct cookie_owners *owners,
-             const struct forward_target *target)
+void
+cookie_owners_remove(struct cookie_owners *owners,
+                     struct forward_target *target)
 {
-    list_for_each (it, &owners->waiting) {
-        struct waiting_target *w =
-            container_of(it, struct waiting_target, link);
-
-        if (w->target == target) {
-            return w;
-        }
+    if (target->cookie != 0) {
+        g_hash_table_remove(owners->targets, GUINT_TO_POINTER(target->cookie));
+        owners->other_forms -= target->cookie_form > 0;
+        target->cookie = 0;
     }
-    return NULL;
 }
 
+/* Whether the entry of "a" is older: by the starts that the targets state, or
+ * else by its creation. */
 static bool
-goes_before(const struct forward_target *target,
-            const struct forward_target *other)
-{
-    return target->presence != TARGET_GONE &&
-           (other->presence == TARGET_GONE ||
-            store_position_is_after(other->record.created,
-                                    target->record.created));
-}
-
-void
-cookie_owners_add(struct cookie_owners *owners, struct forward_target *target)
+is_older(const struct target_record *a, const struct target_record *b)
 {
-    struct forward_target *owner = cookie_owners_find(owners, target->cookie);
-
-    if (owner == NULL) {
-        set_owner(owners, target);
-        return;
-    }
-    if (owner == target || find_waiting(owners, target) != NULL) {
-        return;
-    }
-    if (owner->presence != TARGET_GONE && goes_before(target, owner)) {
-        set_owner(owners, target);
-        add_waiting(owners, owner);
-        return;
+    if (a->born != 0 && b->born != 0 && a->born != b->born) {
+        return a->born < b->born;
     }
-    add_waiting(owners, target);
+    return store_position_is_after(b->created, a->created);
 }
 
-/* Returns the first in order of the targets that wait for a cookie, NULL when
- * there is none. */
-static struct waiting_target *
-first_waiting(const struct cookie_owners *owners, uint32_t cookie)
+/* Gives a target the first free form from "form" on. A target that loses its
+ * cookie to an older one gets its next free form. When all forms are taken, a
+ * target has no cookie. */
+static void
+assign_form(struct cookie_owners *owners, struct forward_target *target,
+            unsigned form, struct store_position since)
 {
-    struct waiting_target *first = NULL;
-
-    list_for_each (it, &owners->waiting) {
-        struct waiting_target *w =
-            container_of(it, struct waiting_target, link);
+    for (; form <= UINT8_MAX; form++) {
+        uint32_t cookie = forward_cookie_of(target->record.id, form);
+        struct forward_target *owner = cookie_owners_find(owners, cookie);
 
-        if (w->target->cookie == cookie &&
-            (first == NULL || goes_before(w->target, first->target))) {
-            first = w;
+        if (owner == NULL) {
+            set_owner(owners, target, cookie, form);
+            return;
+        }
+        owners->conflicts++;
+        if (store_position_is_after(owner->record.created, since) &&
+            is_older(&target->record, &owner->record)) {
+            unsigned owner_form = owner->cookie_form;
+
+            cookie_owners_remove(owners, owner);
+            set_owner(owners, target, cookie, form);
+            target = owner;
+            form = owner_form;
         }
     }
-    return first;
 }
 
 void
-cookie_owners_remove(struct cookie_owners *owners,
-                     struct forward_target *target)
+cookie_owners_add(struct cookie_owners *owners, struct forward_target *target,
+                  struct store_position since)
 {
-    struct waiting_target *w;
+    unsigned form = target->record.cookie_form;
 
-    if (cookie_owners_find(owners, target->cookie) != target) {
-        w = find_waiting(owners, target);
-        if (w != NULL) {
-            waiting_free(w);
-        }
+    if (target->cookie != 0 && target->cookie_form >= form) {
+        target->record.cookie_form = target->cookie_form;
         return;
     }
-    g_hash_table_remove(owners->targets, GUINT_TO_POINTER(target->cookie));
-    w = first_waiting(owners, target->cookie);
-    if (w != NULL) {
-        set_owner(owners, w->target);
-        waiting_free(w);
-    }
-}
-
-void
-cookie_owners_settle(struct cookie_owners *owners, uint64_t now)
-{
-    list_for_each (it, &owners->waiting) {
-        struct waiting_target *w =
-            container_of(it, struct waiting_target, link);
-        struct forward_target *owner =
-            cookie_owners_find(owners, w->target->cookie);
-
-        if (w != first_waiting(owners, w->target->cookie)) {
-            w->due_at = 0;
-            continue;
-        }
-        if (!goes_before(w->target, owner)) {
-            w->due_at = 0;
-            set_conflict(owners, owner, false);
-            continue;
-        }
-        if (w->due_at == 0) {
-            w->due_at = now + owners->flow_max_us;
-            set_conflict(owners, owner, true);
-        }
-        if (now >= w->due_at) {
-            set_owner(owners, w->target);
-            w->target = owner;
-            w->due_at = 0;
-        }
-    }
+    cookie_owners_remove(owners, target);
+    assign_form(owners, target, form, since);
 }
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -42,6 +42,8 @@
     /* Latest position at which a target was removed that is no longer in
      * "removed_targets". */
     struct store_position pruned;
+    /* Until when the forms of cookies are not final, us; 0: they are */
+    uint64_t forms_guessed_until;
     bool era_changes;    /* the delta being applied begins a new era */
     uint64_t generation; /* number of deltas applied so far */
 };
@@ -53,13 +55,19 @@
 };
 
 uint32_t
-forward_cookie(const char *id)
+forward_cookie_of(const char *id, unsigned form)
 {
-    uint32_t hash = (uint32_t)XXH64(id, strlen(id), 0);
+    uint32_t hash = (uint32_t)XXH64(id, strlen(id), form);
 
     return hash == 0 || hash == OPENING_COOKIE_MASK ? 1 : hash;
 }
 
+uint32_t
+forward_cookie(const char *id)
+{
+    return forward_cookie_of(id, 0);
+}
+
 uint32_t
 forward_opening_cookie(uint32_t cookie)
 {
@@ -113,12 +121,6 @@
     }
 }
 
-static void
-on_cookie_conflict(void *ctx, struct forward_target *target)
-{
-    notify_changed(ctx, target);
-}
-
 struct forward_view *
 forward_view_new(const struct forward_view_callbacks *cb)
 {
@@ -131,7 +133,7 @@
     view->routes =
         g_hash_table_new_full(route_key_hash, g_int64_equal, NULL, route_free);
     view->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
-    view->cookies = cookie_owners_new(on_cookie_conflict, view);
+    view->cookies = cookie_owners_new();
     view->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                            service_free);
     view->domains =
@@ -163,12 +165,6 @@
     free(view);
 }
 
-void
-forward_view_set_flow_max(struct forward_view *view, uint64_t us)
-{
-    cookie_owners_set_flow_max(view->cookies, us);
-}
-
 struct store_position
 forward_view_position(const struct forward_view *view)
 {
@@ -212,6 +208,14 @@
            view->order_count;
 }
 
+size_t
+forward_view_other_forms(const struct forward_view *view)
+{
+    return view->forms_guessed_until != 0
+               ? 0
+               : cookie_owners_other_forms(view->cookies);
+}
+
 bool
 forward_view_usable(const struct forward_view *view)
 {
@@ -658,7 +662,6 @@
 
     list_init(&target->link);
     memcpy(target->record.id, record->id, sizeof(target->record.id));
-    target->cookie = forward_cookie(record->id);
     g_hash_table_insert(view->targets, target->record.id, target);
     return target;
 }
@@ -684,6 +687,9 @@
     }
     target->replaced = false;
     target->record = *record;
+    if (target->record.cookie_form < target->cookie_form) {
+        target->record.cookie_form = target->cookie_form;
+    }
     target->domain =
         record->domain == NULL ? NULL : domain_get(view, record->domain);
     if (is_order(record)) {
@@ -695,7 +701,7 @@
     }
     set_presence(view, target, TARGET_PRESENT);
     set_service(view, target, record->service);
-    cookie_owners_add(view->cookies, target);
+    cookie_owners_add(view->cookies, target, view->position);
     notify_changed(view, target);
 }
 
@@ -811,7 +817,7 @@
     }
     set_presence(view, target, TARGET_GONE);
     if (!is_order(record)) {
-        cookie_owners_add(view->cookies, target);
+        cookie_owners_add(view->cookies, target, view->position);
     }
 }
 
@@ -941,6 +947,85 @@
     }
 }
 
+/* Returns the targets to which this view has given another form than the
+ * first, and takes their cookies away. */
+static GPtrArray *
+release_guessed_forms(struct forward_view *view)
+{
+    GPtrArray *released = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct forward_target *target = value;
+
+        if (target->cookie_form > 0) {
+            cookie_owners_remove(view->cookies, target);
+            target->cookie_form = 0;
+            target->record.cookie_form = 0;
+            g_ptr_array_add(released, target);
+        }
+    }
+    return released;
+}
+
+static void
+assign_cookie(struct forward_view *view, struct forward_target *target)
+{
+    uint32_t before = target->cookie;
+
+    cookie_owners_add(view->cookies, target, view->position);
+    if (target->cookie != before) {
+        notify_changed(view, target);
+    }
+}
+
+static bool
+has_other_forms(const struct view_delta *delta)
+{
+    for (guint i = 0; i < delta->targets->len; i++) {
+        if (g_array_index(delta->targets, struct target_record, i)
+                .cookie_form > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes over the forms of cookies that a peer knows. They stay the same when a
+ * target's entry changes, so the records may be older than the known ones. */
+static void
+learn_forms(struct forward_view *view, const struct view_delta *delta)
+{
+    GPtrArray *released = NULL;
+
+    if (!has_other_forms(delta)) {
+        return;
+    }
+    if (view->forms_guessed_until != 0) {
+        released = release_guessed_forms(view);
+        view->forms_guessed_until = 0;
+    }
+    for (guint i = 0; i < delta->targets->len; i++) {
+        const struct target_record *record =
+            &g_array_index(delta->targets, struct target_record, i);
+        struct forward_target *target =
+            g_hash_table_lookup(view->targets, record->id);
+
+        if (target != NULL && record->cookie_form > target->cookie_form) {
+            target->record.cookie_form = record->cookie_form;
+            assign_cookie(view, target);
+        }
+    }
+    for (guint i = 0; released != NULL && i < released->len; i++) {
+        assign_cookie(view, g_ptr_array_index(released, i));
+    }
+    if (released != NULL) {
+        g_ptr_array_free(released, TRUE);
+    }
+}
+
 /* Applies one record of a list that is not newer than the view, if the view
  * has a record of a later era that does not replace it. An unknown target is
  * not added: its entry may have been removed since. An order is, where the
@@ -969,6 +1054,7 @@
 forward_view_merge_earlier(struct forward_view *view,
                            const struct view_delta *delta, uint64_t now)
 {
+    learn_forms(view, delta);
     if (!delta->targets_complete) {
         return;
     }
@@ -990,7 +1076,9 @@
 {
     bool empty = store_position_is_none(view->position);
     bool era_changes = !empty && delta->to.era > view->position.era;
+    uint64_t conflicts = cookie_owners_conflicts(view->cookies);
 
+    learn_forms(view, delta);
     if (!delta->targets_complete &&
         (era_changes ||
          store_position_is_after(delta->from, view->position))) {
@@ -1007,10 +1095,12 @@
     view->generation++;
     apply_routes(view, delta, now);
     apply_targets(view, delta, now);
+    if (empty && cookie_owners_conflicts(view->cookies) != conflicts) {
+        view->forms_guessed_until = now + FORMS_GUESSED_US;
+    }
     view->position = delta->to;
     trim_removed_routes(view);
     trim_removed_targets(view);
-    cookie_owners_settle(view->cookies, now);
     return true;
 }
 
@@ -1042,12 +1132,13 @@
 }
 
 /* Whether a complete list contains a record. Removed orders are in it, because
- * a peer that has missed the removal keeps the order across eras. */
+ * a peer that has missed the removal keeps the order across eras, and removed
+ * targets whose cookie has another form, since they may return. */
 static bool
 belongs_in_list(const struct forward_view *view,
                 const struct target_record *record)
 {
-    return !record->removed || is_order(record) ||
+    return !record->removed || is_order(record) || record->cookie_form > 0 ||
            g_hash_table_contains(view->held, record->id);
 }
 
@@ -1063,7 +1154,11 @@
         const struct forward_target *target = value;
         struct target_record record = target->record;
 
-        if (!store_position_is_after(record.position, from) ||
+        if (view->forms_guessed_until != 0) {
+            record.cookie_form = 0;
+        }
+        if ((!store_position_is_after(record.position, from) &&
+             record.cookie_form == 0) ||
             (delta->targets_complete && !belongs_in_list(view, &record))) {
             continue;
         }
@@ -1143,6 +1238,9 @@
 void
 forward_view_expire_lapsed(struct forward_view *view, uint64_t now)
 {
+    if (now >= view->forms_guessed_until) {
+        view->forms_guessed_until = 0;
+    }
     list_for_each_safe (it, &view->lapsed) {
         struct forward_target *target =
             container_of(it, struct forward_target, link);
@@ -1152,7 +1250,6 @@
             notify_changed(view, target);
         }
     }
-    cookie_owners_settle(view->cookies, now);
 }
 
 void
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -32,6 +32,10 @@
 /* Maximum number of lists of routes, including the current one, relative to
  * which a delta can be computed. */
 #define ROUTE_LISTS_MAX 64
+/* Time for which the forms of cookies are not final that a balancer has given
+ * to the targets of its first view, whose history it does not know. A peer
+ * that knows the forms answers within this time. */
+#define FORMS_GUESSED_US (1 * USEC_PER_SEC)
 /* Time for which a record of a new era that is older than the known one is
  * held. The store removes the entry of a target within this time after its
  * last write. */
@@ -94,13 +98,13 @@
     uint64_t lapsed_until; /* when a lapsed target becomes TARGET_GONE, us */
     /* End of the target's last cold start, us; 0: none was seen */
     uint64_t cold_until;
-    uint32_t cookie;      /* forward_cookie() of the id */
-    uint8_t presence;     /* enum target_presence */
-    bool cookie_conflict; /* another target has the same cookie: this one gets
-                           * no new flows; see state/cookie-owners.h */
-    bool replaced; /* a newer entry has its address: this one gets no new
-                    * flows, and is gone if it is silent, even if its entry is
-                    * still there */
+    uint32_t cookie;     /* forward_cookie_of() the id and the form; 0: none is
+                          * free, and it gets no flows */
+    uint8_t cookie_form; /* see state/cookie-owners.h */
+    uint8_t presence;    /* enum target_presence */
+    bool replaced;       /* a newer entry has its address: this one gets no new
+                          * flows, and is gone if it is silent, even if its entry is
+                          * still there */
     /* Generation of the last applied delta that contained the target. */
     uint64_t seen_generation;
     struct target_observations observations;
@@ -129,14 +133,12 @@
 /* Returns an empty view; "cb" is copied. Returns NULL when out of memory. */
 struct forward_view *forward_view_new(const struct forward_view_callbacks *cb);
 void forward_view_destroy(struct forward_view *view);
-/* Sets the maximum lifetime of a flow, us; see state/cookie-owners.h. */
-void forward_view_set_flow_max(struct forward_view *view, uint64_t us);
 
 /* Applies the parts of a delta that are newer than the view. Returns false and
  * changes nothing when changes between the view and the delta may be missing:
  * the delta starts after the view's revision and is not a complete list of
  * targets, or its routes are relative to another list than that of the view.
- */
+ * Forms of cookies are taken over in any case. */
 bool forward_view_apply(struct forward_view *view,
                         const struct view_delta *delta, uint64_t now);
 /* Applies what a complete list of a peer knows of earlier eras and the view
@@ -154,7 +156,7 @@
                               struct store_position routes_base, uint64_t now,
                               struct view_delta *delta);
 /* Changes the lapsed targets whose "lapsed_until" has passed to TARGET_GONE,
- * and passes on cookies that two targets have. */
+ * and makes the forms of cookies final whose time has passed. */
 void forward_view_expire_lapsed(struct forward_view *view, uint64_t now);
 /* Makes the held records those of their targets for which the time ended
  * before "confirmed_at", when the store confirmed the view last; so a removal
@@ -176,6 +178,9 @@
 uint64_t forward_view_routes_version(const struct forward_view *view);
 /* Number of held records. */
 size_t forward_view_held_count(const struct forward_view *view);
+/* Number of targets whose cookie is not of the first form, 0 while the forms
+ * are not final. */
+size_t forward_view_other_forms(const struct forward_view *view);
 /* True when the view has at least one route and one target. */
 bool forward_view_usable(const struct forward_view *view);
 /* Number of routes, and of targets, without the removed ones. Lapsed targets
@@ -209,7 +214,10 @@
 /* Returns the name of a target's failure domain for logs, "" if unknown. */
 const char *forward_target_domain_name(const struct forward_target *target);
 /* Returns the 32-bit hash of a target's id that identifies the target in
- * packets of callers; never 0. */
+ * packets of callers, in one of its forms; see state/cookie-owners.h. Never 0.
+ */
+uint32_t forward_cookie_of(const char *id, unsigned form);
+/* Returns the first form, which all targets have but for equal hashes. */
 uint32_t forward_cookie(const char *id);
 /* Returns the other form of a cookie, which the target's opening packets have;
  * for that form, the cookie. */
--- a/src/state/view-delta.h
+++ b/src/state/view-delta.h
@@ -78,6 +78,8 @@
     uint32_t cold_ms; /* remaining time of the target's cold start */
     uint16_t port;
     uint8_t kind; /* enum record_kind; see target_record_set_kind() */
+    uint8_t
+        cookie_form; /* see state/cookie-owners.h; 0 in the store's entry */
     bool draining;
     bool removed;
     /* When the target's entry was created, and its last change. */
