store-client: an item that cannot be read does not hide the others

Operators of similar systems saw machines end, or stop following, after another writer had left one odd entry. Here a key with NUL, with bytes that are no UTF-8, a number out of range, deep nesting or a value that is no base64 made the whole answer of the store count as malformed: balancers followed nothing from then on, and one that started never got ready.

Cause: the answer is one JSON text for the parser, and one item that failed failed the answer. An answer that the parser refuses is split into its items now, each read by itself; an item without a usable key or revision is left out, one with an unreadable value counts as empty, since its key was written. A read goes on after the key of the last item of a page, also of one that was left out, and fails when there is no new key instead of counting as complete. The same for the gateway's answers. Logged as store_item_not_used, counted.

Nesting of up to 1,000,000 in values on the decoder's thread ended no process before and does not now (test-entry-decoder, new).

--- a/src/daemon/forward-metrics.c
+++ b/src/daemon/forward-metrics.c
@@ -98,6 +98,7 @@
     add(f, "held_records", "", c.held_records);
     add(f, "store_answers_dropped_total", "{cause=\"earlier_era\"}",
         c.dropped_answers);
+    add(f, "store_items_not_used_total", "", c.item_faults);
     add(f, "deltas_dropped_total", "{cause=\"earlier_era\"}",
         c.dropped_deltas);
     add(f, "view_age_microseconds", "", c.view_age_us);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -1334,6 +1334,7 @@
     c->store_era = forward_view_position(task->view).era;
     c->held_records = forward_view_held_count(task->view);
     c->dropped_answers = store_client_dropped_answers(task->store);
+    c->item_faults = store_client_item_faults(task->store);
     c->dropped_deltas = view_sync_dropped_deltas(task->sync);
     c->load_messages = task->load_messages;
     c->load_bytes = task->load_bytes;
--- a/src/daemon/view-task.h
+++ b/src/daemon/view-task.h
@@ -118,6 +118,7 @@
     uint64_t held_records;    /* see state/forward-view.h */
     uint64_t dropped_answers; /* of the store, of earlier eras */
     uint64_t dropped_deltas;  /* of peers, of earlier eras */
+    uint64_t item_faults;     /* see store_client_item_faults() */
     uint64_t load_messages;   /* about load by failure domain, to peers */
     uint64_t load_bytes;      /* of these messages */
     /* Largest delay of the event loop since the start */
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <sodium.h>
 
 #define LOG_MODULE "store-client"
@@ -61,6 +62,8 @@
     /* Newest position when the current attempt began. */
     struct store_position newest_at_start;
     struct store_entries entries; /* of all pages read so far */
+    GHashTable *page_keys;        /* set of GBytes: keys after which pages
+                                   * have begun */
 };
 
 struct watch {
@@ -96,6 +99,7 @@
     uint64_t watch_sequence;
     struct store_position newest; /* that the store has reported */
     uint64_t dropped_answers;     /* of earlier eras */
+    uint64_t item_faults;         /* see store_client_item_faults() */
 };
 
 void
@@ -207,6 +211,9 @@
     }
     store_entries_clear(&op->entries);
     store_request_clear(&op->request);
+    if (op->page_keys != NULL) {
+        g_hash_table_destroy(op->page_keys);
+    }
     free(op);
 }
 
@@ -508,16 +515,32 @@
     operation_end(op, &st, modified);
 }
 
+/* Returns the key of the last item of the pages read so far, NULL when there
+ * is none, and its length in bytes. */
+static const char *
+last_key(const struct store_entries *entries, size_t *len)
+{
+    const char *key = entries->odd_key;
+
+    *len = entries->odd_key_len;
+    if (key == NULL && entries->count > 0) {
+        key = entries->items[entries->count - 1].key;
+        *len = strlen(key);
+    }
+    return key;
+}
+
 /* Builds the request for the next page of a read. */
 static bool
 build_page(struct operation *op)
 {
+    size_t after_len;
+    const char *after = last_key(&op->entries, &after_len);
     const struct store_range range = {
         .key = op->key,
         .prefix = op->prefix,
-        .after = op->entries.count == 0
-                     ? NULL
-                     : op->entries.items[op->entries.count - 1].key,
+        .after = after,
+        .after_len = after_len,
         .revision = op->revision,
         .limit = PAGE_KEYS_MAX,
         .stale = op->stale,
@@ -563,6 +586,31 @@
     }
 }
 
+/* Logs and counts the items with a fault in an answer, after which "before" of
+ * them were known. */
+static void
+note_faults(struct store_client *sc, const struct store_entries *entries,
+            size_t before)
+{
+    static const char *const names[STORE_ITEM_FAULT_COUNT] = {
+        [STORE_ITEM_SYNTAX] = "syntax",
+        [STORE_ITEM_KEY] = "key",
+        [STORE_ITEM_REVISION] = "revision",
+        [STORE_ITEM_VALUE] = "value",
+    };
+    char count[24];
+
+    if (entries->faults == before) {
+        return;
+    }
+    sc->item_faults += entries->faults - before;
+    snprintf(count, sizeof(count), "%zu", entries->faults - before);
+    log_fields(LOG_LEVEL_WARN, LOG_MODULE,
+               LOG_FIELDS({"key", entries->fault_key},
+                          {"fault", names[entries->fault]}, {"items", count}),
+               "store_item_not_used");
+}
+
 /* Begins a read anew when a page is of a later era than those before. */
 static void
 restart_range(struct operation *op, uint64_t era)
@@ -570,10 +618,24 @@
     LOG_WARN("reading anew: the store has begun era %u between two pages",
              (unsigned)era);
     store_entries_clear(&op->entries);
+    g_hash_table_remove_all(op->page_keys);
     op->revision = 0;
     read_next_page(op);
 }
 
+/* Whether the pages that were read tell where the next one begins: after a
+ * key that no page has begun after. Else the same pages would be read again
+ * and again. */
+static bool
+goes_on(struct operation *op)
+{
+    size_t len;
+    const char *key = last_key(&op->entries, &len);
+
+    return key != NULL &&
+           g_hash_table_add(op->page_keys, g_bytes_new(key, len));
+}
+
 static void
 handle_range_answer(struct operation *op,
                     const struct http_call_answer *answer)
@@ -582,6 +644,7 @@
     struct store_position position;
     struct status st;
     size_t old_count = op->entries.count;
+    size_t old_faults = op->entries.faults;
     uint64_t era;
     enum store_era_result era_result;
 
@@ -617,9 +680,15 @@
         return;
     }
     op->era = position.era;
+    note_faults(op->sc, &op->entries, old_faults);
     stamp_entries(&op->entries, old_count, op->era);
     update_complete_revision(op, old_count, range.revision);
-    if (range.more && op->entries.count > old_count) {
+    if (range.more && !goes_on(op)) {
+        operation_fail(op, ERR_STORE_DOWN,
+                       "a page of a read has no new key to go on from");
+        return;
+    }
+    if (range.more) {
         read_next_page(op);
         return;
     }
@@ -681,6 +750,8 @@
     op->prefix = prefix;
     op->stale = stale;
     op->on_range = cb;
+    op->page_keys = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+                                          (GDestroyNotify)g_bytes_unref, NULL);
     if (!build_page(op)) {
         abort_out_of_memory();
     }
@@ -802,6 +873,7 @@
     }
     else {
         backoff_reset(&w->sc->backoff);
+        note_faults(w->sc, &entries, 0);
         w->reported.revision = line.revision;
         note_position(w->sc, w->reported);
         stamp_entries(&entries, 0, w->reported.era);
@@ -998,6 +1070,12 @@
     return sc->dropped_answers;
 }
 
+uint64_t
+store_client_item_faults(const struct store_client *sc)
+{
+    return sc->item_faults;
+}
+
 const struct store_entry *
 store_entries_find_newest(const struct store_entry *entries, size_t count,
                           const char *key)
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -158,6 +158,9 @@
 /* Returns the number of answers that were dropped because they came from an
  * earlier era than one already known. */
 uint64_t store_client_dropped_answers(const struct store_client *sc);
+/* Number of items in the store's answers that were left out, or used without
+ * their value, because they could not be read. */
+uint64_t store_client_item_faults(const struct store_client *sc);
 /* Returns the number of HTTP requests started so far. A watch counts as one,
  * or as one per poll if the dialect polls. */
 uint64_t store_client_call_count(const struct store_client *sc);
--- a/src/transport/store-dialect.h
+++ b/src/transport/store-dialect.h
@@ -24,7 +24,10 @@
 struct store_range {
     const char *key;
     bool prefix;       /* read all keys that start with "key" */
-    const char *after; /* last key of the previous page; NULL for the first */
+    /* Last key of the previous page; NULL for the first. It may be any bytes.
+     */
+    const char *after;
+    size_t after_len;
     /* 0 for the first page; then the revision up to which the pages read so
      * far are complete, at which a dialect may read this page. */
     uint64_t revision;
@@ -57,7 +60,8 @@
                   uint64_t start_revision, uint64_t wait_us);
 
     /* The parsers return false if the answer is malformed or memory is short.
-     * Entries are appended, also before a failure. */
+     * Entries are appended, also before a failure. An item that is malformed
+     * does not make the answer so; see store_entries_add_fault(). */
     bool (*parse_range)(const char *text, size_t len,
                         struct store_range_answer *answer,
                         struct store_entries *entries);
--- a/src/transport/store-gateway.c
+++ b/src/transport/store-gateway.c
@@ -1,9 +1,10 @@
 #include "transport/store-dialect.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 void
 store_request_clear(struct store_request *request)
 {
@@ -27,20 +28,21 @@
 build_range(struct store_request *request, const struct store_range *range)
 {
     char end[STORE_KEY_SIZE];
-    char first[STORE_KEY_SIZE + 1];
+    GString *first = g_string_new(range->key);
+    char *body;
 
     store_prefix_end(range->key, end);
-    snprintf(first, sizeof(first), "%s", range->key);
     if (range->after != NULL) {
         /* Start at the lowest possible key above "after", which is "after"
-         * followed by "\1": keys contain no control characters, and NUL cannot
-         * be part of a string. */
-        snprintf(first, sizeof(first), "%s\1", range->after);
+         * followed by "\1": a key with NUL would be left out. */
+        g_string_truncate(first, 0);
+        g_string_append_len(first, range->after, (gssize)range->after_len);
+        g_string_append_c(first, '\1');
     }
-    return post(request, "/v3/kv/range",
-                store_json_range(first, range->prefix ? end : NULL,
-                                 range->revision,
-                                 range->prefix ? range->limit : 0));
+    body = store_json_range(first->str, first->len, range->prefix ? end : NULL,
+                            range->revision, range->prefix ? range->limit : 0);
+    g_string_free(first, TRUE);
+    return post(request, "/v3/kv/range", body);
 }
 
 static bool
--- a/src/transport/store-json.c
+++ b/src/transport/store-json.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <jansson.h>
 #include <sodium.h>
 
@@ -24,6 +25,7 @@
         entry_clear(&entries->items[i]);
     }
     free(entries->items);
+    free(entries->odd_key);
     memset(entries, 0, sizeof(*entries));
 }
 
@@ -47,9 +49,30 @@
     entry = &entries->items[entries->count];
     memset(entry, 0, sizeof(*entry));
     entries->count++;
+    free(entries->odd_key);
+    entries->odd_key = NULL;
     return entry;
 }
 
+void
+store_entries_add_fault(struct store_entries *entries,
+                        enum store_item_fault fault, const char *key,
+                        size_t key_len)
+{
+    char *text = g_utf8_make_valid(key == NULL ? "" : key, (gssize)key_len);
+
+    entries->faults++;
+    entries->fault = fault;
+    g_strlcpy(entries->fault_key, text, sizeof(entries->fault_key));
+    g_free(text);
+    if (fault == STORE_ITEM_VALUE) {
+        return;
+    }
+    free(entries->odd_key);
+    entries->odd_key = key == NULL ? NULL : g_memdup2(key, key_len);
+    entries->odd_key_len = key_len;
+}
+
 static json_t *
 json_base64(const char *data, size_t len)
 {
@@ -132,9 +155,9 @@
 }
 
 static json_t *
-range_json(const char *key, const char *end)
+range_json(const char *key, size_t key_len, const char *end)
 {
-    json_t *json = json_pack("{s:o}", "key", json_key(key));
+    json_t *json = json_pack("{s:o}", "key", json_base64(key, key_len));
 
     if (json != NULL && end != NULL) {
         json_object_set_new(json, "range_end", json_key(end));
@@ -143,10 +166,10 @@
 }
 
 char *
-store_json_range(const char *key, const char *end, uint64_t revision,
-                 size_t limit)
+store_json_range(const char *key, size_t key_len, const char *end,
+                 uint64_t revision, size_t limit)
 {
-    json_t *json = range_json(key, end);
+    json_t *json = range_json(key, key_len, end);
 
     if (json != NULL && limit > 0) {
         json_object_set_new(json, "limit", json_u64(limit));
@@ -178,7 +201,7 @@
 char *
 store_json_watch(const char *key, const char *end, uint64_t start_revision)
 {
-    json_t *create = range_json(key, end);
+    json_t *create = range_json(key, strlen(key), end);
 
     if (create == NULL) {
         return NULL;
@@ -196,23 +219,51 @@
     return *revision <= STORE_REVISION_MAX;
 }
 
+/* Whether a key is text that fits into a buffer for keys. */
+static bool
+is_usable_key(const char *key, size_t len)
+{
+    return key != NULL && len > 0 && len < STORE_KEY_SIZE &&
+           g_utf8_validate(key, (gssize)len, NULL);
+}
+
+/* Appends a key and its value. One that has no usable key or revision is left
+ * out, and an unreadable value counts as empty. Returns false if out of
+ * memory. */
 static bool
 append_kv(const json_t *kv, bool deleted, struct store_entries *entries)
 {
-    struct store_entry *entry = store_entries_append(entries);
-    uint64_t revision;
     size_t key_len;
+    char *key = get_base64(kv, "key", &key_len);
+    uint64_t revision;
+    struct store_entry *entry;
 
-    if (entry == NULL || !get_revision(kv, "mod_revision", &revision)) {
+    if (!is_usable_key(key, key_len) ||
+        !get_revision(kv, "mod_revision", &revision)) {
+        store_entries_add_fault(
+            entries,
+            is_usable_key(key, key_len) ? STORE_ITEM_REVISION : STORE_ITEM_KEY,
+            key, key_len);
+        free(key);
+        return true;
+    }
+    entry = store_entries_append(entries);
+    if (entry == NULL) {
+        free(key);
         return false;
     }
+    entry->key = key;
     entry->modified.revision = revision;
-    entry->key = get_base64(kv, "key", &key_len);
-    if (!deleted) {
-        entry->value = get_base64(kv, "value", &entry->value_len);
+    if (deleted) {
+        return true;
+    }
+    entry->value = get_base64(kv, "value", &entry->value_len);
+    if (entry->value == NULL) {
+        store_entries_add_fault(entries, STORE_ITEM_VALUE, key, key_len);
+        entry->value = calloc(1, 1);
+        entry->value_len = 0;
     }
-    return entry->key != NULL && key_len > 0 && key_len < STORE_KEY_SIZE &&
-           (deleted || entry->value != NULL);
+    return entry->value != NULL;
 }
 
 static bool
--- a/tests/unit/test-entry-decoder.c
+++ b/tests/unit/test-entry-decoder.c
@@ -9,10 +9,14 @@
 #include <cmocka.h>
 
 #include <event2/event.h>
+#include <glib.h>
 
 #include "base/clock.h"
 #include "coordination/own-delay.h"
 #include "daemon/entry-decoder.h"
+#include "platform/records.h"
+
+#define COUNT(array) (sizeof(array) / sizeof(*(array)))
 
 /* A configuration of 2,000 routes takes 25 ms of a core, 300 ms of a twelfth
  * of one. */
@@ -29,6 +33,16 @@
     char key[64];       /* key of the last entry that was decoded */
 };
 
+/* Decodes entries as a forwarder does. */
+static void
+decode_records(void *ctx, struct view_delta *delta,
+               const struct store_entry *entries, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        platform_add_entry(delta, &entries[i]);
+    }
+}
+
 /* Adds one target for each entry. */
 static void
 decode(void *ctx, struct view_delta *delta, const struct store_entry *entries,
@@ -149,6 +163,55 @@
     assert_int_equal(f->decoded, 0);
 }
 
+/* Values that are nested deeply do not exhaust the stack of the decoder's
+ * thread, which also has the frames of the sanitizers, and the entry after
+ * them is decoded. */
+static void
+test_deep_nesting_does_not_end_the_process(void **state)
+{
+    static const size_t depths[] = {16, 2000, 2047, 2048, 60000, 1000000};
+    struct fixture *f = *state;
+    struct status st;
+    struct entry_decoder *decoder =
+        entry_decoder_new(f->base, decode_records, on_decoded, f, &st);
+
+    assert_non_null(decoder);
+    for (size_t i = 0; i < COUNT(depths); i++) {
+        static const char target[] =
+            "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+            "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+            "\"coldLeftMs\":0,\"sequence\":1}";
+        char *open = g_strnfill(depths[i], '[');
+        char *close = g_strnfill(depths[i], ']');
+        char *object = g_strdup_printf("{\"n\":%s%s}", open, close);
+        const struct store_entry entries[] = {{.key = "servers/i-1",
+                                               .modified.revision = 7,
+                                               .value = open,
+                                               .value_len = depths[i]},
+                                              {.key = "servers/i-2",
+                                               .modified.revision = 8,
+                                               .value = object,
+                                               .value_len = strlen(object)},
+                                              {.key = "op/config",
+                                               .modified.revision = 9,
+                                               .value = object,
+                                               .value_len = strlen(object)},
+                                              {.key = "servers/i-3",
+                                               .modified.revision = 10,
+                                               .value = target,
+                                               .value_len = strlen(target)}};
+
+        assert_true(entry_decoder_start(decoder, entries, COUNT(entries)));
+        event_base_dispatch(f->base);
+        assert_int_equal(f->decoded, i + 1);
+        assert_int_equal(f->targets, 3);
+        g_free(open);
+        g_free(close);
+        g_free(object);
+    }
+    entry_decoder_destroy(decoder);
+}
+
 int
 main(void)
 {
@@ -157,6 +220,8 @@
         cmocka_unit_test_setup_teardown(test_one_at_a_time, setup, teardown),
         cmocka_unit_test_setup_teardown(test_destroyed_while_decoding, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(
+            test_deep_nesting_does_not_end_the_process, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
