soak: items in the store that cannot be read

Six kinds, at any time of a soak, drawn from numbers of their own, so that the other faults of a seed stay those of before. They excuse nothing.

--- a/tools/soak/directory.c
+++ b/tools/soak/directory.c
@@ -256,6 +256,56 @@
     g_free(key);
 }
 
+/* Items as the store shows them, with their length, as some have bytes that
+ * are no text; "%R" is the revision. They sort among the entries of targets.
+ */
+static const struct odd_item {
+    const char *key; /* under which the item is written */
+    const char *text;
+    size_t len;
+} odd_items[] = {
+#define ODD(key, text)                                                        \
+    {                                                                         \
+        key, text, sizeof(text) - 1                                           \
+    }
+    ODD("servers/i-0~", "{\"key\":\"servers/i-0~\\u0000\",\"value\":\"e30=\","
+                        "\"revision\":%R,\"created\":%R}"),
+    ODD("servers/i-~", "{\"key\":\"servers/i-\xff\xfe\",\"value\":\"e30=\","
+                       "\"revision\":%R,\"created\":%R}"),
+    ODD("servers/i-0~", "{\"key\":\"servers/i-0~\",\"value\":\"e30=\","
+                        "\"revision\":%R,\"lease\":1e999}"),
+    ODD("servers/i-0~", "{\"key\":\"servers/i-0~\",\"value\":\"?\","
+                        "\"revision\":%R,\"created\":%R}"),
+    ODD("servers/i-0~", "{\"key\":\"servers/i-0~\",\"value\":\"W1tb\","
+                        "\"revision\":%R,\"created\":%R}"),
+    ODD("servers/i-0~", "{\"value\":\"e30=\",\"revision\":%R}"),
+#undef ODD
+};
+
+void
+directory_write_odd_item(struct soak *soak, unsigned kind)
+{
+    const struct odd_item *odd = &odd_items[kind % G_N_ELEMENTS(odd_items)];
+    char *item = g_base64_encode((const guchar *)odd->text, odd->len);
+    char *body = g_strdup_printf("{\"put_raw\":\"%s%u\",\"item\":\"%s\"}",
+                                 odd->key, kind, item);
+
+    directory_control_store(soak, body);
+    g_free(body);
+    g_free(item);
+}
+
+void
+directory_remove_odd_item(struct soak *soak, unsigned kind)
+{
+    char *body =
+        g_strdup_printf("{\"delete\":\"%s%u\"}",
+                        odd_items[kind % G_N_ELEMENTS(odd_items)].key, kind);
+
+    directory_control_store(soak, body);
+    g_free(body);
+}
+
 void
 directory_remove_target(struct target_process *t, bool leaving)
 {
--- a/tools/soak/directory.h
+++ b/tools/soak/directory.h
@@ -16,6 +16,10 @@
 /* Writes the order to empty a failure domain, or takes it back, as
  * "soak->emptied" says, and reports it to the checker. */
 void directory_write_order(struct soak *soak, unsigned domain);
+/* Writes an item that cannot be read, or an entry with a value that cannot, of
+ * the kind that "kind" draws; or removes it. */
+void directory_write_odd_item(struct soak *soak, unsigned kind);
+void directory_remove_odd_item(struct soak *soak, unsigned kind);
 /* Deletes a target's entry. "leaving": the target does not come back, which is
  * reported to the checker. */
 void directory_remove_target(struct target_process *t, bool leaving);
--- a/tools/soak/faults.c
+++ b/tools/soak/faults.c
@@ -879,6 +879,12 @@
     }
 }
 
+static void
+end_odd_item(struct active_fault *active)
+{
+    directory_remove_odd_item(active->soak, active->fault.subject);
+}
+
 static void
 begin_other(struct active_fault *active)
 {
@@ -919,6 +925,10 @@
     case FAULT_UNROUTED:
         unroute_balancer(active);
         break;
+    case FAULT_ODD_ITEM:
+        directory_write_odd_item(active->soak, active->fault.subject);
+        end_after_duration(active, end_odd_item);
+        break;
     default:
         change_config(active->soak);
         active_fault_free(active);
--- a/tools/soak/plan.c
+++ b/tools/soak/plan.c
@@ -15,6 +15,11 @@
 #define PAUSE_MIN_MS 3000
 #define PAUSE_MAX_MS 12000
 
+/* Maximum interval between two odd items, and what tells their numbers from
+ * those of the other faults of a seed. */
+#define ODD_ITEM_GAP_MAX_MS 6000
+#define ODD_ITEM_SEED 0x0dd17e35U
+
 struct fault_type {
     const char *name;         /* in plan files */
     unsigned weight;          /* relative frequency in drawn plans */
@@ -58,6 +63,8 @@
     [FAULT_DOMAIN_EMPTIED] = {"domain-emptied", 4, 4000, 10000},
     [FAULT_HANGUP] = {"hangup", 1, 0, 0},
     [FAULT_UNROUTED] = {"unrouted", 4, 1000, 4000},
+    /* Drawn by itself: see add_odd_items(). */
+    [FAULT_ODD_ITEM] = {"odd-item", 0, 1000, 20000},
 };
 
 const char *
@@ -101,6 +108,42 @@
     return plan;
 }
 
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+    const struct fault *first = a;
+    const struct fault *second = b;
+
+    return (first->at_ms > second->at_ms) - (first->at_ms < second->at_ms);
+}
+
+/* Adds odd items at any time, also in the pauses between series, since they
+ * excuse nothing. They are drawn from numbers of their own, so that the other
+ * faults of a seed do not change with them. */
+static void
+add_odd_items(struct plan *plan)
+{
+    const struct fault_type *type = &fault_types[FAULT_ODD_ITEM];
+    struct random random;
+    uint64_t at = 0;
+
+    random_seed(&random, plan->seed ^ ODD_ITEM_SEED);
+    for (;;) {
+        struct fault fault = {.kind = FAULT_ODD_ITEM};
+
+        at += draw_between(&random, 0, ODD_ITEM_GAP_MAX_MS);
+        if (at >= plan->length_ms) {
+            break;
+        }
+        fault.at_ms = at;
+        fault.subject = random_below(&random, 1000);
+        fault.duration_ms = draw_between(&random, type->min_duration_ms,
+                                         type->max_duration_ms);
+        g_array_append_val(plan->faults, fault);
+    }
+    g_array_sort(plan->faults, compare_times);
+}
+
 /* Faults are drawn in series, so that they overlap. The checker's bounds apply
  * only some time after a fault, that is, in the pauses between series. */
 struct plan *
@@ -126,6 +169,7 @@
         }
         at += draw_between(&random, PAUSE_MIN_MS, PAUSE_MAX_MS);
     }
+    add_odd_items(plan);
     return plan;
 }
 
--- a/tools/soak/plan.h
+++ b/tools/soak/plan.h
@@ -71,6 +71,9 @@
     FAULT_HANGUP, /* one balancer's settings file is rewritten, with SIGHUP */
     FAULT_UNROUTED, /* the router takes one balancer out of rotation, which
                        runs all the while and is not told */
+    FAULT_ODD_ITEM, /* another writer leaves an item in the store that cannot
+                       be read, which excuses nothing; the subject draws its
+                       kind */
     FAULT_COUNT,
 };
 
