view-task: the store's address may change while the process runs

After the settings had named another address of the store, and the former one was gone, no change arrived any more: dropped routes stayed in force, added ones were refused. The client of the store kept the address of its start.

--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -1247,14 +1247,34 @@
     return view_sync_estimate_reachable(task->sync, clock_monotonic_us());
 }
 
+static void
+move_store(struct view_task *task)
+{
+    char endpoint[32];
+    const char *const endpoints[] = {endpoint};
+    struct status st;
+
+    endpoint_format(&task->settings.store, endpoint, sizeof(endpoint));
+    if (store_client_move(task->store, endpoints, 1, &st)) {
+        LOG_INFO("the store is at %s now", endpoint);
+        return;
+    }
+    LOG_ERR("the address of the store is not used: %s", st.message);
+}
+
 void
 view_task_reload(struct view_task *task,
                  const struct forward_settings *settings)
 {
     bool limits_changed =
         settings->change_bound_us != task->settings.change_bound_us;
+    bool store_moved = settings->store.addr != task->settings.store.addr ||
+                       settings->store.port != task->settings.store.port;
 
     task->settings = *settings;
+    if (store_moved) {
+        move_store(task);
+    }
     if (limits_changed) {
         init_limits(task);
     }
--- a/src/transport/store-client.c
+++ b/src/transport/store-client.c
@@ -151,28 +151,36 @@
     return true;
 }
 
+/* Replaces the endpoints, unless one of them is malformed. */
 static bool
 set_endpoints(struct store_client *sc, const char *const *endpoints,
               size_t count, struct status *st)
 {
+    struct store_endpoint *parsed;
+
     if (count == 0) {
         status_set(st, ERR_INVALID, "store client: no endpoints");
         return false;
     }
-    sc->endpoints = calloc(count, sizeof(*sc->endpoints));
-    if (sc->endpoints == NULL) {
+    parsed = calloc(count, sizeof(*parsed));
+    if (parsed == NULL) {
         status_set(st, ERR_NO_MEMORY, "store client: out of memory");
         return false;
     }
-    sc->endpoint_count = count;
     for (size_t i = 0; i < count; i++) {
-        if (!parse_endpoint(endpoints[i], &sc->endpoints[i])) {
+        if (!parse_endpoint(endpoints[i], &parsed[i])) {
             status_set(st, ERR_INVALID,
                        "store client: \"%s\" is not an address and port",
                        endpoints[i]);
+            free(parsed);
             return false;
         }
     }
+    free(sc->endpoints);
+    sc->endpoints = parsed;
+    sc->endpoint_count = count;
+    sc->next_endpoint = random_next(&sc->random) % count;
+    status_set_ok(st);
     return true;
 }
 
@@ -196,8 +204,6 @@
         store_client_destroy(sc);
         return NULL;
     }
-    sc->next_endpoint = random_next(&sc->random) % endpoint_count;
-    status_set_ok(st);
     return sc;
 }
 
@@ -837,6 +843,19 @@
     cb(ctx, &st, (struct store_position){.era = sc->newest.era}, NULL, 0);
 }
 
+bool
+store_client_move(struct store_client *sc, const char *const *endpoints,
+                  size_t endpoint_count, struct status *st)
+{
+    if (!set_endpoints(sc, endpoints, endpoint_count, st)) {
+        return false;
+    }
+    if (sc->watch != NULL) {
+        watch_fail(sc->watch, ERR_STORE_DOWN, "its endpoints have changed");
+    }
+    return true;
+}
+
 /* Whether a store that could announce its era, but does not, has gone back to
  * a revision before that of the watch. */
 static bool
