--- a/src/coordination/flow-identity.h
+++ b/src/coordination/flow-identity.h
@@ -23,7 +23,7 @@
     uint32_t route_addr;
     uint16_t caller_port;
     uint16_t route_port;
-    uint32_t cookie; /* forward_cookie() of the target's id */
+    uint32_t cookie; /* of the target, see struct forward_target */
     uint32_t ack;    /* acknowledgement number of the caller */
 };
 /* Maximum number of them in one message. */
--- a/src/coordination/target-speed.h
+++ b/src/coordination/target-speed.h
@@ -44,7 +44,7 @@
 
 /* An outcome of a request, as balancers tell each other. */
 struct slow_target_record {
-    uint32_t cookie; /* forward_cookie() of the target's id */
+    uint32_t cookie; /* of the target, see struct forward_target */
     /* How long the request took to the usual time, in 1/100; of
      * OUTCOME_ANSWERED and OUTCOME_LONG, else 0 */
     uint32_t ratio;
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -36,7 +36,7 @@
 /* Observation of a target that does not answer the sender's callers, or of an
  * answer that contradicts such observations. */
 struct observation_record {
-    uint32_t cookie; /* forward_cookie() of the target's id */
+    uint32_t cookie; /* of the target, see struct forward_target */
     /* Unanswered requests since the last report; 0: the target answered;
      * OBSERVATION_SILENT: the sender regards it as silent. */
     uint32_t misses;
--- a/src/transport/store-client.h
+++ b/src/transport/store-client.h
@@ -92,9 +92,9 @@
                                       size_t endpoint_count,
                                       struct status *st);
 /* Replaces the endpoints. Attempts in progress end at the former ones; the
- * watch fails, and its callback runs, so that it is started anew. Returns false
- * with "st" set, and changes nothing, when they are malformed. Must not be
- * called from within a callback. */
+ * watch fails, and its callback runs, so that it is started anew. Returns
+ * false with "st" set, and changes nothing, when they are malformed. Must not
+ * be called from within a callback. */
 bool store_client_move(struct store_client *sc, const char *const *endpoints,
                        size_t endpoint_count, struct status *st);
 /* Ends all operations without running their callbacks. Must not be called from
--- a/src/transport/store-dialect.h
+++ b/src/transport/store-dialect.h
@@ -23,7 +23,7 @@
 /* One page of a read of one key, or of all keys that start with it. */
 struct store_range {
     const char *key;
-    bool prefix;       /* read all keys that start with "key" */
+    bool prefix; /* read all keys that start with "key" */
     /* Last key of the previous page; NULL for the first. It may be any bytes.
      */
     const char *after;
