--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -9,7 +9,7 @@
 HERE=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$HERE/../.." && pwd)
 BIN=$ROOT/review/bin-2
-PROGRAM=$ROOT/target/src/pimentohaven
+PROGRAM=${PROGRAM:-$ROOT/target/src/pimentohaven}
 TROUBLE=${TROUBLE:-1}
 RECORD=$HERE/record.txt
 FLOW_PORT=8172
