--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+[ -n "${BASH_VERSION:-}" ] || exec bash "$0" "$@"
 # FLOW: flows that two backends accepted move to another balancer when theirs is
 # stopped as planned. Their clients get no reset that their backends didn't
 # send.
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+[ -n "${BASH_VERSION:-}" ] || exec bash "$0" "$@"
 # FLOW: a change of the configuration shifts a twentieth of a route's new flows
 # to new services, nine in its split. Open flows of the route stay where they
 # are: their clients get no reset that their backends did not send.
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+[ -n "${BASH_VERSION:-}" ] || exec bash "$0" "$@"
 # Fault ("no request is served"): another writer's entries name a service that
 # is not in the configuration, at the addresses of living backends.
 source "$(dirname "$0")/../lib-2.sh"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -21,7 +21,7 @@
 build platform
 build flow-target flow-end.c flow-wire.c
 build flow-caller flow-end.c flow-wire.c
-"${CC:-cc}" -std=gnu11 -O2 -D_GNU_SOURCE -I. -o "$out/opener" \
+"${CC:-cc}" -std=gnu11 -O2 -D_GNU_SOURCE -o "$out/opener" \
     ../../review/standins-2/opener.c flow-wire.c -lm
-"${CC:-cc}" -std=gnu11 -O2 -D_GNU_SOURCE -I. -o "$out/users" \
+"${CC:-cc}" -std=gnu11 -O2 -D_GNU_SOURCE -o "$out/users" \
     ../../review/standins-2/users.c flow-wire.c
--- a/review/standins-2/opener.c
+++ b/review/standins-2/opener.c
@@ -15,7 +15,7 @@
 #include <sys/socket.h>
 #include <time.h>
 
-#include "flow-wire.h"
+#include "../../tests/standins/flow-wire.h"
 
 #define FLOWS_MAX 65536
 #define VIA_MAX 8
@@ -84,8 +84,8 @@
                             .ack = f->ack,
                             .echo = f->echo};
 
-    p.len = (uint16_t)snprintf((char *)p.data, sizeof(p.data), "q-%u \n",
-                               port);
+    p.len =
+        (uint16_t)snprintf((char *)p.data, sizeof(p.data), "q-%u \n", port);
     f->resent = now_ms();
     send_packet(port, &p);
 }
@@ -146,10 +146,8 @@
         f->copies++;
         send_packet(port, &p);
     }
-    else if (f->state == OPENING && age > ATTEMPT_MS) {
-        end_flow(port, f, "unanswered");
-    }
-    else if (f->state == WAITING && age > DEADLINE_MS) {
+    else if ((f->state == OPENING && age > ATTEMPT_MS) ||
+             (f->state == WAITING && age > DEADLINE_MS)) {
         end_flow(port, f, "unanswered");
     }
     else if (f->state == WAITING && now >= f->resent + RESEND_MS) {
--- a/review/standins-2/users.c
+++ b/review/standins-2/users.c
@@ -12,7 +12,6 @@
 #include <arpa/inet.h>
 #include <poll.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -22,7 +21,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "flow-wire.h"
+#include "../../tests/standins/flow-wire.h"
 
 #define BACKENDS_MAX 8
 #define VIA_MAX 8
@@ -37,7 +36,6 @@
 #define DEADLINE_MS 2500
 #define ATTEMPT_MS 1400
 #define COPIES 3
-#define REQUEST_FLOW_MAX 200
 
 static const uint64_t copy_at[COPIES] = {0, 200, 600};
 
@@ -79,8 +77,8 @@
     uint32_t echo;
     unsigned resends;
     uint64_t resend_at;
-    uint64_t due;  /* when the answers to come are ready, ms; 0: none */
-    uint32_t owed; /* bytes of them */
+    uint64_t due;   /* when the answers to come are ready, ms; 0: none */
+    uint32_t owed;  /* bytes of them */
     uint16_t dport; /* the route */
     uint32_t dst;
     struct stream out;
@@ -213,8 +211,7 @@
 {
     uint64_t wait;
 
-    if (s->resend_at == 0 || now < s->resend_at ||
-        s->resends == RESENDS_MAX) {
+    if (s->resend_at == 0 || now < s->resend_at || s->resends == RESENDS_MAX) {
         return;
     }
     s->resends++;
@@ -253,9 +250,8 @@
     }
     c = &clients[next_port];
     next_port++;
-    *c = (struct client){.state = C_OPENING,
-                         .began = at,
-                         .first_seq = (uint32_t)random()};
+    *c = (struct client){
+        .state = C_OPENING, .began = at, .first_seq = (uint32_t)random()};
 }
 
 static void
@@ -377,9 +373,8 @@
 static void
 backend_synack(struct backend *b, unsigned port, struct held_flow *f)
 {
-    struct wire_packet p = {.flags = WIRE_SYN | WIRE_ACK,
-                            .seq = f->seq,
-                            .ack = f->expected};
+    struct wire_packet p = {
+        .flags = WIRE_SYN | WIRE_ACK, .seq = f->seq, .ack = f->expected};
 
     if (!synack_lost[port] && port % LOSS_EVERY == 0) {
         synack_lost[port] = true;
@@ -392,8 +387,8 @@
 static void
 backend_reset(struct backend *b, const struct wire_packet *in)
 {
-    struct held_flow none = {.dst = in->dst, .dport = in->dport,
-                             .echo = in->echo};
+    struct held_flow none = {
+        .dst = in->dst, .dport = in->dport, .echo = in->echo};
     struct wire_packet p = {.flags = WIRE_RST, .seq = in->ack};
 
     note(b->id, "sends-reset", in->sport, 0);
@@ -542,13 +537,6 @@
     first_is_out = 1;
 }
 
-static void
-on_term(int number)
-{
-    fflush(stdout);
-    _exit(0);
-}
-
 /* Usage: users CLIENT-ADDR FLOW-PORT ROUTE-ADDR ROUTE-PORT FLOWS ANSWER-BYTES
  * PAUSE-MIN-MS PAUSE-MAX-MS SECONDS SEED BACKEND-PORT WORK-MS ID=ADDR... --
  * BALANCER... */
@@ -588,7 +576,6 @@
     }
     setvbuf(stdout, NULL, _IOFBF, 1 << 16);
     signal(SIGUSR1, on_signal);
-    signal(SIGTERM, on_term);
     client_sock = wire_socket_open(argv[1], flow_port);
     for (int i = 0; i < flow_count; i++) {
         /* All flows open in the first second. */
