--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -114,7 +114,8 @@
 
 start_store() {
     local i
-    start store "$BIN/standin-platform" --listen "$NET.200:$STORE_PORT"
+    start store "$BIN/standin-platform" --listen "$NET.200:$STORE_PORT" \
+        --listen "$NET.201:$STORE_PORT"
     for i in $(seq 50); do
         [ "$(http "$NET.200" "$STORE_PORT" GET /control/stats)" = 200 ] && return
         sleep 0.1
@@ -144,9 +145,13 @@
     date +%s%3N
 }
 
-# Starts a balancer. Usage: start_balancer NUMBER ZONE
+# Starts a balancer; SEEDS and STORE set other addresses than the usual ones.
+# Usage: start_balancer NUMBER ZONE
 start_balancer() {
-    local ip=$NET.$((10 + $1))
+    local ip=$NET.$((10 + $1)) seed seeds=""
+    for seed in ${SEEDS:-$NET.11 $NET.12 $NET.13}; do
+        seeds+="${seeds:+, }\"$seed:8166\""
+    done
     cat >"$WORK/boot-$1.json" <<BOOT
 {"nodeName": "front-$2-$1", "role": "balancer", "machineClass": "front",
  "serves": ["front", "control"], "ip": "$ip", "zone": "$2", "region": "r-1",
@@ -154,7 +159,7 @@
  "listen": {"datagramAddr": "$ip:$FLOW_PORT", "ready": "$ip:$READY_PORT",
             "control": "$ip:8166"},
  "internalPorts": [$GOSSIP_PORT, 7735],
- "seeds": ["$NET.11:8166", "$NET.12:8166", "$NET.13:8166"],
+ "seeds": [$seeds],
  "bootstrap": true, "countsAsLoss": false,
  "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100,
             "linkMbps": 1000.0, "diskMb": 0},
@@ -169,7 +174,7 @@
             "evacuateMs": ${EVACUATE_MS:-5000}, "recoveryS": 15, "reorderMs": 2000,
             "maxFlowS": 60},
  "hash": "steady", "forwardingMode": "echo",
- "platform": {"address": "$NET.200:$STORE_PORT", "forwardingMode": "kv",
+ "platform": {"address": "${STORE:-$NET.200}:$STORE_PORT", "forwardingMode": "kv",
               "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
               "valueBytes": 1048576, "minTtlMs": 1000}}
 BOOT
