--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -227,7 +227,7 @@
         echo "== journal of the backends: monotonic ms, event, service, backend, request, flow"
         cat "$JOURNAL"
         for f in "$@"; do
-            echo "== clients $f: what became of their requests"
+            echo "== clients $f: each request that was sent, and what became of it"
             cat "$WORK/$f.log"
         done
     } >>"$RECORD"
--- a/review/standins-2/opener.c
+++ b/review/standins-2/opener.c
@@ -168,7 +168,7 @@
 }
 
 /* Usage: opener OWN-ADDR CLIENT-PORT ROUTE-ADDR ROUTE-PORT PER-S SECONDS SEED
- * BALANCER-ADDR... */
+ * BALANCER-ADDR..., or: opener clock, which prints the time */
 int
 main(int argc, char **argv)
 {
@@ -178,6 +178,10 @@
     uint64_t started = now_ms();
     uint64_t length;
 
+    if (argc == 2 && strcmp(argv[1], "clock") == 0) {
+        printf("%llu\n", (unsigned long long)started);
+        return 0;
+    }
     if (argc < 9 || argc - 8 > VIA_MAX) {
         fprintf(stderr, "usage: opener OWN-ADDR CLIENT-PORT ROUTE-ADDR "
                         "ROUTE-PORT PER-S SECONDS SEED BALANCER-ADDR...\n");
--- a/review/standins-2/users.c
+++ b/review/standins-2/users.c
@@ -262,6 +262,7 @@
     c->requests++;
     c->out.total += REQUEST_SIZE;
     c->answer_end = c->expected + answer_size;
+    note("client", "asks", port, c->requests);
     client_flush(port, c, false, now);
 }
 
