forward: flows that two targets accepted stay at theirs when they move

Cause: the second target repeats its SYN+ACK for 9 s, and the caller returns the cookie that it received last. The balancer that takes over knows from its peers where the flow is open, with the acknowledgement number at that time. It followed the opening cookie of any flow that it had a record of, but applied the record only within 76,800 bytes of that number. A flow that had received more was sent to the target that the packet named. An own record from before the flow had moved did the same.

Ruled out: records that were lost (without any, the packet is dropped), routes and targets that were not in force.

Why this works: opened_flows_find_owner() takes one decision for such packets. An opening cookie only tells that the caller received the second target's answer last, so the recorded flow decides, as long as the packet's number is not older than the record. A packet that does not fit is dropped: its caller sends it again. Cookies of the usual form, which the target itself has returned, are judged by the window as before.

The stand-in target repeats its SYN+ACK as real ones do, the caller can lose some and follow balancers out of rotation.

--- a/src/coordination/flow-identity.c
+++ b/src/coordination/flow-identity.c
@@ -46,6 +46,17 @@
                : OPENING_COPY;
 }
 
+struct recent_flow_key
+flow_identity_key(const struct flow_packet *packet)
+{
+    return (struct recent_flow_key){
+        .caller_addr = packet->src_addr,
+        .caller_port = packet->src_port,
+        .route_addr = packet->dst_addr,
+        .route_port = packet->dst_port,
+    };
+}
+
 bool
 flow_identity_continues(const struct recent_flow *flow,
                         const struct flow_packet *packet)
@@ -56,3 +67,14 @@
     return flow->open &&
            (ahead <= FLOW_IDENTITY_WINDOW || behind <= FLOW_IDENTITY_WINDOW);
 }
+
+bool
+flow_identity_may_continue(const struct recent_flow *flow,
+                           const struct flow_packet *packet)
+{
+    /* The difference of two numbers of a flow that has carried less than
+     * 2 GiB. */
+    int32_t ahead = (int32_t)(packet->ack - flow->ack);
+
+    return flow->open && ahead >= -(int32_t)FLOW_IDENTITY_WINDOW;
+}
--- a/src/coordination/flow-identity.h
+++ b/src/coordination/flow-identity.h
@@ -53,8 +53,15 @@
 enum opening_kind flow_identity_opening(const struct recent_flow *flow,
                                         const struct flow_packet *packet,
                                         uint64_t arrived);
+struct recent_flow_key flow_identity_key(const struct flow_packet *packet);
 /* Whether a packet that is no opening packet continues the recorded flow,
  * whatever target it names: it acknowledges the numbers of the target that the
  * flow is open at. */
 bool flow_identity_continues(const struct recent_flow *flow,
                              const struct flow_packet *packet);
+/* Whether it may continue the recorded flow, however much the caller has
+ * received since. The numbers of another flow with the same addresses and
+ * ports pass in half of all cases: only for packets whose cookie does not
+ * tell. */
+bool flow_identity_may_continue(const struct recent_flow *flow,
+                                const struct flow_packet *packet);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "coordination/flow-identity.h"
 #include "coordination/flow-placement.h"
+#include "coordination/opened-flows.h"
 #include "coordination/own-delay.h"
 #include "coordination/passive-health.h"
 #include "coordination/view-message.h"
@@ -33,10 +34,6 @@
  * packets. */
 #define RECENT_FLOW_IDLE_US (20 * USEC_PER_SEC)
 #define EXPIRE_INTERVAL_S 1
-/* Maximum number of flows that peers have told about, and of own ones per
- * second that the peers are told about. */
-#define TOLD_FLOWS_MAX 4096
-#define FLOWS_TOLD_PER_SECOND 100
 /* Maximum number of log lines per second on openings that begin or cease to be
  * refused. */
 #define REFUSING_LINES_PER_SECOND 5
@@ -78,8 +75,7 @@
     GArray *doubted; /* cookies of targets whose silence is due, uint32_t */
     struct target_reach_table *reach;
     struct recent_flows *flows;
-    struct recent_flows *told; /* flows that peers have told about */
-    struct log_rate_limit told_limit;
+    struct opened_flows *opened;
     struct flow_times *times;
     struct forward_speed *speed;
     struct list early; /* struct early_packet, oldest first */
@@ -272,17 +268,6 @@
     send_to_target(task, in, target);
 }
 
-static struct recent_flow_key
-flow_key(const struct flow_packet *packet)
-{
-    return (struct recent_flow_key){
-        .caller_addr = packet->src_addr,
-        .caller_port = packet->src_port,
-        .route_addr = packet->dst_addr,
-        .route_port = packet->dst_port,
-    };
-}
-
 /* Resets an open flow whose target does not answer, so that the caller can try
  * another target. */
 static void
@@ -593,7 +578,7 @@
 touch_caller(struct forward_task *task, const struct flow_packet *packet,
              uint64_t now)
 {
-    struct recent_flow_key key = flow_key(packet);
+    struct recent_flow_key key = flow_identity_key(packet);
 
     key.caller_port = 0;
     return recent_flows_touch(task->flows, &key, now);
@@ -663,7 +648,7 @@
 touch_opening(struct forward_task *task, const struct inbound_packet *in,
               enum opening_kind *kind)
 {
-    struct recent_flow_key key = flow_key(&in->packet);
+    struct recent_flow_key key = flow_identity_key(&in->packet);
     struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
 
     *kind = flow_identity_opening(flow, &in->packet, in->arrived);
@@ -947,25 +932,6 @@
     report(task, target);
 }
 
-/* Tells the peers where a flow is open that two targets may have accepted. */
-static void
-tell_open_flow(struct forward_task *task, const struct recent_flow *flow,
-               uint64_t now)
-{
-    const struct open_flow_record record = {
-        .caller_addr = flow->key.caller_addr,
-        .route_addr = flow->key.route_addr,
-        .caller_port = flow->key.caller_port,
-        .route_port = flow->key.route_port,
-        .cookie = flow->cookie,
-        .ack = flow->ack};
-
-    if (log_rate_limit_allow(&task->told_limit, now)) {
-        task->counters.flows_told++;
-        task->cb.open_flows(task->cb.ctx, &record, 1);
-    }
-}
-
 /* Handles the first packet after the opening packets of a flow, which shows
  * that the target answered them. Flows opened through another balancer are
  * handled too, but show nothing about the target: they may have been open for
@@ -988,7 +954,8 @@
         report(task, target);
         touch_caller(task, &in->packet, in->now)->open = true;
         if (flow->copied) {
-            tell_open_flow(task, flow, in->now);
+            task->counters.flows_told +=
+                opened_flows_tell(task->opened, flow, in->now);
         }
     }
 }
@@ -1037,7 +1004,7 @@
 track_packet(struct forward_task *task, const struct inbound_packet *in,
              struct forward_target *target, bool *first)
 {
-    struct recent_flow_key key = flow_key(&in->packet);
+    struct recent_flow_key key = flow_identity_key(&in->packet);
     struct recent_flow *flow = recent_flows_touch(task->flows, &key, in->now);
     const struct flow_packet *packet = &in->packet;
     uint32_t seq_end = packet->seq + packet->length;
@@ -1108,7 +1075,7 @@
 handle_without_route(struct forward_task *task,
                      const struct inbound_packet *in)
 {
-    const struct recent_flow_key key = flow_key(&in->packet);
+    const struct recent_flow_key key = flow_identity_key(&in->packet);
     const struct recent_flow *flow = recent_flows_find(task->flows, &key);
     struct forward_flow_state state;
 
@@ -1122,78 +1089,44 @@
 }
 
 static void
-set_cookie(struct forward_task *task, struct inbound_packet *in,
-           uint32_t cookie)
+note_changed_cookie(struct forward_task *task, const struct inbound_packet *in,
+                    const struct opened_flows_owner *owner)
 {
-    in->packet.cookie = cookie;
-    task->format->set_cookie(in->data, cookie);
-}
+    const struct forward_target *target =
+        forward_view_target(task->view, owner->cookie);
+    const struct forward_flow_state state =
+        describe_flow(owner->record, false, in->now);
 
-/* Whether the flow was offered here to the target with the cookie, as far as
- * is recorded. */
-static bool
-was_offered(const struct recent_flow *flow, uint32_t cookie)
-{
-    for (size_t i = 0; i < flow->tried_count; i++) {
-        if (flow->tried[i] == cookie) {
-            return true;
-        }
-    }
-    return false;
+    task->counters.cookie_changes++;
+    forward_log_cookie_changed(&task->log, &in->packet,
+                               target == NULL ? "unknown" : target->record.id,
+                               &state, in->now);
 }
 
-/* Replaces the cookie of an opening packet by that of later packets, which the
- * target returns to the caller from then on. Where routers hash, a forwarder
- * that does not know the flow drops the packet instead and returns false: the
- * cookie may be that of a target that accepted the flow after another one, and
- * that would reset it. The caller sends the packet again. */
+/* Has a packet name the target that its flow is open at, where its caller has
+ * received the cookie of another one that accepted the opening too. The target
+ * returns the cookie to the caller with its next packet. Where routers hash, a
+ * packet of an unknown flow is dropped and false returned, as the target that
+ * it names may not hold the flow and would reset it; the caller sends it
+ * again. */
 static bool
-resolve_opening_cookie(struct forward_task *task, struct inbound_packet *in)
+resolve_cookie(struct forward_task *task, struct inbound_packet *in)
 {
-    const struct recent_flow_key key = flow_key(&in->packet);
-    const struct recent_flow *flow = recent_flows_find(task->flows, &key);
-    uint32_t cookie = forward_opening_cookie(in->packet.cookie);
+    const struct opened_flows_owner owner =
+        opened_flows_find_owner(task->opened, &in->packet);
 
-    /* The form of one cookie may be another target's cookie. */
-    if (!(flow != NULL && was_offered(flow, cookie)) &&
-        (forward_view_target(task->view, in->packet.cookie) != NULL ||
-         forward_view_target(task->view, cookie) == NULL)) {
-        return true;
-    }
-    if (task->flows_stay && flow == NULL &&
-        recent_flows_find(task->told, &key) == NULL) {
+    if (!owner.known && task->flows_stay) {
         drop(task, in, FORWARD_DROP_UNKNOWN_FLOW);
         return false;
     }
-    set_cookie(task, in, cookie);
-    return true;
-}
-
-/* Has a packet of an open flow name the target that the flow is open at, when
- * its caller has received the cookie of another one that accepted the opening
- * too. The target returns the cookie to the caller with its next packet. */
-static void
-restore_cookie(struct forward_task *task, struct inbound_packet *in)
-{
-    const struct recent_flow_key key = flow_key(&in->packet);
-    const struct recent_flow *flow = recent_flows_find(task->flows, &key);
-    const struct forward_target *target;
-    struct forward_flow_state state;
-
-    if (flow == NULL || !flow->open) {
-        flow = recent_flows_find(task->told, &key);
+    if (owner.cookie != owner.named) {
+        note_changed_cookie(task, in, &owner);
     }
-    if (flow == NULL || flow->cookie == in->packet.cookie ||
-        !flow_identity_continues(flow, &in->packet)) {
-        return;
+    if (owner.cookie != in->packet.cookie) {
+        in->packet.cookie = owner.cookie;
+        task->format->set_cookie(in->data, owner.cookie);
     }
-    target = forward_view_target(task->view, flow->cookie);
-    state = describe_flow(flow, false, in->now);
-    task->counters.cookie_changes++;
-    forward_log_cookie_changed(&task->log, &in->packet,
-                               target == NULL ? "unknown" : target->record.id,
-                               &state, in->now);
-    set_cookie(task, in, flow->cookie);
+    return true;
 }
 
 static void
@@ -1210,10 +1143,9 @@
         handle_without_route(task, in);
         return;
     }
-    if (!resolve_opening_cookie(task, in)) {
+    if (!resolve_cookie(task, in)) {
         return;
     }
-    restore_cookie(task, in);
     target = packet->cookie == 0
                  ? NULL
                  : forward_view_target(task->view, packet->cookie);
@@ -1375,8 +1307,7 @@
 
     update_trial_interval(task);
     recent_flows_expire(task->flows, now - RECENT_FLOW_IDLE_US);
-    recent_flows_expire(task->told, now - RECENT_FLOW_IDLE_US);
-    (void)log_rate_limit_take_left_out(&task->told_limit);
+    opened_flows_expire(task->opened, now);
     target_reach_expire(task->reach, now);
     forward_log_tick(&task->log);
 }
@@ -1394,32 +1325,8 @@
                              const struct open_flow_record *records,
                              size_t count, bool relay)
 {
-    struct open_flow_record news[OPEN_FLOW_RECORDS_MAX];
-    uint64_t now = clock_monotonic_us();
-    size_t news_count = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        const struct open_flow_record *r = &records[i];
-        const struct recent_flow_key key = {.caller_addr = r->caller_addr,
-                                            .route_addr = r->route_addr,
-                                            .caller_port = r->caller_port,
-                                            .route_port = r->route_port};
-        struct recent_flow *flow = recent_flows_find(task->told, &key);
-
-        if (flow != NULL && flow->cookie == r->cookie && flow->ack == r->ack) {
-            continue;
-        }
-        flow = recent_flows_touch(task->told, &key, now);
-        flow->open = true;
-        flow->opened_at = now;
-        flow->cookie = r->cookie;
-        flow->ack = r->ack;
-        news[news_count] = *r;
-        news_count++;
-    }
-    if (relay && news_count > 0) {
-        task->cb.open_flows(task->cb.ctx, news, news_count);
-    }
+    opened_flows_receive(task->opened, records, count, relay,
+                         clock_monotonic_us());
 }
 
 void
@@ -1474,8 +1381,10 @@
                                     task);
     }
     task->flows = recent_flows_new(RECENT_FLOWS_MAX);
-    task->told = recent_flows_new(TOLD_FLOWS_MAX);
-    task->told_limit.per_second = FLOWS_TOLD_PER_SECOND;
+    task->opened = task->flows == NULL
+                       ? NULL
+                       : opened_flows_new(task->flows, task->view,
+                                          task->cb.open_flows, task->cb.ctx);
     task->times = flow_times_new();
     task->speed =
         task->flows == NULL
@@ -1487,7 +1396,7 @@
     task->confirm = event_new(base, -1, 0, on_confirm, task);
     task->reach = target_reach_new(base, on_reach, task);
     task->doubted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    if (task->flows == NULL || task->told == NULL || task->times == NULL ||
+    if (task->flows == NULL || task->opened == NULL || task->times == NULL ||
         task->speed == NULL || task->expire == NULL ||
         task->early_timeout == NULL || task->confirm == NULL ||
         task->reach == NULL) {
@@ -1562,8 +1471,8 @@
     }
     target_reach_destroy(task->reach);
     forward_speed_destroy(task->speed);
+    opened_flows_destroy(task->opened);
     recent_flows_destroy(task->flows);
-    recent_flows_destroy(task->told);
     flow_times_destroy(task->times);
     opening_admission_destroy(task->admission);
     free(task);
--- a/tests/standins/standin-flow-caller.c
+++ b/tests/standins/standin-flow-caller.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -63,6 +64,7 @@
     int refusals;            /* refused openings for the current request */
     uint64_t state_since_us; /* when the state began, monotonic, us */
     size_t balancer;         /* index of the balancer used with --steady */
+    bool accept_lost;        /* the first answer to its opening is lost */
     char request_text[64];   /* text of the current request */
 };
 
@@ -73,6 +75,7 @@
 static int flow_count = 10;
 static int request_count = 10;
 static int gap_ms = 50;
+static int spread_ms;
 static int deadline_ms = 3000;
 static int request_size;  /* minimum size of a request, bytes */
 static int flow_requests; /* answers after which a flow is closed; 0: never */
@@ -83,6 +86,7 @@
 static int move_request; /* 0: flows do not move */
 static int move_answers; /* 0: the same */
 static gboolean move_copies;
+static int lose_every; /* 0: no answer is lost */
 static char *label = "x";
 
 static const GOptionEntry options[] = {
@@ -100,6 +104,8 @@
      "Print a line for each request that ends", NULL},
     {"gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "Pause between requests",
      "MS"},
+    {"spread-ms", 0, 0, G_OPTION_ARG_INT, &spread_ms,
+     "Time over which the first flows are opened", "MS"},
     {"deadline-ms", 0, 0, G_OPTION_ARG_INT, &deadline_ms,
      "Time limit of a request", "MS"},
     {"request-bytes", 0, 0, G_OPTION_ARG_INT, &request_size,
@@ -122,6 +128,9 @@
      "With --steady: a copy of an opening makes the flow go by the next "
      "balancer",
      NULL},
+    {"lose-accepts", 0, 0, G_OPTION_ARG_INT, &lose_every,
+     "Every N-th flow loses the first answer to its opening packet; 0: none",
+     "N"},
     {"label", 0, 0, G_OPTION_ARG_STRING, &label,
      "First part of the text of each request", "TEXT"},
     {NULL},
@@ -134,6 +143,10 @@
 static struct in_addr local_addr;
 static struct in_addr route_addr;
 static GArray *balancers; /* struct standin_endpoint */
+/* With --steady: index of the balancer that is out of rotation; the number of
+ * balancers: none. Each SIGUSR1 takes the next one out, in place of the one
+ * before; SIGUSR2 brings all in. */
+static size_t out_of_rotation;
 static struct flow *flows;
 static struct standin_random random_source;
 static unsigned results[RESULT_COUNT];
@@ -158,6 +171,9 @@
     if (!steady) {
         via = standin_random_next(&random_source) % balancers->len;
     }
+    else if (via == out_of_rotation) {
+        via = (via + 1) % balancers->len;
+    }
     to = &g_array_index(balancers, struct standin_endpoint, via);
     inet_pton(AF_INET, to->address, &addr);
     wire_send(sock, ntohl(addr.s_addr), to->port, out,
@@ -181,7 +197,10 @@
 open_flow(struct flow *flow, uint64_t now)
 {
     static uint16_t next_port = CALLER_PORT_FIRST;
+    static int opened;
 
+    opened++;
+    flow->accept_lost = lose_every > 0 && opened % lose_every == 0;
     flow->state = OPENING;
     flow->port = next_port;
     next_port = next_port == UINT16_MAX ? CALLER_PORT_FIRST : next_port + 1;
@@ -363,6 +382,9 @@
         else if (flow->state != OPENING) {
             on_data(flow, p, now);
         }
+        else if (flow->accept_lost) {
+            flow->accept_lost = false;
+        }
         else if ((p->flags & WIRE_SYN) != 0 && p->ack == flow->first_seq + 1) {
             flow_end_init(&flow->end, flow->first_seq + 1, p->seq + 1);
             flow->end.echo = p->echo;
@@ -448,6 +470,14 @@
     }
 }
 
+static void
+on_rotation(evutil_socket_t fd, short what, void *ctx)
+{
+    out_of_rotation = fd == SIGUSR2
+                          ? balancers->len
+                          : (out_of_rotation + 1) % (balancers->len + 1);
+}
+
 static void
 print_results(void)
 {
@@ -498,6 +528,8 @@
     struct standin_endpoint bound;
     struct event *readable;
     struct event *tick;
+    struct event *next_out;
+    struct event *all_in;
 
     if (!parse_arguments(argc, argv, &bound)) {
         fprintf(stderr, "invalid or missing arguments, see --help\n");
@@ -510,9 +542,15 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     flows = g_new0(struct flow, flow_count);
     base = standin_base_new();
+    out_of_rotation = balancers->len;
+    next_out = evsignal_new(base, SIGUSR1, on_rotation, NULL);
+    all_in = evsignal_new(base, SIGUSR2, on_rotation, NULL);
+    evsignal_add(next_out, NULL);
+    evsignal_add(all_in, NULL);
     sock = wire_socket_open(bound.address, bound.port);
     for (int i = 0; i < flow_count; i++) {
-        open_flow(&flows[i], clock_monotonic_us());
+        open_flow(&flows[i], clock_monotonic_us() +
+                                 (uint64_t)spread_ms * 1000 * i / flow_count);
     }
     readable = event_new(base, sock, EV_READ | EV_PERSIST, on_readable, NULL);
     tick = event_new(base, -1, EV_PERSIST, on_tick, NULL);
--- a/tests/standins/standin-flow-target.c
+++ b/tests/standins/standin-flow-target.c
@@ -29,6 +29,8 @@
     struct flow_end end;
     struct wire_packet reply; /* addresses and ports of our packets */
     bool open;                /* the end of the handshake has arrived */
+    uint64_t resend_at;       /* of the answer to the opening packet, us */
+    unsigned resends;         /* of that answer */
     bool ended;               /* the caller has closed the flow */
 };
 
@@ -174,15 +176,44 @@
                    flow);
 }
 
+/* Answers the opening packet of a flow. */
+static void
+accept_flow(struct flow *flow)
+{
+    struct wire_packet out = {.flags = WIRE_SYN | WIRE_ACK,
+                              .seq = flow->end.seq - 1,
+                              .ack = flow->end.ack,
+                              .echo = flow->end.echo};
+
+    send_of_flow(flow, &out);
+}
+
+/* Answers the opening packet again until the flow is open. */
+static void
+repeat_accept(struct flow *flow, uint64_t now)
+{
+    if (now < flow->resend_at) {
+        return;
+    }
+    if (flow->resends == FLOW_END_RESENDS_MAX) {
+        flow->ended = true;
+        return;
+    }
+    flow->resends++;
+    flow->resend_at =
+        now + MIN((uint64_t)FLOW_END_RESEND_MIN_US << flow->resends,
+                  (uint64_t)FLOW_END_RESEND_MAX_US);
+    accept_flow(flow);
+}
+
 static void
 on_opening_packet(const struct wire_packet *p)
 {
-    struct wire_packet out = reply_to(p, WIRE_SYN | WIRE_ACK);
+    struct wire_packet out = reply_to(p, WIRE_RST);
     struct flow *flow;
     uint64_t key[2];
 
     if (refuse) {
-        out.flags = WIRE_RST;
         journal_write("refuse", "-", p);
         send_packet(&out);
         return;
@@ -194,6 +225,7 @@
         memcpy(flow->key, key, sizeof(key));
         flow->reply = reply_to(p, 0);
         flow_end_init(&flow->end, next_seq + 1, p->seq + 1);
+        flow->resend_at = clock_monotonic_us() + FLOW_END_RESEND_MIN_US;
         next_seq += FLOW_SEQ_STEP;
         g_hash_table_insert(flows, flow->key, flow);
         journal_write("open", "-", p);
@@ -204,9 +236,7 @@
     /* Each copy of the opening packet (SYN) is answered, as the answer to an
      * earlier copy may be lost. */
     flow->end.echo = p->echo;
-    out.seq = flow->end.seq - 1;
-    out.ack = flow->end.ack;
-    send_packet(&out);
+    accept_flow(flow);
 }
 
 static void start_waiting(void);
@@ -376,6 +406,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct flow *flow = value;
 
+        if (!flow->ended && !flow->open) {
+            repeat_accept(flow, now);
+        }
         if (flow->ended || flow->end.resend_at == 0) {
             continue;
         }
--- a/tests/unit/test-flow-identity.c
+++ b/tests/unit/test-flow-identity.c
@@ -63,17 +63,22 @@
     const char *name;
     const struct recent_flow *flow;
     uint32_t ack;
-    bool expected;
+    bool expected;     /* flow_identity_continues() */
+    bool may_continue; /* flow_identity_may_continue() */
 } continuations[] = {
-    {"a flow that is not known", &unknown, TARGET_ACK, false},
-    {"a flow that is not open yet", &offered, TARGET_ACK, false},
-    {"nothing received since", &open_at_a, TARGET_ACK, true},
-    {"an answer received since", &open_at_a, TARGET_ACK + 4000, true},
-    {"a packet that was overtaken", &open_at_a, TARGET_ACK - 4000, true},
-    {"an overtaken packet, before a wrap", &open_at_a, TARGET_ACK - 6000,
+    {"a flow that is not known", &unknown, TARGET_ACK, false, false},
+    {"a flow that is not open yet", &offered, TARGET_ACK, false, false},
+    {"nothing received since", &open_at_a, TARGET_ACK, true, true},
+    {"an answer received since", &open_at_a, TARGET_ACK + 4000, true, true},
+    {"a packet that was overtaken", &open_at_a, TARGET_ACK - 4000, true, true},
+    {"an overtaken packet, before a wrap", &open_at_a, TARGET_ACK - 6000, true,
+     true},
+    {"another flow of the port, or much received", &open_at_a,
+     TARGET_ACK + 80000, false, true},
+    {"another flow of the port, below", &open_at_a, TARGET_ACK - 80000, false,
+     false},
+    {"the most that a flow carries", &open_at_a, TARGET_ACK + INT32_MAX, false,
      true},
-    {"another flow of the port", &open_at_a, TARGET_ACK + 80000, false},
-    {"another flow of the port, below", &open_at_a, TARGET_ACK - 80000, false},
 };
 
 static void
@@ -99,7 +104,8 @@
         const struct continue_case *c = &continuations[i];
         const struct flow_packet packet = {.flags = FLOW_ACK, .ack = c->ack};
 
-        if (flow_identity_continues(c->flow, &packet) != c->expected) {
+        if (flow_identity_continues(c->flow, &packet) != c->expected ||
+            flow_identity_may_continue(c->flow, &packet) != c->may_continue) {
             fail_msg("%s", c->name);
         }
     }
