state: a route has any number of services

Cause: a route's record had room for eight services. The decoder left a route with more out of the view, as if the configuration had dropped it, and the format of messages between balancers had the same limit.

Ruled out: the change as such (eight services hold), the store (the version was acknowledged and read).

Why this works: the shares of a route are an array of any length that copies of its record refer to. The other limits by which a valid route or target was left out are gone too: service and domain names of 64 bytes and more, lists of regions of 256 bytes and more, strings of more than 255 bytes in a message. Weights that are no whole numbers of 32 bits are scaled, numbers above the range of a record get its greatest value. A route remembers all services that it lost within the longest life of a flow, no longer the last four: packets of flows to the others were dropped as forged.

Two checks change with the limits: a long list of regions and a long domain in an order were refused, and are read now.

--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -472,18 +472,20 @@
     uint64_t total = 0;
     uint64_t left;
 
-    for (size_t i = 0; i < route->share_count; i++) {
-        total += route->shares[i].weight;
+    for (size_t i = 0; i < route_record_share_count(route); i++) {
+        total += route_record_share(route, i)->weight;
     }
     if (total == 0) {
         return NULL;
     }
     left = hash % total;
-    for (size_t i = 0; i < route->share_count; i++) {
-        if (left < route->shares[i].weight) {
-            return route->shares[i].service;
+    for (size_t i = 0; i < route_record_share_count(route); i++) {
+        const struct route_share *share = route_record_share(route, i);
+
+        if (left < share->weight) {
+            return share->service;
         }
-        left -= route->shares[i].weight;
+        left -= share->weight;
     }
     return NULL;
 }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -1104,6 +1104,7 @@
         .target_changed = on_target_changed,
         .domain_changed = on_domain_changed,
         .ctx = task,
+        .flow_max_us = task->settings.flow_max_us,
     };
     const struct view_sync_callbacks sync_cb = {
         .send = send_view,
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -74,8 +74,8 @@
 static bool
 has_extra_fields(const struct route_record *r)
 {
-    for (size_t i = 0; i < r->share_count; i++) {
-        if (r->shares[i].cold_limit > 0) {
+    for (size_t i = 0; i < route_record_share_count(r); i++) {
+        if (route_record_share(r, i)->cold_limit > 0) {
             return true;
         }
     }
@@ -85,6 +85,7 @@
 static void
 put_route(msgpack_packer *pk, const struct route_record *r)
 {
+    size_t share_count = route_record_share_count(r);
     bool extra = has_extra_fields(r);
 
     msgpack_pack_array(pk, ROUTE_FIELD_COUNT +
@@ -95,17 +96,17 @@
     put_number(pk, r->timeout_ms);
     put_number(pk, r->latency_objective_ms);
     put_number(pk, r->priority);
-    msgpack_pack_array(pk, 2 * r->share_count);
-    for (size_t i = 0; i < r->share_count; i++) {
-        put_text(pk, r->shares[i].service);
-        put_number(pk, r->shares[i].weight);
+    msgpack_pack_array(pk, 2 * share_count);
+    for (size_t i = 0; i < share_count; i++) {
+        put_text(pk, route_record_share(r, i)->service);
+        put_number(pk, route_record_share(r, i)->weight);
     }
     put_bool(pk, r->repeatable);
     if (extra) {
         put_text(pk, r->regions);
-        msgpack_pack_array(pk, r->share_count);
-        for (size_t i = 0; i < r->share_count; i++) {
-            put_number(pk, r->shares[i].cold_limit);
+        msgpack_pack_array(pk, share_count);
+        for (size_t i = 0; i < share_count; i++) {
+            put_number(pk, route_record_share(r, i)->cold_limit);
         }
     }
 }
@@ -419,14 +420,26 @@
     out[object->via.str.size] = '\0';
 }
 
-/* Takes a name and interns it. Returns NULL for an empty one or on failure. */
+/* Takes a string of any length and interns it. Returns NULL for an empty one
+ * or on failure. */
 static const char *
 take_name(struct array_reader *r)
 {
-    char text[ID_SIZE];
+    const msgpack_object *object = take_object(r, MSGPACK_OBJECT_STR);
+    const char *name;
+    char *text;
 
-    take_text(r, text, sizeof(text));
-    return r->failed || text[0] == '\0' ? NULL : g_intern_string(text);
+    if (object == NULL || object->via.str.size == 0) {
+        return NULL;
+    }
+    if (memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
+        r->failed = true;
+        return NULL;
+    }
+    text = g_strndup(object->via.str.ptr, object->via.str.size);
+    name = g_intern_string(text);
+    g_free(text);
+    return name;
 }
 
 /* Returns a reader for the elements of an array that is the next element. */
@@ -448,16 +461,16 @@
 {
     struct array_reader shares = take_array(r);
 
-    if (shares.left > 2 * ROUTE_SHARES_MAX || shares.left % 2 != 0) {
+    if (shares.left % 2 != 0) {
         r->failed = true;
         return;
     }
     while (shares.left > 0 && !shares.failed) {
-        struct route_share *share = &route->shares[route->share_count];
+        struct route_share share = {.service = take_name(&shares)};
 
-        share->service = take_name(&shares);
-        share->weight = (uint32_t)take_number(&shares, UINT32_MAX);
-        route->share_count++;
+        share.weight = (uint32_t)take_number(&shares, UINT32_MAX);
+        shares.failed = shares.failed || share.service == NULL;
+        route_record_add_share(route, &share);
     }
     r->failed = r->failed || shares.failed;
 }
@@ -467,17 +480,15 @@
 static void
 take_extra_fields(struct array_reader *fields, struct route_record *route)
 {
-    char regions[ROUTE_REGIONS_SIZE];
     struct array_reader limits;
 
     if (fields->left == 0) {
         return;
     }
-    take_text(fields, regions, sizeof(regions));
-    route->regions = regions[0] == '\0' ? NULL : g_intern_string(regions);
+    route->regions = take_name(fields);
     limits = take_array(fields);
-    for (size_t i = 0; i < route->share_count; i++) {
-        route->shares[i].cold_limit =
+    for (size_t i = 0; i < route_record_share_count(route); i++) {
+        g_array_index(route->shares, struct route_share, i).cold_limit =
             (uint32_t)take_number(&limits, UINT32_MAX);
     }
     fields->failed = fields->failed || limits.failed;
@@ -733,6 +744,8 @@
 #define FORMAT_UINT8 0xcc
 #define FORMAT_UINT64 0xcf
 #define FORMAT_STR8 0xd9
+#define FORMAT_STR16 0xda
+#define FORMAT_STR32 0xdb
 #define FORMAT_ARRAY16 0xdc
 #define FORMAT_ARRAY32 0xdd
 
@@ -777,8 +790,12 @@
         *length_size = 1;
         return true;
     }
-    if (format == FORMAT_BIN16 || format == FORMAT_BIN32) {
-        *length_size = format == FORMAT_BIN16 ? 2 : 4;
+    if (format == FORMAT_BIN16 || format == FORMAT_STR16) {
+        *length_size = 2;
+        return true;
+    }
+    if (format == FORMAT_BIN32 || format == FORMAT_STR32) {
+        *length_size = 4;
         return true;
     }
     if (format == FORMAT_ARRAY16 || format == FORMAT_ARRAY32) {
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -100,7 +100,10 @@
 {
     struct forward_route *route = data;
 
-    g_free(route->past);
+    if (route->past != NULL) {
+        g_array_free(route->past, TRUE);
+    }
+    route_record_clear(&route->record);
     g_free(route);
 }
 
@@ -298,79 +301,73 @@
     return cookie_owners_find(view->cookies, cookie);
 }
 
-static bool
-has_share(const struct route_record *record, const char *service)
-{
-    for (size_t i = 0; i < record->share_count; i++) {
-        if (record->shares[i].service == service) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool
 forward_route_had_service(const struct forward_route *route,
                           const char *service, uint64_t since)
 {
-    if (!route->record.removed && has_share(&route->record, service)) {
+    if (!route->record.removed &&
+        route_record_has_service(&route->record, service)) {
         return true;
     }
-    for (size_t i = 0; route->past != NULL && i < ROUTE_PAST_SERVICES_MAX;
-         i++) {
-        if (route->past[i].service == service &&
-            route->past[i].until >= since) {
+    for (guint i = 0; route->past != NULL && i < route->past->len; i++) {
+        const struct route_past_service *past =
+            &g_array_index(route->past, struct route_past_service, i);
+
+        if (past->service == service && past->until >= since) {
             return true;
         }
     }
     return false;
 }
 
-/* Adds the services that the route is about to lose to its former services. */
+/* Adds a former service to a route, in the place of one whose flows have all
+ * ended if there is one. */
 static void
-remember_past_services(struct forward_route *route,
-                       const struct route_record *next, uint64_t now)
+add_past_service(const struct forward_view *view, struct forward_route *route,
+                 const char *service, uint64_t now)
 {
-    for (size_t i = 0; i < route->record.share_count; i++) {
-        const char *service = route->record.shares[i].service;
+    const struct route_past_service added = {service, now};
 
-        if (route->record.removed ||
-            (!next->removed && has_share(next, service))) {
-            continue;
-        }
-        if (route->past == NULL) {
-            route->past =
-                g_new0(struct route_past_service, ROUTE_PAST_SERVICES_MAX);
+    if (route->past == NULL) {
+        route->past = g_array_new(FALSE, FALSE, sizeof(added));
+    }
+    for (guint i = 0; i < route->past->len; i++) {
+        struct route_past_service *past =
+            &g_array_index(route->past, struct route_past_service, i);
+
+        if (past->service == service ||
+            now - past->until > view->cb.flow_max_us) {
+            *past = added;
+            return;
         }
-        route->past[route->past_count % ROUTE_PAST_SERVICES_MAX] =
-            (struct route_past_service){service, now};
-        route->past_count++;
     }
+    g_array_append_val(route->past, added);
 }
 
-static bool
-same_route(const struct route_record *a, const struct route_record *b)
+/* Adds the services that the route is about to lose to its former services. */
+static void
+remember_past_services(const struct forward_view *view,
+                       struct forward_route *route,
+                       const struct route_record *next, uint64_t now)
 {
-    if (a->removed != b->removed || a->timeout_ms != b->timeout_ms ||
-        a->latency_objective_ms != b->latency_objective_ms ||
-        a->priority != b->priority || a->repeatable != b->repeatable ||
-        a->regions != b->regions || a->share_count != b->share_count) {
-        return false;
+    if (route->record.removed) {
+        return;
     }
-    for (size_t i = 0; i < a->share_count; i++) {
-        if (a->shares[i].service != b->shares[i].service ||
-            a->shares[i].weight != b->shares[i].weight ||
-            a->shares[i].cold_limit != b->shares[i].cold_limit) {
-            return false;
+    for (size_t i = 0; i < route_record_share_count(&route->record); i++) {
+        const char *service = route_record_share(&route->record, i)->service;
+
+        if (next->removed || !route_record_has_service(next, service)) {
+            add_past_service(view, route, service, now);
         }
     }
-    return true;
 }
 
 static void
 set_route(struct forward_view *view, struct forward_route *route,
           const struct route_record *record, uint64_t now)
 {
+    struct route_record next = route_record_copy(record);
+
     if (route->record.removed && !record->removed) {
         list_remove(&route->removed_link);
         view->removed_route_count--;
@@ -379,8 +376,9 @@
         list_push_back(&view->removed_routes, &route->removed_link);
         view->removed_route_count++;
     }
-    remember_past_services(route, record, now);
-    route->record = *record;
+    remember_past_services(view, route, record, now);
+    route_record_clear(&route->record);
+    route->record = next;
 }
 
 static struct forward_service *
@@ -402,8 +400,8 @@
 static void
 set_cold_limits(struct forward_view *view, const struct route_record *record)
 {
-    for (size_t i = 0; i < record->share_count; i++) {
-        const struct route_share *share = &record->shares[i];
+    for (size_t i = 0; i < route_record_share_count(record); i++) {
+        const struct route_share *share = route_record_share(record, i);
 
         if (share->cold_limit > 0 ||
             g_hash_table_contains(view->services, share->service)) {
@@ -441,7 +439,7 @@
     }
     route->seen_generation = view->generation;
     if (store_position_is_none(route->position) ||
-        !same_route(&route->record, record)) {
+        !route_record_equal(&route->record, record)) {
         set_route(view, route, record, now);
         route->position = list;
     }
@@ -1126,7 +1124,7 @@
         if (delta->routes_complete
                 ? !route->record.removed
                 : store_position_is_after(route->position, from)) {
-            g_array_append_val(delta->routes, route->record);
+            view_delta_add_route(delta, &route->record);
         }
     }
 }
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -27,8 +27,6 @@
 
 /* Maximum number of removed routes, and of removed targets, that are kept. */
 #define FORWARD_REMOVED_MAX 4096
-/* Maximum number of former services that are remembered for a route. */
-#define ROUTE_PAST_SERVICES_MAX 4
 /* Maximum number of lists of routes, including the current one, relative to
  * which a delta can be computed. */
 #define ROUTE_LISTS_MAX 64
@@ -64,7 +62,7 @@
 
 /* A service that a route no longer has. */
 struct route_past_service {
-    const char *service; /* interned; NULL: empty */
+    const char *service; /* interned */
     uint64_t until;      /* when the route lost the service, us */
 };
 
@@ -76,11 +74,10 @@
     struct store_position position;
     /* Generation of the last applied delta that contained the route. */
     uint64_t seen_generation;
-    /* Former services: a ring buffer of ROUTE_PAST_SERVICES_MAX elements. NULL
-     * if there are none; it is allocated on demand, as there are many routes
-     * and few ever change their services. */
-    struct route_past_service *past;
-    size_t past_count; /* services added to "past" so far */
+    /* Former services, struct route_past_service. NULL if there are none; it
+     * is allocated on demand, as there are many routes and few ever change
+     * their services. */
+    GArray *past;
 };
 
 /* State of a target's entry in the store. */
@@ -126,6 +123,9 @@
      * back; may be NULL. */
     void (*domain_changed)(void *ctx, const struct forward_domain *domain);
     void *ctx;
+    /* Maximum lifetime of a flow; the former services of routes are known for
+     * at least as long. */
+    uint64_t flow_max_us;
 };
 
 struct forward_view;
--- a/src/state/view-delta.c
+++ b/src/state/view-delta.c
@@ -9,14 +9,30 @@
 /* First character of the id of an order, which is no printable character. */
 #define ORDER_ID_MARK '\x01'
 
+static void
+clear_route(gpointer data)
+{
+    route_record_clear(data);
+}
+
 void
 view_delta_init(struct view_delta *delta)
 {
     memset(delta, 0, sizeof(*delta));
     delta->routes = g_array_new(FALSE, TRUE, sizeof(struct route_record));
+    g_array_set_clear_func(delta->routes, clear_route);
     delta->targets = g_array_new(FALSE, TRUE, sizeof(struct target_record));
 }
 
+void
+view_delta_add_route(struct view_delta *delta,
+                     const struct route_record *route)
+{
+    struct route_record copy = route_record_copy(route);
+
+    g_array_append_val(delta->routes, copy);
+}
+
 void
 view_delta_clear(struct view_delta *delta)
 {
--- a/src/state/view-delta.h
+++ b/src/state/view-delta.h
@@ -7,6 +7,7 @@
 
 #include "base/store-position.h"
 #include "state/resource.h"
+#include "state/route-record.h"
 
 /* A delta: changes to the view of a forwarder, read from the store or received
  * from a peer. All positions are those of the store. Each target record has
@@ -20,41 +21,10 @@
  * does: a target its start and the sequence number of its writes, the operator
  * the version of the configuration. */
 
-/* Maximum number of services that share the flows of a route. */
-#define ROUTE_SHARES_MAX 8
 #define TARGET_TAG_SIZE 8 /* bytes */
-/* Bytes of the list of a route's regions with the final NUL. */
-#define ROUTE_REGIONS_SIZE 256
 /* Bytes of a target id with the final NUL; a UUID with a prefix fits. */
 #define TARGET_ID_SIZE 40
 
-/* A service that receives a share of the flows of a route. */
-struct route_share {
-    const char *service; /* interned */
-    uint32_t weight;     /* relative to the other shares of the route */
-    /* Openings that a target of the service bears during its cold start, in
-     * openings per 1000 s; 0: no limit is configured. The same in all shares
-     * of a service. */
-    uint32_t cold_limit;
-};
-
-struct route_record {
-    uint32_t addr; /* address for callers, IPv4 in host byte order */
-    uint16_t port; /* port for callers */
-    bool removed;
-    uint8_t priority; /* 0 is the most urgent */
-    bool repeatable;  /* its requests may be run more than once */
-    /* Request timeout and latency objective of the route. A forwarder only
-     * compares them and passes them on to peers. */
-    uint32_t timeout_ms;
-    uint32_t latency_objective_ms;
-    size_t share_count;
-    struct route_share shares[ROUTE_SHARES_MAX];
-    /* Regions in which the requests of the route may run: names separated by
-     * commas, interned; NULL: any. */
-    const char *regions;
-};
-
 /* What a record describes. */
 enum record_kind {
     RECORD_TARGET,
@@ -110,13 +80,16 @@
     struct store_position routes_position;
     /* Version that the operator gave the configuration with this list. */
     uint64_t routes_version;
-    GArray *routes;  /* struct route_record */
+    GArray *routes;  /* struct route_record, which it owns */
     GArray *targets; /* struct target_record */
 };
 
 /* Initializes a delta without records. The caller frees the records with
  * view_delta_clear(). */
 void view_delta_init(struct view_delta *delta);
+/* Adds a copy of a route. */
+void view_delta_add_route(struct view_delta *delta,
+                          const struct route_record *route);
 /* Returns whether "list", names separated by commas, contains "name". */
 bool region_list_contains(const char *list, const char *name);
 /* Makes the id of the order to empty a failure domain. It begins with a
--- a/tests/e2e/forward-lib.sh
+++ b/tests/e2e/forward-lib.sh
@@ -10,6 +10,7 @@
 FLOW_ROUTE=198.18.0.1
 CHANGE_BOUND_MS=3000 # until every forwarder has applied a change
 DRAIN_BOUND_MS=3000  # until a draining target gets no new flow
+FLOW_MAX_S=60        # longest life of a flow
 GRACE_S=6            # until a stopping forwarder has ended
 ROUTERS_HASH=""      # as in the settings: how routers choose a forwarder
 CONFIG_VERSION=0
@@ -113,7 +114,7 @@
  "internalPorts": [$FLOW_GOSSIP_PORT, 7735],
  "seeds": ["$(forwarder_addr 1):7166", "$(forwarder_addr 2):7166"],
  "bounds": {"configApplyMs": $CHANGE_BOUND_MS, "drainMs": $DRAIN_BOUND_MS,
-            "graceS": $GRACE_S, "maxFlowS": 60${BOOT_BOUNDS:-}},
+            "graceS": $GRACE_S, "maxFlowS": $FLOW_MAX_S${BOOT_BOUNDS:-}},
  "hash": "$ROUTERS_HASH",
  "platform": {"address": "$(store_addr "$1"):$STORE_PORT"}}
 BOOT
@@ -164,17 +165,19 @@
     done
 }
 
-# Starts callers under a name. Their results are written to NAME.log.
+# Starts callers under a name. Their results are written to NAME.log. With an
+# empty SERVICE they take answers of any service.
 # Usage: start_callers NAME NUMBER PORT SERVICE [OPTION...]
 start_callers() {
-    local name=$1 number=$2 port=$3 service=$4 i args=()
+    local name=$1 number=$2 port=$3 i args=()
+    [ -n "$4" ] && args+=(--service "$4")
     shift 4
     for i in "${FORWARDERS[@]}"; do
         args+=(--via "$(forwarder_addr "$i"):$FLOW_PORT")
     done
     start "$name" "$BUILD/tests/standins/standin-flow-caller" \
         --bind "$NET.$((100 + number)):$FLOW_PORT" \
-        --route "$FLOW_ROUTE:$port" --service "$service" --label "$name" \
+        --route "$FLOW_ROUTE:$port" --label "$name" \
         --seed "$SEED" "${args[@]}" "$@"
 }
 
--- a/tests/fuzz/fuzz-entry.c
+++ b/tests/fuzz/fuzz-entry.c
@@ -47,8 +47,8 @@
             target->kind == RECORD_EMPTIED_DOMAIN);
 }
 
-/* Any store entry gives only valid records: a route has a port and 1 to
- * ROUTE_SHARES_MAX shares, a target has a service and, unless removed, a port,
+/* Any store entry gives only valid records: a route has a port and 1 share or
+ * more, a target has a service and, unless removed, a port,
  * and the id of a record tells its kind. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
@@ -72,8 +72,7 @@
         const struct route_record *route =
             &g_array_index(delta.routes, struct route_record, i);
 
-        if (route->share_count == 0 || route->share_count > ROUTE_SHARES_MAX ||
-            route->port == 0) {
+        if (route_record_share_count(route) == 0 || route->port == 0) {
             abort();
         }
     }
--- a/tests/standins/standin-flow-caller.c
+++ b/tests/standins/standin-flow-caller.c
@@ -319,7 +319,7 @@
 static void
 on_answer(struct flow *flow, const char *answer, uint64_t now)
 {
-    char from[64] = "";
+    char from[512] = "";
     char id[64] = "";
     char text[64] = "";
     bool wrong;
@@ -329,7 +329,7 @@
         end_request(flow, FULL, now);
         return;
     }
-    wrong = sscanf(answer, "%63s %63s %63s", from, id, text) != 3 ||
+    wrong = sscanf(answer, "%511s %63s %63s", from, id, text) != 3 ||
             strcmp(text, flow->request_text) != 0 ||
             (service != NULL && strcmp(from, service) != 0);
     if (!wrong) {
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -8,6 +8,7 @@
 #include "protocol/gossip-codec.h"
 #include "protocol/snapshot-codec.h"
 #include "protocol/view-codec.h"
+#include "route-fixture.h"
 
 /* Delay of a message: the minimum plus a random part below the range */
 #define DELAY_MIN_US 500
@@ -308,11 +309,10 @@
     const struct route_record route = {
         .addr = SUBNET_ADDR,
         .port = PORT,
-        .share_count = 1,
-        .shares = {{g_intern_string("s"), 1}},
+        .shares = fixture_share("s", 0),
     };
 
-    g_array_append_val(delta->routes, route);
+    view_delta_add_route(delta, &route);
     delta->routes_complete = true;
     delta->routes_position =
         (struct store_position){.era = fleet->era, .revision = 1};
--- a/tests/unit/test-cold-claim.c
+++ b/tests/unit/test-cold-claim.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "coordination/cold-claim.h"
+#include "route-fixture.h"
 
 /* Hosts of one failure domain before one cold target, with a store and faults,
  * on a fake clock. Each host has its own view, clock and idea of who is alive.
@@ -122,8 +123,7 @@
     struct route_record route = {
         .addr = 1,
         .port = 80,
-        .share_count = 1,
-        .shares = {{g_intern_string("s"), 1, COLD_PER_1000_S}},
+        .shares = fixture_share("s", COLD_PER_1000_S),
     };
     struct target_record target = {
         .id = TARGET_ID,
@@ -143,7 +143,7 @@
     delta.routes_complete = true;
     delta.routes_position = sim.position;
     delta.targets_complete = true;
-    g_array_append_val(delta.routes, route);
+    view_delta_add_route(&delta, &route);
     g_array_append_val(delta.targets, target);
     forward_view_apply(h->view, &delta, host_now(h));
     view_delta_clear(&delta);
--- a/tests/unit/test-flow-placement.c
+++ b/tests/unit/test-flow-placement.c
@@ -12,6 +12,7 @@
 #include "base/random.h"
 #include "coordination/flow-placement.h"
 #include "coordination/passive-health.h"
+#include "route-fixture.h"
 
 #define SEED 20261203
 #define NOW_US (100 * USEC_PER_SEC)
@@ -378,8 +379,7 @@
     const struct route_record route = {
         .addr = 1,
         .port = 80,
-        .share_count = 1,
-        .shares = {{g_intern_string("s"), 1, cold_limit}},
+        .shares = fixture_share("s", cold_limit),
     };
     struct view_delta delta;
 
@@ -388,7 +388,7 @@
     delta.routes_complete = true;
     delta.routes_position.revision = 7;
     delta.targets_complete = true;
-    g_array_append_val(delta.routes, route);
+    view_delta_add_route(&delta, &route);
     for (uint16_t i = 0; i < 2; i++) {
         struct target_record t = {
             .service = g_intern_string("s"),
@@ -741,12 +741,15 @@
 static void
 test_service_by_weight(void **state)
 {
-    struct route_record route = {
-        .share_count = 3,
-        .shares = {{"s", 90}, {"t", 0}, {"u", 10}},
-    };
+    struct route_record route = {};
+    static const struct route_share shares[] = {
+        {"s", 90}, {"t", 0}, {"u", 10}};
     unsigned count_of_s = 0;
 
+    for (size_t i = 0; i < 3; i++) {
+        route_record_add_share(&route, &shares[i]);
+    }
+
     for (uint64_t hash = 0; hash < 1000; hash++) {
         const char *name = placement_choose_service(&route, hash);
 
@@ -754,8 +757,10 @@
         count_of_s += strcmp(name, "s") == 0;
     }
     assert_int_equal(count_of_s, 900);
-    route.shares[0].weight = 0;
-    route.shares[2].weight = 0;
+    route_record_clear(&route);
+    route_record_add_share(&route, &shares[1]);
+    assert_null(placement_choose_service(&route, 7));
+    route_record_clear(&route);
     assert_null(placement_choose_service(&route, 7));
 }
 
--- a/tests/unit/test-forward-speed.c
+++ b/tests/unit/test-forward-speed.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "daemon/forward-speed.h"
+#include "route-fixture.h"
 
 #define NOW_US (100 * USEC_PER_SEC)
 #define MS USEC_PER_MSEC
@@ -40,8 +41,7 @@
                                        .port = ROUTE_PORT,
                                        .latency_objective_ms = OBJECTIVE_MS,
                                        .repeatable = true,
-                                       .share_count = 1,
-                                       .shares = {{g_intern_string("s"), 1}}};
+                                       .shares = fixture_share("s", 0)};
     struct target_record target = {.service = g_intern_string("s"),
                                    .domain = g_intern_string("a"),
                                    .slots = 2,
@@ -54,7 +54,7 @@
     delta.routes_position.revision = 1;
     delta.routes_complete = true;
     delta.targets_complete = true;
-    g_array_append_val(delta.routes, route);
+    view_delta_add_route(&delta, &route);
     g_array_append_val(delta.targets, target);
     assert_true(forward_view_apply(view, &delta, NOW_US));
     view_delta_clear(&delta);
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "route-fixture.h"
 #include "state/forward-view.h"
 
 #define COUNT(array) (sizeof(array) / sizeof(*(array)))
@@ -17,6 +18,7 @@
 /* Time for which a lapsed target is kept */
 #define LAPSED_US (2 * USEC_PER_SEC)
 #define FLOW_MAX_US (60 * USEC_PER_SEC)
+#define SPLIT_SERVICES 90 /* services of a route */
 
 static struct forward_view *view;
 /* Whether the store was unavailable when entries of targets were removed */
@@ -55,8 +57,7 @@
         .addr = 0xc6120001,
         .port = port,
         .timeout_ms = timeout_ms,
-        .share_count = 1,
-        .shares = {{g_intern_string(service), 1}},
+        .shares = fixture_share(service, 0),
     };
 }
 
@@ -78,7 +79,7 @@
 static void
 add_route(struct view_delta *delta, struct route_record r)
 {
-    g_array_append_val(delta->routes, r);
+    view_delta_add_route(delta, &r);
 }
 
 static void
@@ -90,8 +91,8 @@
 /* Applies a delta from the revision "from" to "revision" with a complete list
  * of routes. Returns false when the view refuses it. */
 static bool
-apply_list(struct forward_view *v, uint64_t from, uint64_t revision,
-           const struct route_record *routes, size_t count)
+apply_list_at(struct forward_view *v, uint64_t from, uint64_t revision,
+              const struct route_record *routes, size_t count, uint64_t now)
 {
     struct view_delta delta;
     bool applied;
@@ -101,12 +102,21 @@
     delta.to.revision = revision;
     delta.routes_complete = true;
     delta.routes_position.revision = revision;
-    g_array_append_vals(delta.routes, routes, (guint)count);
-    applied = forward_view_apply(v, &delta, NOW_US);
+    for (size_t i = 0; i < count; i++) {
+        view_delta_add_route(&delta, &routes[i]);
+    }
+    applied = forward_view_apply(v, &delta, now);
     view_delta_clear(&delta);
     return applied;
 }
 
+static bool
+apply_list(struct forward_view *v, uint64_t from, uint64_t revision,
+           const struct route_record *routes, size_t count)
+{
+    return apply_list_at(v, from, revision, routes, count, NOW_US);
+}
+
 static bool
 apply_target(uint64_t from, struct target_record t, uint64_t now)
 {
@@ -139,6 +149,14 @@
     return applied;
 }
 
+static const char *
+service_of_route(uint16_t port)
+{
+    const struct forward_route *r = forward_view_route(view, 0xc6120001, port);
+
+    return route_record_share(&r->record, 0)->service;
+}
+
 /* A list of routes replaces an older one. An older list changes nothing. */
 static void
 test_route_lists(void **state)
@@ -150,15 +168,11 @@
     assert_null(forward_view_route(view, 0xc6120001, 80));
     assert_true(apply_list(view, 0, 5, first, 2));
     assert_int_equal(forward_view_route_count(view), 2);
-    assert_string_equal(
-        forward_view_route(view, 0xc6120001, 80)->record.shares[0].service,
-        "s");
+    assert_string_equal(service_of_route(80), "s");
     assert_true(apply_list(view, 5, 6, second, 1));
     assert_int_equal(forward_view_route_count(view), 1);
     assert_null(forward_view_route(view, 0xc6120001, 81));
-    assert_string_equal(
-        forward_view_route(view, 0xc6120001, 80)->record.shares[0].service,
-        "t");
+    assert_string_equal(service_of_route(80), "t");
     assert_true(apply_list(view, 0, 5, first, 2));
     assert_int_equal(forward_view_route_count(view), 1);
 }
@@ -182,6 +196,47 @@
     assert_false(forward_route_had_service(r, g_intern_string("u"), 0));
 }
 
+/* All services that a route loses at once are remembered, and forgotten when
+ * no flow to them can be open any more. */
+static void
+test_many_former_services(void **state)
+{
+    struct forward_view_callbacks cb = callbacks;
+    struct route_record split = route(80, "s", 100);
+    const struct route_record one = route(80, "s", 100);
+    const struct forward_route *r;
+    struct forward_view *v;
+    char name[16];
+
+    cb.flow_max_us = FLOW_MAX_US;
+    v = forward_view_new(&cb);
+    for (uint64_t round = 0; round < 3; round++) {
+        uint64_t now = NOW_US + round * (FLOW_MAX_US + 1);
+
+        split.shares = NULL;
+        for (int i = 0; i < SPLIT_SERVICES; i++) {
+            struct route_share share = {.weight = 1};
+
+            snprintf(name, sizeof(name), "s%d-%d", (int)round, i);
+            share.service = g_intern_string(name);
+            route_record_add_share(&split, &share);
+        }
+        assert_true(
+            apply_list_at(v, 2 * round, 2 * round + 1, &split, 1, now));
+        assert_true(
+            apply_list_at(v, 2 * round + 1, 2 * round + 2, &one, 1, now));
+        r = forward_view_route(v, 0xc6120001, 80);
+        for (int i = 0; i < SPLIT_SERVICES; i++) {
+            snprintf(name, sizeof(name), "s%d-%d", (int)round, i);
+            assert_true(
+                forward_route_had_service(r, g_intern_string(name), now));
+        }
+        assert_int_equal(r->past->len, SPLIT_SERVICES + (round > 0 ? 1 : 0));
+        route_record_clear(&split);
+    }
+    forward_view_destroy(v);
+}
+
 /* A forwarder has received two lists of routes with the same content. A peer
  * has received a list between them with a changed route, and the second list
  * reverts that change. The delta for the peer must contain the route, although
@@ -1308,6 +1363,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_route_lists, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_many_former_services, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_former_services, setup, teardown),
         cmocka_unit_test_setup_teardown(test_reverted_change, setup, teardown),
         cmocka_unit_test_setup_teardown(test_delta_of_other_list, setup,
--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -12,6 +12,7 @@
 
 #define SEED 20261203
 #define MUTATIONS 20000
+#define LONG_NAME_LENGTH 300
 
 static struct view_delta delta;
 
@@ -43,6 +44,14 @@
     return platform_add_entry(&delta, &entry);
 }
 
+/* Fills in a name that is longer than most. */
+static void
+fill_name(char name[LONG_NAME_LENGTH + 1])
+{
+    memset(name, 'n', LONG_NAME_LENGTH);
+    name[LONG_NAME_LENGTH] = '\0';
+}
+
 static const char config_value[] =
     "{\"version\":7,\"routes\":["
     "{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
@@ -75,11 +84,11 @@
     assert_int_equal(r->latency_objective_ms, 120);
     assert_int_equal(r->priority, 1);
     assert_false(r->repeatable);
-    assert_int_equal(r->share_count, 1);
-    assert_string_equal(r->shares[0].service, "huvo11a");
+    assert_int_equal(route_record_share_count(r), 1);
+    assert_string_equal(route_record_share(r, 0)->service, "huvo11a");
     r = &g_array_index(delta.routes, struct route_record, 1);
-    assert_int_equal(r->share_count, 2);
-    assert_int_equal(r->shares[1].weight, 10);
+    assert_int_equal(route_record_share_count(r), 2);
+    assert_int_equal(route_record_share(r, 1)->weight, 10);
 }
 
 /* Only the kinds whose requests may be repeated make a route repeatable. */
@@ -118,7 +127,9 @@
 static void
 test_regions(void **state)
 {
-    char long_list[ROUTE_REGIONS_SIZE + 40];
+    char long_name[LONG_NAME_LENGTH + 1];
+    char long_list[LONG_NAME_LENGTH + 20];
+    char long_regions[LONG_NAME_LENGTH + 20];
     const struct {
         const char *list;
         bool valid;
@@ -133,13 +144,14 @@
         {"[\"north\",7]", false, NULL},
         {"[\"north\",\"\"]", false, NULL},
         {"[\"north,south\"]", false, NULL},
-        {long_list, false, NULL},
+        {long_list, true, long_regions},
     };
 
-    snprintf(long_list, sizeof(long_list), "[\"%0*d\",\"n\"]",
-             ROUTE_REGIONS_SIZE - 2, 0);
+    fill_name(long_name);
+    snprintf(long_list, sizeof(long_list), "[\"%s\",\"n\"]", long_name);
+    snprintf(long_regions, sizeof(long_regions), "%s,n", long_name);
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-        char value[512];
+        char value[1024];
 
         snprintf(value, sizeof(value),
                  "{\"routes\":[{\"allowedRegions\":%s,"
@@ -157,6 +169,97 @@
     }
 }
 
+/* Review/7: a valid route was left out, which ended its open flows, when its
+ * split had more services than a record. */
+static void
+test_split_of_any_size(void **state)
+{
+    static const size_t counts[] = {1, 8, 9, 90, 1000};
+    char name[LONG_NAME_LENGTH + 1];
+
+    fill_name(name);
+    for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++) {
+        GString *value = g_string_new("{\"routes\":[{\"host\":\"1.2.3.4\","
+                                      "\"prefix\":\"/80/\",\"split\":[");
+        const struct route_record *r;
+
+        for (size_t k = 0; k < counts[i]; k++) {
+            g_string_append_printf(value,
+                                   "%s{\"service\":\"%s-%zu\",\"weight\":%zu}",
+                                   k == 0 ? "" : ",", name, k, k + 1);
+        }
+        g_string_append(value, "]}]}");
+        assert_true(add_entry("op/config", value->str));
+        g_string_free(value, TRUE);
+        assert_int_equal(delta.routes->len, 1);
+        r = &g_array_index(delta.routes, struct route_record, 0);
+        assert_int_equal(route_record_share_count(r), counts[i]);
+        assert_int_equal(route_record_share(r, counts[i] - 1)->weight,
+                         counts[i]);
+    }
+}
+
+/* Numbers of a valid route that a record cannot hold as they are. */
+static void
+test_numbers_out_of_range(void **state)
+{
+    static const struct {
+        const char *weights[2];
+        double share; /* of the first service */
+        const char *others;
+        uint32_t timeout_ms;
+        uint8_t priority;
+    } cases[] = {
+        {{"90", "10"}, 0.9, "\"priority\":2", 0, 2},
+        {{"0.9", "0.1"}, 0.9, "\"priority\":300", 0, 255},
+        {{"0.0004", "0.0012"}, 0.25, "\"timeoutMs\":1e12", UINT32_MAX, 0},
+        {{"1e-12", "1"}, 1e-9, "\"timeoutMs\":600.5", 600, 0},
+        {{"3e15", "1e15"}, 0.75, "\"targetLatencyMs\":1e300", 0, 0},
+        {{"2.5", "7.5"}, 0.25, "\"priority\":9007199254740993", 0, 255},
+        {{"4294967295", "0"}, 1, "\"priority\":0.0", 0, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const struct route_record *r;
+        char value[400];
+        double first;
+        double second;
+
+        snprintf(value, sizeof(value),
+                 "{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\",%s,"
+                 "\"split\":[{\"service\":\"s\",\"weight\":%s},"
+                 "{\"service\":\"t\",\"weight\":%s}]}]}",
+                 cases[i].others, cases[i].weights[0], cases[i].weights[1]);
+        assert_true(add_entry("op/config", value));
+        assert_int_equal(delta.routes->len, 1);
+        r = &g_array_index(delta.routes, struct route_record, 0);
+        first = route_record_share(r, 0)->weight;
+        second = route_record_share(r, 1)->weight;
+        assert_float_equal(first / (first + second), cases[i].share, 1e-8);
+        assert_true(first > 0);
+        assert_int_equal(r->timeout_ms, cases[i].timeout_ms);
+        assert_int_equal(r->priority, cases[i].priority);
+    }
+}
+
+/* Weights that are no numbers of 0 or more. */
+static void
+test_invalid_weights(void **state)
+{
+    static const char *const weights[] = {"-1", "\"1\"", "null", "[]"};
+
+    for (size_t i = 0; i < sizeof(weights) / sizeof(*weights); i++) {
+        char value[200];
+
+        snprintf(value, sizeof(value),
+                 "{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+                 "\"split\":[{\"service\":\"s\",\"weight\":%s}]}]}",
+                 weights[i]);
+        assert_false(add_entry("op/config", value));
+        assert_int_equal(delta.routes->len, 0);
+    }
+}
+
 /* Limits of cold starts, in openings per 1000 s; 0 stands for none. */
 static void
 test_cold_limits(void **state)
@@ -181,10 +284,11 @@
                  "{\"name\":\"s\",%s}]}",
                  cases[i].fields);
         assert_true(add_entry("op/config", value));
-        assert_int_equal(g_array_index(delta.routes, struct route_record, 0)
-                             .shares[0]
-                             .cold_limit,
-                         cases[i].limit);
+        assert_int_equal(
+            route_record_share(
+                &g_array_index(delta.routes, struct route_record, 0), 0)
+                ->cold_limit,
+            cases[i].limit);
     }
 }
 
@@ -273,6 +377,27 @@
     assert_non_null(t->service);
 }
 
+/* Names of any length are those of a target and of its service. */
+static void
+test_long_names(void **state)
+{
+    char name[LONG_NAME_LENGTH + 1];
+    char value[3 * LONG_NAME_LENGTH];
+    const struct target_record *t;
+
+    fill_name(name);
+    snprintf(value, sizeof(value),
+             "{\"service\":\"%s\",\"address\":\"10.0.0.1:80\","
+             "\"zone\":\"z%s\",\"version\":\"v1\",\"slots\":2,"
+             "\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1}",
+             name, name);
+    assert_true(add_entry("servers/i-1", value));
+    t = &g_array_index(delta.targets, struct target_record, 0);
+    assert_false(t->removed);
+    assert_string_equal(t->service, name);
+    assert_string_equal(t->domain + 1, name);
+}
+
 /* An entry of another writer, field by field and type by type, names no target
  * to use. */
 static void
@@ -361,7 +486,6 @@
 test_emptied_domains(void **state)
 {
     char long_key[128];
-    char longest_key[128];
     const struct {
         const char *key;
         const char *value;
@@ -378,12 +502,9 @@
         {"op/evacuate/a/b", "{}", "a/b", false},
         {"op/evacuate/", "{}", NULL, false},
         {"op/evacuate/", NULL, NULL, false},
-        {longest_key, "{}", longest_key + strlen("op/evacuate/"), false},
-        {long_key, "{}", NULL, false},
+        {long_key, "{}", long_key + strlen("op/evacuate/"), false},
     };
 
-    snprintf(longest_key, sizeof(longest_key), "op/evacuate/%0*d", ID_SIZE - 1,
-             7);
     snprintf(long_key, sizeof(long_key), "op/evacuate/%0*d", ID_SIZE, 7);
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         const struct target_record *t;
@@ -519,6 +640,12 @@
         cmocka_unit_test_setup_teardown(test_config, setup, teardown),
         cmocka_unit_test_setup_teardown(test_kinds, setup, teardown),
         cmocka_unit_test_setup_teardown(test_regions, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_split_of_any_size, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_numbers_out_of_range, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_long_names, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_invalid_weights, setup, teardown),
         cmocka_unit_test_setup_teardown(test_cold_limits, setup, teardown),
         cmocka_unit_test_setup_teardown(test_later_config_replaces_earlier,
                                         setup, teardown),
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -11,9 +11,11 @@
 
 #include "base/random.h"
 #include "protocol/view-codec.h"
+#include "route-fixture.h"
 
 #define SEED 20261203
 #define MUTATION_COUNT 20000
+#define LONG_NAME_LENGTH 300
 
 static struct view_message message;
 
@@ -27,9 +29,9 @@
         .latency_objective_ms = 120,
         .priority = 1,
         .repeatable = true,
-        .share_count = 2,
-        .shares = {{g_intern_string("s"), 90}, {g_intern_string("t"), 10}},
     };
+    const struct route_share shares[] = {{g_intern_string("s"), 90},
+                                         {g_intern_string("t"), 10}};
     struct target_record target = {
         .id = "i-0123456789",
         .service = g_intern_string("s"),
@@ -62,7 +64,9 @@
         (struct store_position){.era = 1, .revision = STORE_REVISION_MAX};
     message.delta.routes_version = 12;
     message.delta.targets_complete = true;
-    g_array_append_val(message.delta.routes, route);
+    route_record_add_share(&route, &shares[0]);
+    route_record_add_share(&route, &shares[1]);
+    view_delta_add_route(&message.delta, &route);
     route.port = 8081;
     route.removed = true;
     g_array_append_val(message.delta.routes, route);
@@ -92,9 +96,9 @@
 {
     assert_int_equal(a->routes->len, b->routes->len);
     for (guint i = 0; i < a->routes->len; i++) {
-        assert_memory_equal(&g_array_index(a->routes, struct route_record, i),
-                            &g_array_index(b->routes, struct route_record, i),
-                            sizeof(struct route_record));
+        assert_true(route_record_equal(
+            &g_array_index(a->routes, struct route_record, i),
+            &g_array_index(b->routes, struct route_record, i)));
     }
     assert_int_equal(a->targets->len, b->targets->len);
     for (guint i = 0; i < a->targets->len; i++) {
@@ -157,7 +161,7 @@
     uint8_t *data;
 
     route->regions = g_intern_string("north,south");
-    route->shares[1].cold_limit = 6400;
+    g_array_index(route->shares, struct route_share, 1).cold_limit = 6400;
     g_array_index(message.delta.targets, struct target_record, 0).cookie_form =
         2;
     emptied_domain_id("a", order.id);
@@ -171,6 +175,35 @@
     free(data);
 }
 
+/* A route with many services, long names and a long list of regions. */
+static void
+test_large_route(void **state)
+{
+    char name[LONG_NAME_LENGTH + 8];
+    struct route_record route = {.addr = 1, .port = 80};
+    struct view_message m;
+    size_t size;
+    uint8_t *data;
+
+    memset(name, 'n', LONG_NAME_LENGTH);
+    for (uint32_t i = 0; i < 90; i++) {
+        struct route_share share = {.weight = UINT32_MAX - i, .cold_limit = i};
+
+        snprintf(name + LONG_NAME_LENGTH, 8, "%u", i);
+        share.service = g_intern_string(name);
+        route_record_add_share(&route, &share);
+    }
+    route.regions = g_intern_string(name);
+    g_array_append_val(message.delta.routes, route);
+    g_array_index(message.delta.targets, struct target_record, 0).service =
+        g_intern_string(name);
+    data = view_encode(&message, &size);
+    assert_true(decode(data, size, &m));
+    assert_records_equal(&m.delta, &message.delta);
+    view_delta_clear(&m.delta);
+    free(data);
+}
+
 /* A message without orders, regions and limits is byte for byte that of the
  * builds before them. */
 static void
@@ -355,9 +388,12 @@
             assert_true(m.slow_target_count <= SLOW_TARGET_RECORDS_MAX);
             assert_true(m.open_flow_count <= OPEN_FLOW_RECORDS_MAX);
             for (guint j = 0; j < m.delta.routes->len; j++) {
-                assert_true(
-                    g_array_index(m.delta.routes, struct route_record, j)
-                        .share_count <= ROUTE_SHARES_MAX);
+                const struct route_record *r =
+                    &g_array_index(m.delta.routes, struct route_record, j);
+
+                for (size_t k = 0; k < route_record_share_count(r); k++) {
+                    assert_non_null(route_record_share(r, k)->service);
+                }
             }
         }
         view_delta_clear(&m.delta);
@@ -511,19 +547,20 @@
 static void
 fill_large_view(struct random *random, uint32_t routes, uint32_t targets)
 {
-    struct route_record route =
-        g_array_index(message.delta.routes, struct route_record, 0);
+    struct route_record route = {.timeout_ms = 600,
+                                 .latency_objective_ms = 120,
+                                 .priority = 1,
+                                 .repeatable = true,
+                                 .shares = fixture_share("s", 0)};
     struct target_record target =
         g_array_index(message.delta.targets, struct target_record, 0);
 
     g_array_set_size(message.delta.routes, 0);
     g_array_set_size(message.delta.targets, 0);
-    route.share_count = 1;
-    memset(&route.shares[1], 0, sizeof(route.shares[1]));
     for (uint32_t i = 0; i < routes; i++) {
         route.addr = 0xc6120000U + random_below(random, 1024);
         route.port = (uint16_t)(random_below(random, 2) == 0 ? 443 : 8080);
-        g_array_append_val(message.delta.routes, route);
+        view_delta_add_route(&message.delta, &route);
     }
     for (uint32_t i = 0; i < targets; i++) {
         snprintf(target.id, sizeof(target.id), "i-%010llx",
@@ -623,6 +660,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_round_trip, setup, teardown),
         cmocka_unit_test_setup_teardown(test_additions, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_large_route, setup, teardown),
         cmocka_unit_test_setup_teardown(test_unchanged_message, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_ids_of_orders, setup, teardown),
--- a/tools/bench-forward.c
+++ b/tools/bench-forward.c
@@ -107,6 +107,7 @@
 {
     const struct forward_view_callbacks cb = {.retain_until = retain_never};
     struct forward_view *view = forward_view_new(&cb);
+    const struct route_share share = {g_intern_string("s"), 1};
     struct view_delta delta;
 
     view_delta_init(&delta);
@@ -115,13 +116,12 @@
     delta.targets_complete = true;
     delta.routes_position.revision = 1;
     for (size_t i = 0; i < routes; i++) {
-        const struct route_record route = {
+        struct route_record route = {
             .addr = FIRST_ROUTE_ADDR + (uint32_t)(i / 1000),
             .port = (uint16_t)(1000 + i % 1000),
-            .share_count = 1,
-            .shares = {{g_intern_string("s"), 1}},
         };
 
+        route_record_add_share(&route, &share);
         g_array_append_val(delta.routes, route);
     }
     for (size_t i = 0; i < targets; i++) {
