state: one place decides who has an address

Cause: each new entry that could be decoded marked the targets with its address as replaced, until their own entries changed. Placing passed over marked targets without exception.

Ruled out: health and reach of the targets (all are served without the entries).

Why this works: address-claims decides from the entries as they are. Only an entry whose service a route names claims an address, as long as it is there, and only from targets that have written nothing and answered no packet since. Peers are told of such an answer. Until then the target gets flows where there is no better one, and one a second as a trial. The result no longer depends on the order in which a balancer learns of entries. Services that no route names take no room in the table of loads.

--- a/src/coordination/cold-claim.c
+++ b/src/coordination/cold-claim.c
@@ -233,8 +233,8 @@
     size_t own_rank;
     uint64_t turn;
 
-    if (!has_limit(target) || target->record.draining || target->replaced ||
-        target->cookie == 0 ||
+    if (!has_limit(target) || target->record.draining ||
+        forward_target_is_replaced(target) || target->cookie == 0 ||
         (target->domain != NULL && target->domain->emptied) ||
         now + CLAIM_MIN_US > target->cold_until ||
         !era_is_settled(claims, now) ||
--- a/src/coordination/domain-load.c
+++ b/src/coordination/domain-load.c
@@ -8,8 +8,8 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "coordination/domain-shares.h"
+#include "coordination/flow-placement.h"
 #include "coordination/load-table.h"
-#include "coordination/passive-health.h"
 #include "coordination/rate-meter.h"
 #include "coordination/service-time.h"
 #include "state/resource.h"
@@ -285,8 +285,7 @@
     double slots = t->record.slots == 0 ? 1.0 : t->record.slots;
 
     if (t->presence == TARGET_GONE || t->record.draining || t->cookie == 0 ||
-        t->replaced || (t->domain != NULL && t->domain->emptied) ||
-        passive_health_needs_trial(&t->observations)) {
+        (t->domain != NULL && t->domain->emptied) || placement_is_trial(t)) {
         return 0;
     }
     if (now < t->cold_until) {
--- a/src/coordination/flow-placement.c
+++ b/src/coordination/flow-placement.c
@@ -56,7 +56,7 @@
 is_available(const struct forward_target *target)
 {
     return target->presence != TARGET_GONE && !target->record.draining &&
-           target->cookie != 0 && !target->replaced;
+           target->cookie != 0;
 }
 
 static bool
@@ -158,6 +158,38 @@
                                       r->now);
 }
 
+/* Whether a flow keeps away from a target whose address another one claims. It
+ * gets a flow at intervals, as its answer ends the claim. The hosts begin at
+ * different times. */
+static bool
+avoids_claimed(const struct placement_request *r,
+               const struct forward_target *target)
+{
+    uint64_t last_trial_at = target->observations.last_trial_at;
+    double part;
+
+    if (!forward_target_is_replaced(target)) {
+        return false;
+    }
+    if (r->copy || r->tried_count > 0) {
+        return true;
+    }
+    if (last_trial_at > target->claimed_at) {
+        return r->now < last_trial_at + r->trial_interval_us;
+    }
+    part = (double)(uint32_t)random_mix(r->host_hash, target->cookie) /
+           (double)UINT32_MAX;
+    return r->now < target->claimed_at +
+                        (uint64_t)(part * (double)r->trial_interval_us);
+}
+
+bool
+placement_is_trial(const struct forward_target *target)
+{
+    return passive_health_needs_trial(&target->observations) ||
+           forward_target_is_replaced(target);
+}
+
 /* Penalties of a target that a new flow should not go to. */
 static double
 penalty(const struct placement_request *r, const struct believed *believed,
@@ -165,7 +197,7 @@
 {
     double value = 0;
 
-    if (avoids_failing(r, believed, target)) {
+    if (avoids_failing(r, believed, target) || avoids_claimed(r, target)) {
         value += AVOID_PENALTY;
     }
     if (passive_health_is_suspect(&target->observations, r->now)) {
--- a/src/coordination/flow-placement.h
+++ b/src/coordination/flow-placement.h
@@ -69,6 +69,9 @@
 struct forward_target *
 placement_choose_target(const struct placement_request *r,
                         struct random *random);
+/* Whether a flow to the target is a trial: its answer shows that the target
+ * works. */
+bool placement_is_trial(const struct forward_target *target);
 /* Whether a target of the service may take the flow, whatever others may. */
 bool placement_accepts(const struct placement_request *r,
                        const struct forward_target *target);
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -308,8 +308,8 @@
 static enum forward_reset
 silence_cause(const struct forward_target *target)
 {
-    return target->replaced ? FORWARD_RESET_TARGET_REPLACED
-                            : FORWARD_RESET_TARGET_SILENT;
+    return forward_target_is_replaced(target) ? FORWARD_RESET_TARGET_REPLACED
+                                              : FORWARD_RESET_TARGET_SILENT;
 }
 
 /* Whether the silence of a target ends open flows. A host that answers at the
@@ -320,8 +320,9 @@
 {
     return passive_health_may_end_flows(
         &target->observations,
-        target->replaced ? TARGET_REACH_DOWN
-                         : target_reach_get(task->reach, target->cookie, now),
+        forward_target_is_replaced(target)
+            ? TARGET_REACH_DOWN
+            : target_reach_get(task->reach, target->cookie, now),
         now);
 }
 
@@ -330,7 +331,7 @@
 is_dead(const struct forward_task *task, const struct forward_target *target,
         uint64_t now)
 {
-    return (target->replaced ||
+    return (forward_target_is_replaced(target) ||
             passive_health_is_dead(&target->observations, now)) &&
            may_end_flows(task, target, now);
 }
@@ -529,6 +530,23 @@
     }
 }
 
+/* Tells the peers of an answer that ends a claim on the target's address: they
+ * send it new flows again, too. "was_replaced" is the state before the
+ * answer. */
+static void
+note_refuted_claim(struct forward_task *task, struct forward_target *target,
+                   bool was_replaced)
+{
+    if (!was_replaced || forward_target_is_replaced(target)) {
+        return;
+    }
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"target", target->record.id}),
+               "address_claim_refuted");
+    target->observations.unreported_answer = true;
+    report(task, target);
+}
+
 void
 forward_task_reported(struct forward_task *task, uint32_t cookie,
                       unsigned misses, uint64_t sent_at)
@@ -540,7 +558,10 @@
         return;
     }
     if (misses == 0) {
+        bool replaced = forward_target_is_replaced(target);
+
         passive_health_on_peer_answer(&target->observations, sent_at);
+        note_refuted_claim(task, target, replaced);
     }
     else if (misses >= OBSERVATION_SILENT) {
         passive_health_on_peer_silence(&target->observations, sent_at, now);
@@ -848,7 +869,7 @@
         refuse_for_room(task, in, route, flow, target);
         return;
     }
-    if (passive_health_needs_trial(&target->observations)) {
+    if (placement_is_trial(target)) {
         passive_health_on_trial(&target->observations, in->now);
     }
     forward_speed_on_placed(task->speed, target, in->now);
@@ -1137,6 +1158,7 @@
         forward_view_route(task->view, packet->dst_addr, packet->dst_port);
     struct forward_target *target;
     struct recent_flow *flow;
+    bool replaced;
     bool first;
 
     if (route == NULL) {
@@ -1161,7 +1183,9 @@
     in->route = route;
     /* First what the packet shows: the caller's answer to a handshake that was
      * tried with a silent target shows that it lives. */
+    replaced = forward_target_is_replaced(target);
     flow = track_packet(task, in, target, &first);
+    note_refuted_claim(task, target, replaced);
     if (target->observations.silent) {
         target_reach_check(task->reach, target, in->now);
     }
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -351,7 +351,7 @@
         [TARGET_GONE] = "gone",
     };
 
-    if (target->replaced) {
+    if (forward_target_is_replaced(target)) {
         return "replaced";
     }
     if (target->presence == TARGET_PRESENT && target->record.draining) {
--- a/src/state/forward-view.c
+++ b/src/state/forward-view.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "state/address-claims.h"
 #include "state/cookie-owners.h"
 
 /* Any number; another one would not be compatible with other builds. Neither
@@ -20,9 +21,7 @@
     struct cookie_owners *cookies;
     GHashTable *services; /* interned name -> struct forward_service */
     GHashTable *domains;  /* interned name -> struct forward_domain */
-    /* Addresses of the targets that a delta adds, while it is applied: key of
-     * addr and port -> position that created the target */
-    GHashTable *new_addresses;
+    struct address_claims *claims;
     GHashTable *held;            /* id -> struct held_record */
     struct list removed_routes;  /* oldest first */
     struct list removed_targets; /* oldest first */
@@ -74,6 +73,13 @@
     return cookie ^ OPENING_COOKIE_MASK;
 }
 
+bool
+forward_target_is_replaced(const struct forward_target *target)
+{
+    return target->claimed_at != 0 &&
+           target->observations.alive_at <= target->claimed_at;
+}
+
 const char *
 forward_target_domain_name(const struct forward_target *target)
 {
@@ -141,8 +147,7 @@
                                            service_free);
     view->domains =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-    view->new_addresses =
-        g_hash_table_new_full(route_key_hash, g_int64_equal, g_free, g_free);
+    view->claims = address_claims_new();
     view->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     view->lists = g_array_new(FALSE, FALSE, sizeof(struct store_position));
     list_init(&view->removed_routes);
@@ -162,7 +167,7 @@
     g_hash_table_destroy(view->targets);
     g_hash_table_destroy(view->services);
     g_hash_table_destroy(view->domains);
-    g_hash_table_destroy(view->new_addresses);
+    address_claims_destroy(view->claims);
     g_hash_table_destroy(view->held);
     g_array_free(view->lists, TRUE);
     free(view);
@@ -377,6 +382,7 @@
         view->removed_route_count++;
     }
     remember_past_services(view, route, record, now);
+    address_claims_change_route(view->claims, &route->record, record);
     route_record_clear(&route->record);
     route->record = next;
 }
@@ -598,6 +604,7 @@
     if (target->presence == TARGET_GONE) {
         view->removed_target_count--;
     }
+    address_claims_touch(view->claims, &target->record);
     list_remove(&target->link);
     target->presence = presence;
     if (presence == TARGET_LAPSED) {
@@ -683,7 +690,8 @@
         /* A new entry uses the id of a removed target. */
         memset(&target->observations, 0, sizeof(target->observations));
     }
-    target->replaced = false;
+    address_claims_touch(view->claims, &target->record);
+    address_claims_touch(view->claims, record);
     target->record = *record;
     if (target->record.cookie_form < target->cookie_form) {
         target->record.cookie_form = target->cookie_form;
@@ -703,51 +711,6 @@
     notify_changed(view, target);
 }
 
-/* Records the address of a new target, for mark_replaced(). */
-static void
-add_new_address(struct forward_view *view, const struct target_record *record)
-{
-    uint64_t *key;
-    struct store_position *created;
-
-    if (record->addr == 0) {
-        return;
-    }
-    key = g_new(uint64_t, 1);
-    created = g_new(struct store_position, 1);
-    *key = route_key(record->addr, record->port);
-    *created = record->created;
-    g_hash_table_replace(view->new_addresses, key, created);
-}
-
-/* Marks the targets whose address a new target has taken over. Two processes
- * cannot use one address, so the older one no longer runs. */
-static void
-mark_replaced(struct forward_view *view)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    if (g_hash_table_size(view->new_addresses) == 0) {
-        return;
-    }
-    g_hash_table_iter_init(&iter, view->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct forward_target *target = value;
-        uint64_t key = route_key(target->record.addr, target->record.port);
-        const struct store_position *created =
-            g_hash_table_lookup(view->new_addresses, &key);
-
-        if (created != NULL &&
-            store_position_is_after(*created, target->record.created) &&
-            !target->replaced) {
-            target->replaced = true;
-            notify_changed(view, target);
-        }
-    }
-    g_hash_table_remove_all(view->new_addresses);
-}
-
 /* Whether "a" is later than "b", or with "or_equal" the same, by what their
  * target states. */
 static bool
@@ -856,9 +819,6 @@
     }
     if (target == NULL) {
         target = add_target(view, record);
-        if (!view->era_changes) {
-            add_new_address(view, record);
-        }
     }
     target->seen_generation = view->generation;
     apply_record(view, target, record, now);
@@ -898,6 +858,19 @@
     }
 }
 
+static void
+on_address_lost(void *ctx, struct forward_target *target)
+{
+    notify_changed(ctx, target);
+}
+
+static void
+update_claims(struct forward_view *view, uint64_t now)
+{
+    address_claims_update(view->claims, view->targets, on_address_lost, view,
+                          now);
+}
+
 static void
 apply_targets(struct forward_view *view, const struct view_delta *delta,
               uint64_t now)
@@ -910,7 +883,6 @@
     if (delta->targets_complete) {
         remove_unlisted_targets(view, delta->to, now);
     }
-    mark_replaced(view);
 }
 
 static void
@@ -1066,6 +1038,7 @@
             view, &g_array_index(delta->targets, struct target_record, i),
             store_position_equal(delta->to, view->position), now);
     }
+    update_claims(view, now);
 }
 
 bool
@@ -1093,6 +1066,7 @@
     view->generation++;
     apply_routes(view, delta, now);
     apply_targets(view, delta, now);
+    update_claims(view, now);
     if (empty && cookie_owners_conflicts(view->cookies) != conflicts) {
         view->forms_guessed_until = now + FORMS_GUESSED_US;
     }
@@ -1231,6 +1205,7 @@
         }
         g_hash_table_iter_remove(&iter);
     }
+    update_claims(view, now);
 }
 
 void
@@ -1248,6 +1223,7 @@
             notify_changed(view, target);
         }
     }
+    update_claims(view, now);
 }
 
 void
@@ -1263,7 +1239,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct forward_service *service = value;
 
-        if (service->targets->len > 0) {
+        if (service->targets->len > 0 &&
+            address_claims_has_service(view->claims, service->name)) {
             cb(ctx, service);
         }
     }
--- a/src/state/forward-view.h
+++ b/src/state/forward-view.h
@@ -99,9 +99,10 @@
                           * free, and it gets no flows */
     uint8_t cookie_form; /* see state/cookie-owners.h */
     uint8_t presence;    /* enum target_presence */
-    bool replaced;       /* a newer entry has its address: this one gets no new
-                          * flows, and is gone if it is silent, even if its entry is
-                          * still there */
+    /* When another entry was found to claim this target's address, us; 0:
+     * none does. See state/address-claims.h. */
+    uint64_t claimed_at;
+    struct store_position claimed_by; /* creation of that entry */
     /* Generation of the last applied delta that contained the target. */
     uint64_t seen_generation;
     struct target_observations observations;
@@ -219,6 +220,10 @@
 uint32_t forward_cookie_of(const char *id, unsigned form);
 /* Returns the first form, which all targets have but for equal hashes. */
 uint32_t forward_cookie(const char *id);
+/* Whether another target has taken over the address of this one, which then
+ * no longer runs: its entry claims the address, and this target has answered
+ * no packet since. */
+bool forward_target_is_replaced(const struct forward_target *target);
 /* Returns the other form of a cookie, which the target's opening packets have;
  * for that form, the cookie. */
 uint32_t forward_opening_cookie(uint32_t cookie);
@@ -227,8 +232,8 @@
 bool forward_route_had_service(const struct forward_route *route,
                                const char *service, uint64_t since);
 
-/* Call "cb" for each service with a target, present or lapsed, and for each
- * known failure domain. */
+/* Call "cb" for each service that a route names and that has a target, present
+ * or lapsed, and for each known failure domain. */
 void forward_view_each_service(
     const struct forward_view *view,
     void (*cb)(void *ctx, const struct forward_service *service), void *ctx);
--- a/tests/unit/test-domain-load.c
+++ b/tests/unit/test-domain-load.c
@@ -17,6 +17,7 @@
 #include "coordination/rate-meter.h"
 #include "coordination/service-time.h"
 #include "protocol/view-codec.h"
+#include "route-fixture.h"
 
 #define SEED 20261204
 #define DOMAINS 4
@@ -90,11 +91,16 @@
 make_view(size_t targets)
 {
     const struct forward_view_callbacks cb = {.retain_until = retain};
+    const struct route_record route = {
+        .addr = 1, .port = 80, .shares = fixture_share("s", 0)};
     struct view_delta delta;
     struct forward_service *service;
 
     view_delta_init(&delta);
     delta.to.revision = 10;
+    delta.routes_complete = true;
+    delta.routes_position.revision = 1;
+    view_delta_add_route(&delta, &route);
     delta.targets_complete = true;
     for (size_t i = 0; i < targets * DOMAINS; i++) {
         struct target_record t = {.service = g_intern_string("s"),
--- a/tests/unit/test-forward-view.c
+++ b/tests/unit/test-forward-view.c
@@ -1032,21 +1032,29 @@
     struct target_record old = target("i-1", "s", 5);
     struct target_record other = target("i-2", "s", 6);
     struct target_record newer = target("i-3", "t", 9);
+    const struct route_record routes[] = {route(80, "s", 100),
+                                          route(81, "t", 100)};
 
+    apply_list(view, 0, 4, routes, 2);
     old.addr = newer.addr = 0x0a000001;
     old.port = newer.port = other.port = 8080;
     other.addr = 0x0a000002;
-    apply_target(0, old, NOW_US);
+    apply_target(4, old, NOW_US);
     apply_target(5, other, NOW_US);
-    assert_false(forward_view_target(view, forward_cookie("i-1"))->replaced);
+    assert_false(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-1"))));
     apply_target(6, newer, NOW_US);
-    assert_true(forward_view_target(view, forward_cookie("i-1"))->replaced);
-    assert_false(forward_view_target(view, forward_cookie("i-2"))->replaced);
-    assert_false(forward_view_target(view, forward_cookie("i-3"))->replaced);
+    assert_true(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-1"))));
+    assert_false(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-2"))));
+    assert_false(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-3"))));
     old.removed = true;
     old.position.revision = 10;
     apply_target(9, old, NOW_US);
-    assert_true(forward_view_target(view, forward_cookie("i-1"))->replaced);
+    assert_true(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-1"))));
 }
 
 /* State of a target's record: state as seen in the store, and what the target
@@ -1341,8 +1349,10 @@
 {
     struct target_record now_there = written_target(READY, 0, 40, 1, 9);
     struct target_record old = written_target(READY, 1, 10, 1, 5);
+    const struct route_record routes[] = {route(80, "s", 100)};
     struct view_delta delta;
 
+    apply_list(view, 0, 4, routes, 1);
     snprintf(old.id, sizeof(old.id), "i-0");
     now_there.addr = old.addr = 0x0a000001;
     now_there.port = old.port = 8080;
@@ -1354,7 +1364,8 @@
     add_target(&delta, old);
     assert_true(forward_view_apply(view, &delta, NOW_US));
     view_delta_clear(&delta);
-    assert_false(forward_view_target(view, forward_cookie("i-1"))->replaced);
+    assert_false(forward_target_is_replaced(
+        forward_view_target(view, forward_cookie("i-1"))));
     assert_int_equal(state_of(view, "i-1"), READY);
 }
 
--- a/tests/unit/test-opening-admission.c
+++ b/tests/unit/test-opening-admission.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "coordination/opening-admission.h"
+#include "route-fixture.h"
 
 #define SEED 20261204
 #define DOMAINS 4
@@ -89,10 +90,15 @@
 make_view(size_t targets)
 {
     const struct forward_view_callbacks cb = {.retain_until = retain};
+    const struct route_record route = {
+        .addr = 1, .port = 80, .shares = fixture_share(NAME, 0)};
     struct view_delta delta;
 
     view_delta_init(&delta);
     delta.to.revision = 10;
+    delta.routes_complete = true;
+    delta.routes_position.revision = 1;
+    view_delta_add_route(&delta, &route);
     delta.targets_complete = true;
     for (size_t i = 0; i < targets; i++) {
         struct target_record t = {.service = NAME,
