forward: balancers that start later learn where doubtful flows are open

What callers saw: a request on a flow that two targets had accepted was not answered when the flow had moved to a balancer that started after its opening.

Cause: peers are told about such a flow once, when it opens. A balancer without the record drops packets with the opening cookie, as their target may be the wrong one, and a caller in a pause repeats just that cookie until its deadline.

--- a/src/coordination/opened-flows.c
+++ b/src/coordination/opened-flows.c
@@ -17,6 +17,7 @@
     struct forward_view *view; /* not owned */
     struct recent_flows *told; /* flows that peers have told about */
     struct log_rate_limit tell_limit;
+    bool peers_changed; /* since the last call of opened_flows_expire() */
     opened_flows_tell_fn tell;
     void *ctx;
 };
@@ -53,24 +54,67 @@
     free(of);
 }
 
+static struct open_flow_record
+make_record(const struct recent_flow *flow)
+{
+    return (struct open_flow_record){.caller_addr = flow->key.caller_addr,
+                                     .route_addr = flow->key.route_addr,
+                                     .caller_port = flow->key.caller_port,
+                                     .route_port = flow->key.route_port,
+                                     .cookie = flow->cookie,
+                                     .ack = flow->ack};
+}
+
+/* Tells the peers about all own flows that two targets may have accepted, as
+ * far as the limit allows, most recently seen first. */
+static void
+tell_all(struct opened_flows *of, uint64_t now)
+{
+    struct open_flow_record records[OPEN_FLOW_RECORDS_MAX];
+    size_t count = 0;
+
+    for (const struct recent_flow *flow = recent_flows_last(of->own);
+         flow != NULL; flow = recent_flows_previous(of->own, flow)) {
+        if (!flow->open || flow->closing || !flow->copied) {
+            continue;
+        }
+        if (!log_rate_limit_allow(&of->tell_limit, now)) {
+            break;
+        }
+        records[count] = make_record(flow);
+        count++;
+        if (count == OPEN_FLOW_RECORDS_MAX) {
+            of->tell(of->ctx, records, count);
+            count = 0;
+        }
+    }
+    if (count > 0) {
+        of->tell(of->ctx, records, count);
+    }
+}
+
 void
 opened_flows_expire(struct opened_flows *of, uint64_t now)
 {
     recent_flows_expire(of->told, now - TOLD_FLOW_LIFETIME_US);
+    if (of->peers_changed) {
+        tell_all(of, now);
+        of->peers_changed = false;
+    }
     (void)log_rate_limit_take_left_out(&of->tell_limit);
 }
 
+void
+opened_flows_on_peers_changed(struct opened_flows *of)
+{
+    of->peers_changed = true;
+}
+
 bool
 opened_flows_tell(struct opened_flows *of, const struct recent_flow *flow,
                   uint64_t now)
 {
-    const struct open_flow_record record = {
-        .caller_addr = flow->key.caller_addr,
-        .route_addr = flow->key.route_addr,
-        .caller_port = flow->key.caller_port,
-        .route_port = flow->key.route_port,
-        .cookie = flow->cookie,
-        .ack = flow->ack};
+    const struct open_flow_record record = make_record(flow);
 
     if (!log_rate_limit_allow(&of->tell_limit, now)) {
         return false;
--- a/src/coordination/opened-flows.h
+++ b/src/coordination/opened-flows.h
@@ -43,6 +43,9 @@
  * second. Returns whether they were told. */
 bool opened_flows_tell(struct opened_flows *of, const struct recent_flow *flow,
                        uint64_t now);
+/* Peers have started or ended: what they know of the flows here is told again
+ * by the next opened_flows_expire(), to all. */
+void opened_flows_on_peers_changed(struct opened_flows *of);
 /* Takes over what a peer has told. With "relay", what is new here is passed
  * on. */
 void opened_flows_receive(struct opened_flows *of,
--- a/src/daemon/forward-task.c
+++ b/src/daemon/forward-task.c
@@ -96,6 +96,7 @@
     size_t size;
     uint64_t now;     /* start of handling, us */
     uint64_t arrived; /* when the kernel received it, us */
+    bool two_targets; /* two targets have accepted its flow */
 };
 
 static const char *const drop_names[] = {
@@ -1140,7 +1141,8 @@
         drop(task, in, FORWARD_DROP_UNKNOWN_FLOW);
         return false;
     }
-    if (owner.cookie != owner.named) {
+    in->two_targets = owner.cookie != owner.named;
+    if (in->two_targets) {
         note_changed_cookie(task, in, &owner);
     }
     if (owner.cookie != in->packet.cookie) {
@@ -1185,6 +1187,7 @@
      * tried with a silent target shows that it lives. */
     replaced = forward_target_is_replaced(target);
     flow = track_packet(task, in, target, &first);
+    flow->copied = flow->copied || in->two_targets;
     note_refuted_claim(task, target, replaced);
     if (target->observations.silent) {
         target_reach_check(task->reach, target, in->now);
@@ -1357,6 +1360,7 @@
 forward_task_routers_changed(struct forward_task *task)
 {
     forward_speed_on_routers_changed(task->speed, clock_monotonic_us());
+    opened_flows_on_peers_changed(task->opened);
 }
 
 static void
--- a/src/state/recent-flows.h
+++ b/src/state/recent-flows.h
@@ -40,7 +40,8 @@
     bool open;       /* the caller received an answer to its opening packet */
     bool waiting;    /* the request sent at "sent_at" is not answered yet */
     bool closing;    /* the caller has sent its last byte (FIN) */
-    bool copied;     /* a copy of its opening packet was seen */
+    bool copied;     /* a copy of its opening packet was seen, or two targets
+                      * are known to have accepted it */
     uint8_t repeats; /* retransmissions of that request */
     uint8_t wait_noted; /* see target_speed_on_waiting() */
     uint8_t tried_count;
--- a/tests/unit/test-opened-flows.c
+++ b/tests/unit/test-opened-flows.c
@@ -233,6 +233,40 @@
     assert_int_equal(told_count, 0);
 }
 
+/* A balancer that starts after a flow was opened is told of it, too: it would
+ * drop packets with the second target's cookie. */
+static void
+test_told_again(void **state)
+{
+    static const struct {
+        bool open, closing, copied;
+        size_t told;
+    } cases[] = {
+        {true, false, true, 1},
+        {true, false, false, 0},
+        {false, false, true, 0},
+        {true, true, true, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct recent_flow *flow = recent_flows_touch(own, &key, NOW_US);
+
+        flow->cookie = cookie(A);
+        flow->open = cases[i].open;
+        flow->closing = cases[i].closing;
+        flow->copied = cases[i].copied;
+        told_count = 0;
+        opened_flows_expire(opened, NOW_US);
+        assert_int_equal(told_count, 0);
+        opened_flows_on_peers_changed(opened);
+        opened_flows_expire(opened, NOW_US);
+        assert_int_equal(told_count, cases[i].told);
+        told_count = 0;
+        opened_flows_expire(opened, NOW_US);
+        assert_int_equal(told_count, 0);
+    }
+}
+
 int
 main(void)
 {
@@ -240,6 +274,7 @@
         cmocka_unit_test(test_opening_cookie),
         cmocka_unit_test_setup_teardown(test_usual_cookie, setup, teardown),
         cmocka_unit_test_setup_teardown(test_relay, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_told_again, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
