forward: contradicting records of a flow are not passed on in turn

Seen by reading: since balancers tell of a flow again, two of them can tell different numbers for it, the one that had it and the one that has it now. In a fleet that passes records on, each record replaced the other at every host, and was news there each time, without end.

Why this works: of two records of a flow only the one with the higher number is taken over. Another target, or a lower number, is that of a later flow with the same addresses, and counts only 2 s after the last record, which is longer than a record is passed on. Each host passes a record on once then.

--- a/src/coordination/opened-flows.c
+++ b/src/coordination/opened-flows.c
@@ -11,6 +11,9 @@
 #define FLOWS_TOLD_PER_SECOND 100
 /* Time after which what a peer has told about a flow is forgotten. */
 #define TOLD_FLOW_LIFETIME_US (20 * USEC_PER_SEC)
+/* Time within which records that contradict each other are of one flow, passed
+ * on by different peers. After that a later flow has the same addresses. */
+#define RELAY_MAX_US (2 * USEC_PER_SEC)
 
 struct opened_flows {
     struct recent_flows *own;  /* not owned */
@@ -123,6 +126,23 @@
     return true;
 }
 
+/* Whether a record tells more than what is known from peers. Of two records of
+ * a flow only the one with the higher number counts, else they would replace
+ * each other at every host that passes them on. */
+static bool
+is_news(const struct recent_flow *told, const struct open_flow_record *record,
+        uint64_t now)
+{
+    if (told == NULL) {
+        return true;
+    }
+    if (told->cookie == record->cookie &&
+        (int32_t)(record->ack - told->ack) >= 0) {
+        return record->ack != told->ack;
+    }
+    return now > told->seen_at + RELAY_MAX_US;
+}
+
 void
 opened_flows_receive(struct opened_flows *of,
                      const struct open_flow_record *records, size_t count,
@@ -139,7 +159,7 @@
                                             .route_port = r->route_port};
         struct recent_flow *flow = recent_flows_find(of->told, &key);
 
-        if (flow != NULL && flow->cookie == r->cookie && flow->ack == r->ack) {
+        if (!is_news(flow, r, now)) {
             continue;
         }
         flow = recent_flows_touch(of->told, &key, now);
--- a/tests/unit/test-opened-flows.c
+++ b/tests/unit/test-opened-flows.c
@@ -220,17 +220,38 @@
     }
 }
 
+/* Each record is passed on once, also where peers tell different ones. */
 static void
 test_relay(void **state)
 {
-    receive(A, TARGET_ACK, true, NOW_US);
-    assert_int_equal(told_count, 1);
-    assert_int_equal(told_records[0].cookie, cookie(A));
-    told_count = 0;
-    receive(A, TARGET_ACK, true, NOW_US + 1);
-    assert_int_equal(told_count, 0);
-    receive(B, TARGET_ACK, false, NOW_US + 1);
-    assert_int_equal(told_count, 0);
+    static const struct {
+        int target;
+        uint32_t ahead;
+        bool relay;
+        uint64_t after; /* us since the record before */
+        size_t told;
+    } steps[] = {
+        {A, 0, true, 0, 1},
+        {A, 0, true, 1, 0},
+        /* What another peer knows of the flow */
+        {A, 4000, true, 1, 1},
+        {A, 0, true, 1, 0},
+        {B, 8000, true, 1, 0},
+        {A, 5000, false, 1, 0},
+        {A, 5000, true, 1, 0},
+        /* A later flow with the same addresses and ports */
+        {B, 0, true, 3 * USEC_PER_SEC, 1},
+        {A, 5000, true, 1, 0},
+    };
+    uint64_t now = NOW_US;
+
+    for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
+        now += steps[i].after;
+        told_count = 0;
+        receive(steps[i].target, TARGET_ACK + steps[i].ahead, steps[i].relay,
+                now);
+        assert_int_equal(told_count, steps[i].told);
+    }
 }
 
 /* A balancer that starts after a flow was opened is told of it, too: it would
