--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	./tests/run $(BUILD)
 
 test-sanitize:
-	test -f build-sanitize/build.ninja || meson setup build-sanitize -Db_sanitize=address,undefined -Db_lundef=false -Dc_args=-fno-sanitize-recover=all --buildtype=debug
+	test -f build-sanitize/build.ninja || meson setup build-sanitize -Db_sanitize=address,undefined -Db_lundef=false -Dc_args="-fsanitize=float-cast-overflow -fno-sanitize-recover=all" --buildtype=debug
 	ninja -C build-sanitize
 	MODELS=no ./tests/run build-sanitize
 
--- a/tests/unit/test-platform-records.c
+++ b/tests/unit/test-platform-records.c
@@ -220,6 +220,13 @@
         {{"3e15", "1e15"}, 0.75, "\"targetLatencyMs\":1e300", 0, 0},
         {{"2.5", "7.5"}, 0.25, "\"priority\":9007199254740993", 0, 255},
         {{"4294967295", "0"}, 1, "\"priority\":0.0", 0, 0},
+        {{"4294967296", "0"}, 1, "\"priority\":-0.0", 0, 0},
+        {{"5e-324", "5e-324"},
+         0.5,
+         "\"timeoutMs\":4294967295.5",
+         UINT32_MAX,
+         0},
+        {{"5e-324", "1e308"}, 0, "\"priority\":255", 0, 255},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
@@ -608,6 +615,9 @@
         {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
          "\"priority\":-1,\"service\":\"s\"}]}",
          false, true, 1, 0},
+        {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
+         "\"timeoutMs\":-1e300,\"service\":\"s\"}]}",
+         false, true, 1, 0},
         {"{\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/80/\","
          "\"split\":[{\"service\":\"s\",\"weight\":1},"
          "{\"service\":7,\"weight\":1}]}]}",
