view-reader: fewer calls after the store was restored

After a restore all balancers that had asked the store at once read everything from it, and each then watched it, too: it had heard of no answer to a balancer of better rank. Its own read now counts as such an answer, as the others are told of it. A watch that fails because its position is gone no longer makes a balancer read everything when peers have brought a later position meanwhile.

--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -45,6 +45,8 @@
     bool first_read_done; /* the first read has ended */
     bool read_all_needed; /* everything has to be read again */
     bool read_snapshot_needed; /* the snapshot has to be read again */
+    /* Position of the view when the last watch began */
+    struct store_position watched;
     uint64_t awaited_era; /* last one for which peers were asked, 0: none */
     bool awaiting_peers;  /* the read waits for their answers */
     uint64_t asked_at;    /* when they were asked, us */
@@ -204,6 +206,11 @@
     }
     backoff_reset(&reader->backoff);
     view_sync_store_answered(reader->sync, delta, !reader->reading_stale, now);
+    if (!reader->reading_stale) {
+        /* The others are told of this answer. Who has better rank and is there
+         * watches the store from now on. */
+        freshness_confirm_better_rank(reader->freshness, now);
+    }
 }
 
 static bool
@@ -231,7 +238,8 @@
 start_watch(struct view_reader *reader, uint64_t now)
 {
     reader->watching = true;
-    reader->cb.watch(reader->cb.ctx, forward_view_position(reader->view),
+    reader->watched = forward_view_position(reader->view);
+    reader->cb.watch(reader->cb.ctx, reader->watched,
                      freshness_watch_wait(reader->freshness, now));
 }
 
@@ -242,6 +250,13 @@
                      uint64_t now)
 {
     reader->watching = false;
+    if (result == VIEW_READER_COMPACTED &&
+        store_position_is_after(forward_view_position(reader->view),
+                                reader->watched)) {
+        /* The peers have brought what the watch could not. */
+        backoff_reset(&reader->backoff);
+        return;
+    }
     if (result == VIEW_READER_COMPACTED) {
         ask_peers_first(reader, era, now);
         reader->read_all_needed = true;
