view-sync: an answer of the store does not become younger on its way

With a silent store, balancers took their views for confirmed for up to 12 s more: a message told the age that the answer had when it was sent, so each hop took off the time that the message was under way, or had waited for a paused process, and a ring of balancers kept the answer young. test-view-confirmations showed it for slow messages; a new case showed that one of 40 balancers that is paused for 12 s makes all 40 count the last answer as 9.2 s later than it was.

Messages now tell when the store answered and when they were sent, by the clocks of the balancer that got the answer and of the sender. The least offset that a clock has shown lately tells how late a message is. Earlier builds ignore the times, as they travel as observations of no target.

--- a/src/coordination/view-freshness.c
+++ b/src/coordination/view-freshness.c
@@ -48,6 +48,14 @@
     return true;
 }
 
+void
+freshness_correct(struct freshness *f, uint64_t at)
+{
+    if (at < f->confirmed_at) {
+        f->confirmed_at = at;
+    }
+}
+
 void
 freshness_confirm_better_rank(struct freshness *f, uint64_t at)
 {
--- a/src/coordination/view-freshness.h
+++ b/src/coordination/view-freshness.h
@@ -40,6 +40,9 @@
  * that the view contains this answer. Returns false when a later answer is
  * known already. */
 bool freshness_confirm(struct freshness *f, uint64_t at);
+/* The answer that was recorded last came at "at" or before: what told of it
+ * was late. */
+void freshness_correct(struct freshness *f, uint64_t at);
 /* Records that the store answered a balancer of better rank at "at". */
 void freshness_confirm_better_rank(struct freshness *f, uint64_t at);
 /* Discards all known answers of the store, because the process was paused and
--- a/src/coordination/view-message.h
+++ b/src/coordination/view-message.h
@@ -5,6 +5,7 @@
 
 #include "coordination/domain-load.h"
 #include "coordination/flow-identity.h"
+#include "coordination/peer-clocks.h"
 #include "coordination/target-speed.h"
 #include "state/view-delta.h"
 
@@ -54,6 +55,11 @@
     bool confirmed;          /* "age_us" is valid */
     uint64_t age_us;   /* time since the store confirmed the sender's view */
     uint32_t position; /* position of the balancer that the store answered */
+    /* Clocks of this balancer and of the sender, and the times by them when
+     * the store answered, and when the message was sent; no clocks (id 0) in
+     * messages of earlier builds */
+    struct clock_time answered;
+    struct clock_time sent;
     struct view_delta delta;
     size_t observation_count;
     struct observation_record observations[VIEW_OBSERVATIONS_MAX];
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "coordination/peer-clocks.h"
 
 /* Maximum number of other members in a small fleet. In a small fleet each
  * balancer sends to all others directly, without relaying. */
@@ -46,8 +47,11 @@
     struct random *random;
     struct view_sync_callbacks cb;
 
-    /* Position of the balancer that got the last confirmation */
+    /* Position of the balancer that got the last confirmation, and the time of
+     * the answer by its clock */
     double position;
+    struct clock_time answered;
+    struct peer_clocks clocks;
     bool announcing; /* an announcement to the pruned peers is pending */
     uint64_t next_announce; /* earliest next announcement, us */
     uint64_t next_pull;     /* earliest next pull, us */
@@ -76,12 +80,14 @@
     vs->cb = *cb;
 
     vs->position = 1.0;
+    peer_clocks_init(&vs->clocks, membership_self(members));
     return vs;
 }
 
 void
 view_sync_destroy(struct view_sync *vs)
 {
+    peer_clocks_clear(&vs->clocks);
     free(vs);
 }
 
@@ -186,8 +192,8 @@
     view_delta_init(&m->delta);
 }
 
-/* Fills in the age of the store's last known answer, and the position of the
- * balancer that got it. */
+/* Fills in the age of the store's last known answer, and the position and time
+ * of the balancer that got it. */
 static void
 message_confirm(const struct view_sync *vs, struct view_message *m,
                 uint64_t now)
@@ -197,6 +203,10 @@
     m->confirmed = age != UINT64_MAX;
     m->age_us = m->confirmed ? age : 0;
     m->position = (uint32_t)(vs->position * VIEW_POSITION_END);
+    if (m->confirmed) {
+        m->answered = vs->answered;
+        m->sent = (struct clock_time){vs->clocks.own_id, now};
+    }
 }
 
 static bool
@@ -404,6 +414,7 @@
         return true;
     }
     vs->position = view_sync_position(vs, at);
+    vs->answered = (struct clock_time){vs->clocks.own_id, at};
     message_init(vs, &m, VIEW_DELTA);
     message_confirm(vs, &m, at);
     send_delta(vs, &m, &before, 0, at);
@@ -473,9 +484,6 @@
 {
     struct view_message relayed;
 
-    if (m->confirmed) {
-        vs->position = (double)m->position / VIEW_POSITION_END;
-    }
     if (!m->relay_to_neighbors && fleet_is_small(vs)) {
         return;
     }
@@ -485,18 +493,37 @@
     view_delta_clear(&relayed.delta);
 }
 
+/* Returns when the store gave the answer that a message tells of, 0: unknown.
+ * Where the message shows that others from the same clock were late, the time
+ * of the last answer is corrected, too. */
+static uint64_t
+answer_time(struct view_sync *vs, const struct view_message *m, uint64_t now)
+{
+    uint64_t last = vs->freshness->confirmed_at;
+    uint64_t sent = peer_clocks_convert(&vs->clocks, m->sent, now, now);
+    uint64_t at;
+
+    if (sent <= m->age_us) {
+        return 0;
+    }
+    at = peer_clocks_convert(&vs->clocks, m->answered, sent - m->age_us, now);
+    if (last != 0 && m->answered.clock == vs->answered.clock) {
+        freshness_correct(
+            vs->freshness,
+            peer_clocks_convert(&vs->clocks, vs->answered, last, now));
+    }
+    return at;
+}
+
 static void
 on_delta(struct view_sync *vs, const struct view_message *m, uint64_t now)
 {
-    uint64_t at = now - m->age_us;
     struct view_positions before = current_positions(vs);
-    uint64_t confirmed = vs->freshness->confirmed_at;
+    uint64_t confirmed;
     double own_position = view_sync_position(vs, now) * VIEW_POSITION_END;
+    uint64_t at = 0;
     bool relay;
 
-    if (m->confirmed && m->age_us >= now) {
-        return;
-    }
     if (store_position_is_none(m->delta.to)) {
         vs->empty_answers++;
         return;
@@ -506,6 +533,10 @@
         forward_view_merge_earlier(vs->view, &m->delta, now);
         return;
     }
+    if (m->confirmed) {
+        at = answer_time(vs, m, now);
+    }
+    confirmed = vs->freshness->confirmed_at;
     if (!apply_delta(vs, &m->delta, m->confirmed, at, now)) {
         vs->behind = true;
         if (now >= vs->next_pull) {
@@ -514,6 +545,10 @@
         return;
     }
     vs->behind = false;
+    if (m->confirmed && at > confirmed) {
+        vs->position = (double)m->position / VIEW_POSITION_END;
+        vs->answered = m->answered;
+    }
     if (m->confirmed && (double)m->position < own_position) {
         freshness_confirm_better_rank(vs->freshness, at);
     }
--- a/src/protocol/view-codec.c
+++ b/src/protocol/view-codec.c
@@ -135,28 +135,41 @@
     }
 }
 
-/* Appends the observations and, as one more with the cookie 0, which no target
- * has, the version of the list of routes. There it is ignored by balancers
- * that do not know it; an array of more than 15 elements they would not take
- * for a view message. */
+static void
+put_observation(msgpack_packer *pk, uint32_t cookie, uint32_t misses,
+                uint64_t age_us)
+{
+    put_number(pk, cookie);
+    put_number(pk, misses);
+    put_number(pk, age_us);
+}
+
+/* Appends the observations and more with the cookie 0, which no target has:
+ * the times of the store's answer and of the message, with the clock as
+ * misses, and the version of the list of routes. There they are ignored by
+ * balancers that do not know them, or that take the last one for the version;
+ * an array of more than 15 elements they would not take for a view message. */
 static void
 put_observations(msgpack_packer *pk, const struct view_message *m)
 {
     size_t count = m->observation_count;
-    bool has_version =
-        m->delta.routes_version != 0 && count < VIEW_OBSERVATIONS_MAX;
+    bool fits = count + 3 <= VIEW_OBSERVATIONS_MAX;
+    bool has_times = fits && m->sent.clock != 0;
+    bool has_version = fits && (has_times || m->delta.routes_version != 0);
 
     msgpack_pack_array(pk, OBSERVATION_FIELD_COUNT *
-                               (count + (has_version ? 1U : 0U)));
+                               (count + (has_times ? 2 : 0) + has_version));
     for (size_t i = 0; i < count; i++) {
-        put_number(pk, m->observations[i].cookie);
-        put_number(pk, m->observations[i].misses);
-        put_number(pk, m->observations[i].sent_age_us);
+        put_observation(pk, m->observations[i].cookie,
+                        m->observations[i].misses,
+                        m->observations[i].sent_age_us);
+    }
+    if (has_times) {
+        put_observation(pk, 0, m->answered.clock, m->answered.us);
+        put_observation(pk, 0, m->sent.clock, m->sent.us);
     }
     if (has_version) {
-        put_number(pk, 0);
-        put_number(pk, 0);
-        put_number(pk, m->delta.routes_version);
+        put_observation(pk, 0, 0, m->delta.routes_version);
     }
 }
 
@@ -586,12 +599,17 @@
             .sent_age_us = take_number(&fields, UINT64_MAX),
         };
 
-        if (record.cookie == 0) {
+        if (record.cookie == 0 && record.misses != 0) {
+            m->answered = m->sent;
+            m->sent = (struct clock_time){record.misses, record.sent_age_us};
+        }
+        else if (record.cookie == 0) {
             m->delta.routes_version = record.sent_age_us;
-            continue;
         }
-        m->observations[m->observation_count] = record;
-        m->observation_count++;
+        else {
+            m->observations[m->observation_count] = record;
+            m->observation_count++;
+        }
     }
     r->failed = r->failed || fields.failed;
 }
--- a/tests/unit/test-view-codec.c
+++ b/tests/unit/test-view-codec.c
@@ -142,7 +142,8 @@
     free(data);
 }
 
-/* Orders, regions, limits and forms of cookies arrive as they are. */
+/* Orders, regions, limits, forms of cookies and times of answers arrive as
+ * they are. */
 static void
 test_additions(void **state)
 {
@@ -168,9 +169,19 @@
     g_array_append_val(message.delta.targets, order);
     order.removed = true;
     g_array_append_val(message.delta.targets, order);
+    message.answered = (struct clock_time){UINT32_MAX, UINT64_MAX};
+    message.sent = (struct clock_time){1, 2};
     data = view_encode(&message, &size);
     assert_true(decode(data, size, &m));
     assert_records_equal(&m.delta, &message.delta);
+    assert_int_equal(m.answered.clock, UINT32_MAX);
+    assert_int_equal(m.answered.us, UINT64_MAX);
+    assert_int_equal(m.sent.clock, 1);
+    assert_int_equal(m.sent.us, 2);
+    assert_int_equal(m.delta.routes_version, message.delta.routes_version);
+    assert_int_equal(m.observation_count, 1);
+    /* Earlier builds take the last record for the version. */
+    assert_int_equal(data[size - 1], message.delta.routes_version);
     view_delta_clear(&m.delta);
     free(data);
 }
--- a/tests/unit/test-view-confirmations.c
+++ b/tests/unit/test-view-confirmations.c
@@ -71,11 +71,52 @@
     assert_int_equal(fail_count, 0);
 }
 
+/* What waited for a paused balancer tells of answers from before the pause. */
+static void
+test_pause_does_not_confirm(void **state)
+{
+    static const struct {
+        const char *name;
+        size_t nodes;
+        size_t paused; /* so many are paused, the last ones */
+    } cases[] = {
+        {"one of a small fleet", 8, 1},
+        {"most of a small fleet", 8, 6},
+        {"one of a larger fleet", 40, 1},
+        {"most of a larger fleet", 40, 35},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        struct fleet *fleet = fleet_new(cases[i].nodes, 2, BOUND_US, SEED + i);
+        uint64_t silent_at;
+
+        fleet_run(fleet, START_US);
+        for (size_t k = 0; k < cases[i].paused; k++) {
+            struct fleet_node *node = &fleet->nodes[cases[i].nodes - 1 - k];
+
+            node->frozen_at = fleet->now;
+            node->frozen_until = fleet->now + SILENT_US;
+        }
+        fleet_run(fleet, BOUND_US);
+        for (size_t k = 0; k < cases[i].nodes; k++) {
+            fleet->nodes[k].store_mode = FLEET_STORE_SILENT;
+        }
+        silent_at = fleet->now;
+        fleet_run(fleet, SILENT_US);
+        print_message("%s\n", cases[i].name);
+        for (size_t k = 0; k < cases[i].nodes; k++) {
+            assert_true(fleet->nodes[k].freshness.confirmed_at <= silent_at);
+        }
+        fleet_destroy(fleet);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_silent_store_is_not_confirmed_by_peers),
+        cmocka_unit_test(test_pause_does_not_confirm),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
