e2e: failed tests keep the whole logs of their processes

Three findings beside load could not be traced: of each log only the last 15 lines were left. They are now copied to failed-tests in the build folder; shown with a test that fails on purpose, not kept.

--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -54,6 +54,17 @@
     trap 'exit 1' INT TERM
 }
 
+# Keeps the whole logs of a failed test in the build directory and prints their
+# ends.
+keep_logs() {
+    local kept="$BUILD/failed-tests/${0##*/}"
+    rm -rf "$kept"
+    mkdir -p "$kept"
+    cp "$WORK"/*.log "$kept" 2>/dev/null
+    echo "logs of the processes, whole in $kept:"
+    tail -n 15 "$WORK"/*.log 2>/dev/null
+}
+
 e2e_cleanup() {
     local status=$?
     local name
@@ -62,8 +73,7 @@
         wait "${PIDS[$name]}" 2>/dev/null
     done
     if [ "$status" -ne 0 ] || [ "$FAILED" -ne 0 ]; then
-        echo "logs of the processes:"
-        tail -n 15 "$WORK"/*.log 2>/dev/null
+        keep_logs
     fi
     if [ -z "${KEEP:-}" ]; then
         rm -rf "$WORK"
