--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -450,9 +450,22 @@
             await asyncio.sleep(max(0.5 - (time.monotonic() - began), 0.05))
 
 
+def reserve_network():
+    """Draws a network of loopback addresses that no other run uses. The socket
+    returned reserves it."""
+    while True:
+        net = "127.%d" % random.randint(20, 250)
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((net + ".255.1", 8172))
+            return net, lock
+        except OSError:
+            lock.close()
+
+
 class Fleet:
     def __init__(self, record_path):
-        self.net = "127.%d" % random.randint(20, 250)
+        self.net, self.lock = reserve_network()
         self.port, self.backend_port = 8172, 8080
         self.route, self.route_port = self.net + ".9.1", 8080
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -572,6 +585,7 @@
                 daemon.process.kill()
                 daemon.process.wait()
         self.file.close()
+        self.lock.close()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -585,9 +599,17 @@
     await asyncio.gather(*tasks)
 
 
+def on_loop_error(loop, context):
+    """Leaves out what the end of the loop cancels."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 def run_case(main, limit_s=110):
-    """Runs a case, which returns its exit status."""
+    """Runs a case, which returns its exit status. An error of the case itself
+    is no result."""
     async def limited():
+        asyncio.get_running_loop().set_exception_handler(on_loop_error)
         return await asyncio.wait_for(main(), limit_s)
 
     def stop(number, frame):
@@ -596,7 +618,7 @@
     signal.signal(signal.SIGTERM, stop)
     try:
         status = asyncio.run(limited())
-    except (asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # pylint: disable=broad-except
         print("the case could not run: %r" % error)
         status = 2
     raise SystemExit(status)
