--- a/review/standins-3/small_day.py
+++ b/review/standins-3/small_day.py
@@ -13,6 +13,12 @@
 FLOWS_PER_S = 10  # new flows of the clients of a zone
 
 
+def tag_of(backend_id):
+    """The number that names a backend in packets: "the hex digits of its `id`,
+    read as a big-endian number"."""
+    return int("".join(c for c in backend_id if c in "0123456789abcdefABCDEF"), 16)
+
+
 async def play(record_path, backend_id=None, revision=100):
     """Returns 1 if no request is served, else 0. "backend_id" makes an id out
     of a number; "revision" is the store's when it starts."""
@@ -26,8 +32,8 @@
         for i in range(BACKENDS):
             backend = Backend(fleet, i + 10, "live", list(ZONES)[i % len(ZONES)])
             if backend_id is not None:
-                backend.tag = random.getrandbits(40)
-                backend.id = backend_id(backend.tag)
+                backend.id = backend_id(random.getrandbits(40))
+                backend.tag = tag_of(backend.id)
             fleet.backends.append(backend)
             await backend.start()
         for zone in ZONES:
