--- a/review/12/case.py
+++ b/review/12/case.py
@@ -20,8 +20,8 @@
 BACKENDS = 14
 SETTLE_S = 6.0  # all machines are in touch
 PLAY_S = 85.0
-STILL_S = 1.58  # a standstill of the machine
-RUNS_S = 0.16  # between two of them
+STILL_S = (1.45, 1.65)  # a standstill of the machine
+RUNS_S = (0.10, 0.18)  # between two of them
 FLOWS_PER_S = 80  # new flows of the clients of a zone
 DRAIN_S = 3.0  # drainMs
 REPLACE_S = (3.6, 4.4)  # from one pair of backends that is emptied to the next
@@ -32,9 +32,9 @@
 async def stand_still(daemon, fleet, until):
     while fleet.now() < until:
         daemon.signal(signal.SIGSTOP)
-        await asyncio.sleep(STILL_S)
+        await asyncio.sleep(random.uniform(*STILL_S))
         daemon.signal(signal.SIGCONT)
-        await asyncio.sleep(RUNS_S)
+        await asyncio.sleep(random.uniform(*RUNS_S))
 
 
 async def replace(fleet, until):
