--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -464,7 +465,10 @@
 
 
 class Fleet:
+    all = []
+
     def __init__(self, record_path, revision=100):
+        Fleet.all.append(self)
         self.net, self.lock = reserve_network()
         self.port, self.backend_port = 8172, 8080
         self.route, self.route_port = self.net + ".9.1", 8080
@@ -577,6 +581,8 @@
         return total
 
     def close(self):
+        if self.file.closed:
+            return
         for task in self.tasks:
             task.cancel()
         for daemon in self.daemons:
@@ -599,26 +605,30 @@
     await asyncio.gather(*tasks)
 
 
-def on_loop_error(loop, context):
-    """Leaves out what the end of the loop cancels."""
-    if not isinstance(context.get("exception"), asyncio.CancelledError):
-        loop.default_exception_handler(context)
+def end_process(status):
+    """Ends at once: tasks that are left over must not keep the process."""
+    sys.stdout.flush()
+    os._exit(status)
+
+
+def stop_all(number, frame):
+    for fleet in Fleet.all:
+        fleet.close()
+    end_process(2)
 
 
 def run_case(main, limit_s=110):
     """Runs a case, which returns its exit status. An error of the case itself
     is no result."""
     async def limited():
-        asyncio.get_running_loop().set_exception_handler(on_loop_error)
-        return await asyncio.wait_for(main(), limit_s)
-
-    def stop(number, frame):
-        raise SystemExit(2)
-
-    signal.signal(signal.SIGTERM, stop)
-    try:
-        status = asyncio.run(limited())
-    except Exception as error:  # pylint: disable=broad-except
-        print("the case could not run: %r" % error)
-        status = 2
-    raise SystemExit(status)
+        try:
+            status = await asyncio.wait_for(main(), limit_s)
+        except Exception as error:  # pylint: disable=broad-except
+            print("the case could not run: %r" % error)
+            status = 2
+        end_process(status)
+
+    signal.signal(signal.SIGTERM, stop_all)
+    signal.signal(signal.SIGALRM, stop_all)
+    signal.alarm(limit_s + 6)
+    asyncio.run(limited())
