--- a/tests/unit/fake-fleet.h
+++ b/tests/unit/fake-fleet.h
@@ -85,8 +85,12 @@
     uint64_t call_wait_us; /* time for which the store may delay the answer to
                             * a watch that has no changes, us; 0 for a read */
     uint64_t answer_at;    /* arrival of the answer; 0: not yet scheduled */
-    uint64_t calls;        /* calls started, over all starts of the process */
-    uint64_t full_reads;   /* of these, reads of all entries */
+    uint64_t answer_revision; /* newest one that the answer contains */
+    uint64_t answer_era;
+    uint64_t answer_delay_us; /* by which answers of the store are late on
+                               * the way to this balancer */
+    uint64_t calls;      /* calls started, over all starts of the process */
+    uint64_t full_reads; /* of these, reads of all entries */
     /* Call that reads or writes the snapshot, beside the one above. */
     struct view_snapshot snapshot;
     enum view_snapshot_call snapshot_call;
