--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -22,6 +22,7 @@
 #include "coordination/view-sync.h"
 #include "daemon/entry-decoder.h"
 #include "daemon/gossip-send.h"
+#include "daemon/view-log.h"
 #include "protocol/gossip-codec.h"
 #include "protocol/snapshot-codec.h"
 #include "protocol/view-codec.h"
@@ -187,19 +188,6 @@
     membership_receive(task->members, task->in, clock_monotonic_us());
 }
 
-static const char *
-member_state_name(enum member_state state)
-{
-    static const char *const names[] = {
-        [MEMBER_ALIVE] = "alive",
-        [MEMBER_SUSPECT] = "suspect",
-        [MEMBER_DEAD] = "dead",
-        [MEMBER_LEFT] = "left",
-    };
-
-    return names[state];
-}
-
 static void
 on_member_changed(void *ctx, const struct member *m)
 {
@@ -208,10 +196,7 @@
     if (m->local) {
         task->cb.domain_peer_changed(task->cb.ctx);
     }
-    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
-               LOG_FIELDS({"host", m->info.id},
-                          {"state", member_state_name(m->info.state)}),
-               "peer_changed");
+    view_log_member(m);
 }
 
 /* Discards the age of the view after a pause, as changes during the pause were
@@ -233,26 +218,6 @@
     gossip_endpoint_disconnect(task->gossip, addr, port);
 }
 
-/* Logs that the view has entered a new era of the store, and what of the
- * store's copy is older than the view. */
-static void
-log_new_era(struct view_task *task, struct store_position position)
-{
-    char era[24];
-    char held[24];
-    struct store_position routes = forward_view_routes_position(task->view);
-
-    snprintf(era, sizeof(era), "%u", (unsigned)position.era);
-    snprintf(held, sizeof(held), "%zu", forward_view_held_count(task->view));
-    log_fields(
-        LOG_LEVEL_WARN, LOG_MODULE,
-        LOG_FIELDS({"era", era},
-                   {"revision", store_position_format(position).text},
-                   {"older_targets", held},
-                   {"routes", routes.era == position.era ? "read" : "kept"}),
-        "store_restored");
-}
-
 static void
 on_sync_changed(void *ctx)
 {
@@ -260,7 +225,7 @@
     struct store_position position = forward_view_position(task->view);
 
     if (position.era > task->era) {
-        log_new_era(task, position);
+        view_log_new_era(task->view, position);
         task->era = position.era;
     }
     store_client_expect(task->store, position);
@@ -289,17 +254,10 @@
                    double utilization)
 {
     struct view_task *task = ctx;
-    char text[24];
 
-    if (!log_rate_limit_allow(&task->sharing_log, clock_monotonic_us())) {
-        return;
+    if (log_rate_limit_allow(&task->sharing_log, clock_monotonic_us())) {
+        view_log_sharing(service, sharing, utilization);
     }
-    snprintf(text, sizeof(text), "%.2f", utilization);
-    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
-               LOG_FIELDS({"service", service},
-                          {"new_flows", sharing ? "shared" : "own domain"},
-                          {"utilization", text}),
-               "sharing_changed");
 }
 
 static void
@@ -334,30 +292,7 @@
 static void
 on_domain_changed(void *ctx, const struct forward_domain *domain)
 {
-    log_fields(LOG_LEVEL_WARN, LOG_MODULE,
-               LOG_FIELDS({"domain", domain->name},
-                          {"state", domain->emptied ? "emptied" : "in use"},
-                          {"revision",
-                           store_position_format(domain->emptied_by).text}),
-               "domain_changed");
-}
-
-static const char *
-target_state_name(const struct forward_target *target)
-{
-    static const char *const names[] = {
-        [TARGET_PRESENT] = "ready",
-        [TARGET_LAPSED] = "lapsed",
-        [TARGET_GONE] = "gone",
-    };
-
-    if (forward_target_is_replaced(target)) {
-        return "replaced";
-    }
-    if (target->presence == TARGET_PRESENT && target->record.draining) {
-        return "draining";
-    }
-    return names[target->presence];
+    view_log_domain(domain);
 }
 
 /* Logs a change of a target, but not each target of the first view, whose
@@ -366,24 +301,12 @@
 on_target_changed(void *ctx, struct forward_target *target)
 {
     struct view_task *task = ctx;
-    struct store_position_text revision =
-        store_position_format(target->record.position);
 
     cold_claims_on_target(task->cold_claims, target, clock_monotonic_us());
     if (store_position_is_none(forward_view_position(task->view))) {
         return;
     }
-    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
-               LOG_FIELDS({"target", target->record.id},
-                          {"state", target_state_name(target)},
-                          {"domain", forward_target_domain_name(target)},
-                          {"revision", revision.text}),
-               "target_changed");
-    if (target->cookie_form > 0) {
-        LOG_INFO("target %s has a cookie of form %u: the hash of its id is "
-                 "that of another target",
-                 target->record.id, (unsigned)target->cookie_form);
-    }
+    view_log_target(target);
 }
 
 /* Decodes the snapshot if it is among the entries of an answer, and records
@@ -618,29 +541,13 @@
     }
 }
 
-static void
-log_claim(const struct claim_operation *op, const struct status *st)
-{
-    static const char *const actions[] = {
-        [COLD_CLAIM_WRITE] = "write",
-        [COLD_CLAIM_READ] = "read",
-        [COLD_CLAIM_REMOVE] = "remove",
-    };
-
-    log_fields(
-        LOG_LEVEL_INFO, LOG_MODULE,
-        LOG_FIELDS({"target", op->id}, {"call", actions[op->action]},
-                   {"result", st->kind == ERR_NONE ? "done" : st->message}),
-        "cold_claim");
-}
-
 static void
 on_claim_written(void *ctx, const struct status *st,
                  struct store_position modified)
 {
     struct claim_operation *op = ctx;
 
-    log_claim(op, st);
+    view_log_claim(op->id, op->action, st);
     cold_claims_on_result(op->task->cold_claims, op->id, to_claim_result(st),
                           modified, clock_monotonic_us());
     g_hash_table_remove(op->task->claim_operations, op);
@@ -654,7 +561,7 @@
     struct claim_operation *op = ctx;
     const struct store_entry *e = count == 0 ? NULL : &entries[0];
 
-    log_claim(op, st);
+    view_log_claim(op->id, op->action, st);
     cold_claims_on_read(
         op->task->cold_claims, op->id, to_claim_result(st),
         e == NULL ? NULL : e->value, e == NULL ? 0 : e->value_len,
