--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -39,6 +39,7 @@
     struct backoff backoff;
     uint64_t not_before;  /* earliest next call, us */
     uint64_t catch_up_at; /* when to read what the snapshot lacks, 0: never */
+    uint64_t began_at;    /* when the last read of all or watch began, us */
     bool watching;        /* a watch is running */
     bool reading;         /* a read is running */
     bool reading_stale;   /* the read may return data some seconds old */
@@ -87,14 +88,21 @@
     return reader->watching;
 }
 
+uint64_t
+view_reader_began_at(const struct view_reader *reader)
+{
+    return reader->began_at;
+}
+
 /* The first read may return stale data. Such a read costs the store a tenth of
  * a current one, and newer data follows from the peers or the first watch. Not
  * after the store was restored: the changes that follow may be older than the
  * restore, but would have positions of the new era, and a removal among them
  * would count against what was written later in the earlier era. */
 static void
-read_all(struct view_reader *reader)
+read_all(struct view_reader *reader, uint64_t now)
 {
+    reader->began_at = now;
     reader->read_all_needed = false;
     reader->reading = true;
     reader->reading_stale =
@@ -161,7 +169,7 @@
         return;
     }
     if (delta == NULL) {
-        read_all(reader);
+        read_all(reader, now);
         return;
     }
     reader->first_read_done = true;
@@ -237,6 +245,7 @@
 static void
 start_watch(struct view_reader *reader, uint64_t now)
 {
+    reader->began_at = now;
     reader->watching = true;
     reader->watched = forward_view_position(reader->view);
     reader->cb.watch(reader->cb.ctx, reader->watched,
@@ -307,14 +316,14 @@
         reader->read_all_needed = true;
     }
     if (reader->read_all_needed) {
-        read_all(reader);
+        read_all(reader, now);
         return;
     }
     if (!should_catch_up(reader, now) && !should_watch(reader, now)) {
         return;
     }
     if (store_position_is_none(forward_view_position(reader->view))) {
-        read_all(reader);
+        read_all(reader, now);
         return;
     }
     start_watch(reader, now);
--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -77,3 +77,5 @@
 void view_reader_leave(struct view_reader *reader);
 
 bool view_reader_is_watching(const struct view_reader *reader);
+/* When the current or last read of all or watch began, in microseconds. */
+uint64_t view_reader_began_at(const struct view_reader *reader);
--- a/src/daemon/view-log.c
+++ b/src/daemon/view-log.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #define LOG_MODULE "view"
+#include "base/clock.h"
 #include "base/log.h"
 
 static const char *
@@ -123,3 +124,31 @@
                    {"result", st->kind == ERR_NONE ? "done" : st->message}),
         "cold_claim");
 }
+
+void
+view_log_watch(struct store_position position, uint64_t age_us)
+{
+    char age[24] = "unknown";
+
+    if (age_us != UINT64_MAX) {
+        snprintf(age, sizeof(age), "%llu", age_us / USEC_PER_MSEC);
+    }
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE, LOG_FIELDS({"view_age_ms", age}),
+               "watching the store from revision %s",
+               store_position_format(position).text);
+}
+
+void
+view_log_changes(struct store_position position, size_t count,
+                 uint64_t asked_us)
+{
+    char changes[24];
+    char asked[24];
+
+    snprintf(changes, sizeof(changes), "%zu", count);
+    snprintf(asked, sizeof(asked), "%llu", asked_us / USEC_PER_MSEC);
+    log_fields(LOG_LEVEL_INFO, LOG_MODULE,
+               LOG_FIELDS({"revision", store_position_format(position).text},
+                          {"changes", changes}, {"asked_ms_ago", asked}),
+               "store_changes");
+}
--- a/src/daemon/view-log.h
+++ b/src/daemon/view-log.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
 
 #include "base/status.h"
 #include "base/store-position.h"
@@ -27,3 +29,10 @@
 /* Logs the result of a call for the claim of a cold target. */
 void view_log_claim(const char *target_id, enum cold_claim_action action,
                     const struct status *st);
+/* Logs that this balancer begins to watch the store after "position". The view
+ * is "age_us" old, UINT64_MAX: its age is not known. */
+void view_log_watch(struct store_position position, uint64_t age_us);
+/* Logs an answer to a watch with so many changes, which was asked for
+ * "asked_us" ago. */
+void view_log_changes(struct store_position position, size_t count,
+                      uint64_t asked_us);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -737,6 +737,11 @@
     struct view_task *task = ctx;
 
     if (st->kind == ERR_NONE) {
+        if (count > 0) {
+            view_log_changes(position, count,
+                             clock_monotonic_us() -
+                                 view_reader_began_at(task->reader));
+        }
         handle_answer(task, false, position, entries, count);
         return;
     }
@@ -818,6 +823,7 @@
 {
     struct view_task *task = arg;
     uint64_t now = clock_monotonic_us();
+    uint64_t age = freshness_age(&task->freshness, now);
     bool watching = view_reader_is_watching(task->reader);
 
     check_pause(task, now);
@@ -834,9 +840,7 @@
     update_cold_claims(task, now);
     gossip_endpoint_close_idle(task->gossip, now);
     if (!watching && view_reader_is_watching(task->reader)) {
-        LOG_INFO(
-            "watching the store from revision %s",
-            store_position_format(forward_view_position(task->view)).text);
+        view_log_watch(forward_view_position(task->view), age);
     }
 }
 
