--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -4,6 +4,7 @@
 
 #include "base/backoff.h"
 #include "base/clock.h"
+#include "coordination/watch-order.h"
 
 /* Bounds of the back-off after a failed call to the store. */
 #define BACKOFF_MIN_US (100 * USEC_PER_MSEC)
@@ -32,6 +33,7 @@
 
 struct view_reader {
     struct forward_view *view;
+    const struct membership *members;
     struct freshness *freshness;
     struct view_sync *sync;
     struct random *random;
@@ -58,9 +60,9 @@
 };
 
 struct view_reader *
-view_reader_new(struct forward_view *view, struct freshness *freshness,
-                struct view_sync *sync, struct random *random,
-                const struct view_reader_callbacks *cb)
+view_reader_new(struct forward_view *view, const struct membership *members,
+                struct freshness *freshness, struct view_sync *sync,
+                struct random *random, const struct view_reader_callbacks *cb)
 {
     struct view_reader *reader = calloc(1, sizeof(*reader));
 
@@ -68,6 +70,7 @@
         return NULL;
     }
     reader->view = view;
+    reader->members = members;
     reader->freshness = freshness;
     reader->sync = sync;
     reader->random = random;
@@ -182,7 +185,7 @@
 static uint64_t
 attempt_cycle_us(const struct view_reader *reader, uint64_t now)
 {
-    return (uint64_t)(view_sync_estimate_reachable(reader->sync, now) *
+    return (uint64_t)(watch_order_estimate_reachable(reader->members, now) *
                       (double)ATTEMPT_INTERVAL_US);
 }
 
@@ -226,7 +229,7 @@
 {
     return !reader->leaving && reader->first_read_done &&
            freshness_should_watch(reader->freshness,
-                                  view_sync_position(reader->sync, now),
+                                  watch_order_position(reader->members, now),
                                   attempt_cycle_us(reader, now), now);
 }
 
--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -45,11 +45,10 @@
 /* Copies "cb"; the other arguments stay owned by the caller and must outlive
  * the result. Returns NULL when out of memory; release the result with
  * view_reader_destroy(). */
-struct view_reader *view_reader_new(struct forward_view *view,
-                                    struct freshness *freshness,
-                                    struct view_sync *sync,
-                                    struct random *random,
-                                    const struct view_reader_callbacks *cb);
+struct view_reader *
+view_reader_new(struct forward_view *view, const struct membership *members,
+                struct freshness *freshness, struct view_sync *sync,
+                struct random *random, const struct view_reader_callbacks *cb);
 void view_reader_destroy(struct view_reader *reader);
 
 /* Starts the first read. */
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -6,13 +6,13 @@
 
 #include "base/clock.h"
 #include "coordination/peer-clocks.h"
+#include "coordination/watch-order.h"
 
 /* Maximum number of other members in a small fleet. In a small fleet each
  * balancer sends to all others directly, without relaying. */
 #define DIRECT_MEMBERS_MAX 16
 /* Maximum number of peers that one message is sent to: twice the neighbors of
- * a balancer, and some that join. Also the maximum number of other failure
- * domains that domain_rank() counts. */
+ * a balancer, and some that join. */
 #define PEERS_MAX 32
 /* Minimum interval between two announcements to the pruned peers. A peer that
  * loses the link over which it gets deltas is late by this interval and a
@@ -22,9 +22,6 @@
 /* A member from which a message has arrived within this time counts as
  * connected to this balancer. */
 #define CONNECTED_TIMEOUT_US (2500 * USEC_PER_MSEC)
-/* A neighbor from which a message has arrived within this time counts as
- * reachable. A reachable neighbor sends a message at least once a second. */
-#define REACHABLE_TIMEOUT_US (1200 * USEC_PER_MSEC)
 /* Time to wait for the answer to a pull before another peer is asked. */
 #define PULL_TIMEOUT_US (100 * USEC_PER_MSEC)
 /* Maximum number of records in a delta that is pushed. A larger delta is only
@@ -34,11 +31,6 @@
 /* A delta without changes is relayed only when its confirmation is later than
  * the previous one by more than this. */
 #define CONFIRM_RELAY_STEP_US (50 * USEC_PER_MSEC)
-/* Salt of the rendezvous hash that orders the watchers. */
-#define WATCHER_SALT 0x77617463686572ULL
-/* Position of a balancer that ranks first but may not know the others yet. */
-#define POSITION_UNSETTLED 0.5
-
 struct view_sync {
     struct forward_view *view;
     struct membership *members;
@@ -91,81 +83,6 @@
     free(vs);
 }
 
-/* Returns the rank of this balancer's failure domain, by rendezvous score,
- * among the domains with a live member, and stores the number of these domains
- * in "count". A domain with several live members is counted once. */
-static size_t
-domain_rank(const struct view_sync *vs, size_t *count)
-{
-    const struct member_info *self = membership_self(vs->members);
-    uint64_t own_score = random_mix(WATCHER_SALT, id_hash(self->domain));
-    uint64_t seen[PEERS_MAX];
-    size_t seen_count = 0;
-    size_t rank = 0;
-
-    list_for_each (it, &membership_table(vs->members)->all) {
-        const struct member *m = container_of(it, struct member, link);
-        uint64_t score = random_mix(WATCHER_SALT, id_hash(m->info.domain));
-        bool skip = m->local || m->info.state != MEMBER_ALIVE;
-
-        for (size_t i = 0; i < seen_count && !skip; i++) {
-            skip = seen[i] == score;
-        }
-        if (skip || seen_count == PEERS_MAX) {
-            continue;
-        }
-        seen[seen_count] = score;
-        seen_count++;
-        rank += score < own_score;
-    }
-    *count = seen_count + 1;
-    return rank;
-}
-
-double
-view_sync_position(const struct view_sync *vs, uint64_t now)
-{
-    size_t domains;
-    size_t domain = domain_rank(vs, &domains);
-    size_t rank = membership_rank(vs->members, WATCHER_SALT);
-    size_t size = 1 + member_table_count(membership_table(vs->members),
-                                         MEMBER_ALIVE, true);
-    double position =
-        ((double)domain + (double)rank / (double)size) / (double)domains;
-
-    if (!membership_settled(vs->members, now) && position <= 0.0) {
-        return POSITION_UNSETTLED;
-    }
-    return position;
-}
-
-double
-view_sync_estimate_reachable(const struct view_sync *vs, uint64_t now)
-{
-    size_t neighbors = 0;
-    size_t reachable = 0;
-    size_t domains;
-    size_t size = 1 + member_table_count(membership_table(vs->members),
-                                         MEMBER_ALIVE, true);
-    double share;
-
-    list_for_each (it, &membership_table(vs->members)->all) {
-        const struct member *m = container_of(it, struct member, link);
-
-        if (m->neighbor) {
-            neighbors++;
-            reachable += m->last_message_at != 0 &&
-                         now - m->last_message_at < REACHABLE_TIMEOUT_US;
-        }
-    }
-    if (neighbors == 0) {
-        return 1.0;
-    }
-    domain_rank(vs, &domains);
-    share = (double)reachable / (double)neighbors;
-    return 1.0 + (double)(size * domains) * share * share;
-}
-
 /* Positions up to which the view is complete, for finding later changes. */
 struct view_positions {
     struct store_position view;
@@ -413,7 +330,7 @@
     if (!confirms) {
         return true;
     }
-    vs->position = view_sync_position(vs, at);
+    vs->position = watch_order_position(vs->members, at);
     vs->answered = (struct clock_time){vs->clocks.own_id, at};
     message_init(vs, &m, VIEW_DELTA);
     message_confirm(vs, &m, at);
@@ -520,7 +437,8 @@
 {
     struct view_positions before = current_positions(vs);
     uint64_t confirmed;
-    double own_position = view_sync_position(vs, now) * VIEW_POSITION_END;
+    double own_position =
+        watch_order_position(vs->members, now) * VIEW_POSITION_END;
     uint64_t at = 0;
     bool relay;
 
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -101,13 +101,3 @@
 uint64_t view_sync_dropped_deltas(const struct view_sync *vs);
 /* Number of answers of peers that have no view themselves. */
 uint64_t view_sync_empty_answers(const struct view_sync *vs);
-
-/* Place of this balancer in the order in which balancers watch the store, from
- * 0 (first) up to but not including 1. */
-double view_sync_position(const struct view_sync *vs, uint64_t now);
-/* Estimates how many balancers can reach each other, this one included: all
- * when messages from all neighbors have arrived lately, otherwise their number
- * times the square of the share of neighbors from which messages have arrived.
- * Returns 1 without neighbors. All domains are taken to be as large as that of
- * this balancer. */
-double view_sync_estimate_reachable(const struct view_sync *vs, uint64_t now);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -20,6 +20,7 @@
 #include "coordination/view-reader.h"
 #include "coordination/view-snapshot.h"
 #include "coordination/view-sync.h"
+#include "coordination/watch-order.h"
 #include "daemon/entry-decoder.h"
 #include "daemon/gossip-send.h"
 #include "daemon/view-log.h"
@@ -1046,8 +1047,9 @@
                                    &task->lapse, &task->random, &sync_cb);
     }
     if (task->sync != NULL) {
-        task->reader = view_reader_new(task->view, &task->freshness,
-                                       task->sync, &task->random, &reader_cb);
+        task->reader =
+            view_reader_new(task->view, task->members, &task->freshness,
+                            task->sync, &task->random, &reader_cb);
     }
     task->tick = event_new(task->base, -1, EV_PERSIST, on_tick, task);
     task->report = event_new(task->base, -1, 0, on_report, task);
@@ -1156,7 +1158,7 @@
 double
 view_task_forwarder_count(struct view_task *task)
 {
-    return view_sync_estimate_reachable(task->sync, clock_monotonic_us());
+    return watch_order_estimate_reachable(task->members, clock_monotonic_us());
 }
 
 static void
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -783,8 +783,8 @@
     node->view = forward_view_new(&view_cb);
     node->sync = view_sync_new(node->view, node->members, &node->freshness,
                                &node->target_lapse, &node->random, &sync_cb);
-    node->reader = view_reader_new(node->view, &node->freshness, node->sync,
-                                   &node->random, &reader_cb);
+    node->reader = view_reader_new(node->view, node->members, &node->freshness,
+                                   node->sync, &node->random, &reader_cb);
     view_reader_start(node->reader);
 }
 
