--- a/src/coordination/view-freshness.c
+++ b/src/coordination/view-freshness.c
@@ -16,6 +16,11 @@
  * from a peer. */
 #define TAKEOVER_MARGIN_US (200 * USEC_PER_MSEC)
 #define PULL_MARGIN_US (100 * USEC_PER_MSEC)
+/* An answer of the store that takes longer than this shortens the next watch
+ * by the same time, so that the view is confirmed as often as without the
+ * delay.
+ */
+#define ANSWER_DELAY_US (50 * USEC_PER_MSEC)
 /* Minimum delay of the answer to a watch; a shorter one would only cost more
  * calls. */
 #define WATCH_WAIT_MIN_US (200 * USEC_PER_MSEC)
@@ -100,8 +105,12 @@
 freshness_watch_wait(const struct freshness *f, uint64_t now)
 {
     uint64_t wait = f->limits.watch_wait_us;
+    uint64_t age = freshness_age(f, now);
 
-    return freshness_age(f, now) > wait ? 0 : wait;
+    if (age <= ANSWER_DELAY_US) {
+        return wait;
+    }
+    return age < wait ? wait - age : 0;
 }
 
 bool
--- a/src/coordination/view-freshness.h
+++ b/src/coordination/view-freshness.h
@@ -61,7 +61,8 @@
 bool freshness_should_watch(const struct freshness *f, double position,
                             uint64_t spread_us, uint64_t now);
 /* Time in microseconds for which the store may delay its answer to the next
- * watch: 0 when the view is old, so that it is confirmed at once. */
+ * watch, so that the view is confirmed again when it is "watch_wait_us" old: 0
+ * when it is older. */
 uint64_t freshness_watch_wait(const struct freshness *f, uint64_t now);
 /* Whether to pull from a peer, because the next confirmation of the view is
  * overdue. */
--- a/src/coordination/view-reader.c
+++ b/src/coordination/view-reader.c
@@ -42,6 +42,7 @@
     uint64_t not_before;  /* earliest next call, us */
     uint64_t catch_up_at; /* when to read what the snapshot lacks, 0: never */
     uint64_t began_at;    /* when the last read of all or watch began, us */
+    uint64_t wait_us;     /* of the last watch */
     bool watching;        /* a watch is running */
     bool reading;         /* a read is running */
     bool reading_stale;   /* the read may return data some seconds old */
@@ -177,7 +178,7 @@
     }
     reader->first_read_done = true;
     reader->catch_up_at = outdated ? now + CATCH_UP_DELAY_US : 0;
-    view_sync_store_answered(reader->sync, delta, false, now);
+    view_sync_store_answered(reader->sync, delta, false, now, now);
 }
 
 /* Time in microseconds in which this balancer and each one that it can reach
@@ -216,11 +217,12 @@
         return;
     }
     backoff_reset(&reader->backoff);
-    view_sync_store_answered(reader->sync, delta, !reader->reading_stale, now);
+    view_sync_store_answered(reader->sync, delta, !reader->reading_stale,
+                             reader->began_at, now);
     if (!reader->reading_stale) {
         /* The others are told of this answer. Who has better rank and is there
          * watches the store from now on. */
-        freshness_confirm_better_rank(reader->freshness, now);
+        freshness_confirm_better_rank(reader->freshness, reader->began_at);
     }
 }
 
@@ -249,16 +251,39 @@
 start_watch(struct view_reader *reader, uint64_t now)
 {
     reader->began_at = now;
+    reader->wait_us = freshness_watch_wait(reader->freshness, now);
     reader->watching = true;
     reader->watched = forward_view_position(reader->view);
-    reader->cb.watch(reader->cb.ctx, reader->watched,
-                     freshness_watch_wait(reader->freshness, now));
+    reader->cb.watch(reader->cb.ctx, reader->watched, reader->wait_us);
+}
+
+/* Returns the earliest time at which the store may have given the answer to
+ * the watch: it may have waited since then for this process, or been late on
+ * its way. */
+static uint64_t
+earliest_answer_at(const struct view_reader *reader, bool waited, uint64_t now)
+{
+    uint64_t wait_end = reader->began_at + reader->wait_us;
+
+    return waited && now >= wait_end ? wait_end : reader->began_at;
+}
+
+/* Returns when to watch again after an answer with changes at "now": changes
+ * that come in quick succession are fetched by one call, but the view is
+ * confirmed as often as without changes. */
+static uint64_t
+next_watch_at(const struct view_reader *reader, uint64_t now)
+{
+    uint64_t due = reader->began_at + reader->freshness->limits.watch_wait_us;
+    uint64_t next = now + WATCH_MIN_INTERVAL_US;
+
+    return next < due ? next : due;
 }
 
 void
 view_reader_on_watch(struct view_reader *reader,
                      enum view_reader_result result,
-                     const struct view_delta *delta, uint64_t era,
+                     const struct view_delta *delta, bool waited, uint64_t era,
                      uint64_t now)
 {
     reader->watching = false;
@@ -279,14 +304,16 @@
         return;
     }
     backoff_reset(&reader->backoff);
-    if (!view_sync_store_answered(reader->sync, delta, true, now)) {
+    if (!view_sync_store_answered(reader->sync, delta, true,
+                                  earliest_answer_at(reader, waited, now),
+                                  now)) {
         reader->read_all_needed = true;
         return;
     }
     if (delta->routes->len + delta->targets->len > 0) {
-        reader->not_before = now + WATCH_MIN_INTERVAL_US;
+        reader->not_before = next_watch_at(reader, now);
     }
-    else if (should_watch(reader, now)) {
+    if (now >= reader->not_before && should_watch(reader, now)) {
         start_watch(reader, now);
     }
 }
--- a/src/coordination/view-reader.h
+++ b/src/coordination/view-reader.h
@@ -62,14 +62,16 @@
                              uint64_t era, uint64_t now);
 /* The read or the watch has ended at "now", in microseconds. "delta" contains
  * the answer; it is used only with VIEW_READER_ANSWERED and may else be
- * NULL. "era" is the latest one that the store is known to have. */
+ * NULL. "waited" tells that the store had no change, so that it gave its
+ * answer at the end of the wait. "era" is the latest one that the store is
+ * known to have. */
 void view_reader_on_read(struct view_reader *reader,
                          enum view_reader_result result,
                          const struct view_delta *delta, uint64_t now);
 void view_reader_on_watch(struct view_reader *reader,
                           enum view_reader_result result,
-                          const struct view_delta *delta, uint64_t era,
-                          uint64_t now);
+                          const struct view_delta *delta, bool waited,
+                          uint64_t era, uint64_t now);
 /* Starts the read or watch that is due, unless one is running. */
 void view_reader_tick(struct view_reader *reader, uint64_t now);
 /* This balancer stops: cancels the watch and starts no read or watch again. */
--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -299,9 +299,9 @@
 apply_delta(struct view_sync *vs, const struct view_delta *delta,
             bool confirms, uint64_t at, uint64_t now)
 {
-    uint64_t age = freshness_age(vs->freshness, at);
+    uint64_t age = freshness_age(vs->freshness, now);
 
-    if (confirms) {
+    if (confirms && at > vs->freshness->confirmed_at) {
         target_lapse_store_answered(vs->lapse, age, now);
     }
     if (begins_era(vs, delta)) {
@@ -319,22 +319,25 @@
 
 bool
 view_sync_store_answered(struct view_sync *vs, const struct view_delta *delta,
-                         bool confirms, uint64_t at)
+                         bool confirms, uint64_t at, uint64_t now)
 {
     struct view_positions before = current_positions(vs);
+    uint64_t confirmed = vs->freshness->confirmed_at;
     struct view_message m;
 
-    if (!apply_delta(vs, delta, confirms, at, at)) {
+    if (!apply_delta(vs, delta, confirms, at, now)) {
         return false;
     }
     if (!confirms) {
         return true;
     }
-    vs->position = watch_order_position(vs->members, at);
-    vs->answered = (struct clock_time){vs->clocks.own_id, at};
+    if (at > confirmed) {
+        vs->position = watch_order_position(vs->members, now);
+        vs->answered = (struct clock_time){vs->clocks.own_id, at};
+    }
     message_init(vs, &m, VIEW_DELTA);
-    message_confirm(vs, &m, at);
-    send_delta(vs, &m, &before, 0, at);
+    message_confirm(vs, &m, now);
+    send_delta(vs, &m, &before, 0, now);
     view_delta_clear(&m.delta);
     return true;
 }
@@ -436,9 +439,9 @@
 on_delta(struct view_sync *vs, const struct view_message *m, uint64_t now)
 {
     struct view_positions before = current_positions(vs);
-    uint64_t confirmed;
     double own_position =
         watch_order_position(vs->members, now) * VIEW_POSITION_END;
+    uint64_t confirmed;
     uint64_t at = 0;
     bool relay;
 
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -57,14 +57,14 @@
               struct random *random, const struct view_sync_callbacks *cb);
 void view_sync_destroy(struct view_sync *vs);
 
-/* Applies an answer of the store that arrived at "at". With "confirms" set the
- * answer is current: it confirms the view and is sent to the peers. Otherwise
- * it may be stale. Returns false, and applies nothing, when changes between
- * the view and "delta" may be missing: the caller has to read everything
- * again. */
+/* Applies an answer of the store, which gave it at "at" or later. With
+ * "confirms" set it contains all changes until "at": it confirms the view and
+ * is sent to the peers. Otherwise it may be stale. Returns false, and applies
+ * nothing, when changes between the view and "delta" may be missing: the
+ * caller has to read everything again. */
 bool view_sync_store_answered(struct view_sync *vs,
                               const struct view_delta *delta, bool confirms,
-                              uint64_t at);
+                              uint64_t at, uint64_t now);
 /* Handles a received message. */
 void view_sync_receive(struct view_sync *vs, const struct view_message *m,
                        uint64_t now);
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -106,9 +106,10 @@
     uint64_t snapshot_writes; /* successful ones */
     uint64_t era;             /* of the store, that the view has entered */
     struct entry_decoder *decoder;
-    /* The answer that is being decoded: of a read or of a watch, and up to
-     * which position it is complete. */
+    /* The answer that is being decoded: of a read or of a watch, whether it
+     * has entries, and up to which position it is complete. */
     bool answer_is_read;
+    bool answer_has_entries;
     struct store_position answer_position;
     bool stale_read_pending; /* the last read begun accepts an outdated
                               * answer */
@@ -645,7 +646,7 @@
      * raised the position of the view but never lowered it. */
     delta->from = (struct store_position){0};
     view_reader_on_watch(task->reader, VIEW_READER_ANSWERED, delta,
-                         delta->to.era, now);
+                         !task->answer_has_entries, delta->to.era, now);
     if (!view_reader_is_watching(task->reader)) {
         store_client_watch_stop(task->store);
     }
@@ -675,6 +676,7 @@
     view_snapshot_on_store_answer(&task->snapshot, now);
     note_snapshot(task, entries, count);
     task->answer_is_read = is_read;
+    task->answer_has_entries = count > 0;
     task->answer_position = position;
     if (bytes >= DECODER_SIZE_MIN &&
         entry_decoder_start(task->decoder, entries, count)) {
@@ -747,7 +749,7 @@
         return;
     }
     LOG_WARN("%s", st->message);
-    view_reader_on_watch(task->reader, to_reader_result(st->kind), NULL,
+    view_reader_on_watch(task->reader, to_reader_result(st->kind), NULL, false,
                          position.era, clock_monotonic_us());
     if (!view_reader_is_watching(task->reader)) {
         store_client_watch_stop(task->store);
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -442,8 +442,10 @@
         view_reader_on_read(node->reader, result, &delta, now);
     }
     else {
-        view_reader_on_watch(node->reader, result, &delta, node->fleet->era,
-                             now);
+        view_reader_on_watch(node->reader, result, &delta,
+                             node->answer_revision ==
+                                 node->call_after.revision,
+                             node->fleet->era, now);
     }
     view_delta_clear(&delta);
 }
--- a/tests/unit/test-view-freshness.c
+++ b/tests/unit/test-view-freshness.c
@@ -96,19 +96,28 @@
     assert_true(freshness_should_watch(&f, 0.9, 0, START_US + 5000 * MS));
 }
 
-/* If the view is old or its age is unknown, the store must answer the watch at
- * once (a wait of 0), so that the view is confirmed without delay. */
+/* The view is confirmed again when it is as old as a watch may take: if it is
+ * older or its age is unknown, the store must answer at once (a wait of 0). */
 static void
 test_watch_wait(void **state)
 {
+    static const struct {
+        uint64_t age_ms;
+        uint64_t wait_ms;
+    } cases[] = {
+        {0, 1500}, {5, 1500}, {50, 1500}, {100, 1400}, {800, 700},
+        {1499, 1}, {1500, 0}, {1600, 0},  {5000, 0},
+    };
     struct freshness f;
 
     freshness_init(&f, BOUND_US, START_US);
     assert_int_equal(freshness_watch_wait(&f, START_US), 0);
     freshness_confirm(&f, START_US);
-    assert_int_equal(freshness_watch_wait(&f, START_US + 100 * MS),
-                     f.limits.watch_wait_us);
-    assert_int_equal(freshness_watch_wait(&f, START_US + 1600 * MS), 0);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        assert_int_equal(
+            freshness_watch_wait(&f, START_US + cases[i].age_ms * MS),
+            cases[i].wait_ms * MS);
+    }
 }
 
 /* Whether a target stays in use after its entry vanished from the store. The
