--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -79,6 +79,9 @@
 void
 view_sync_destroy(struct view_sync *vs)
 {
+    if (vs == NULL) {
+        return;
+    }
     peer_clocks_clear(&vs->clocks);
     free(vs);
 }
