--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -45,6 +45,7 @@
     struct clock_time answered;
     struct peer_clocks clocks;
     bool announcing; /* an announcement to the pruned peers is pending */
+    bool newcomers;  /* there are members that may have missed changes */
     uint64_t next_announce; /* earliest next announcement, us */
     uint64_t next_pull;     /* earliest next pull, us */
     /* The last received delta could not be applied, because changes before it
@@ -264,19 +265,16 @@
     send_to(vs, peers, count, m);
 }
 
-/* Announces the positions of this view to the pruned neighbors. */
+/* Sends the positions of this view. */
 static void
-announce(struct view_sync *vs, uint64_t now)
+send_positions(const struct view_sync *vs, const struct member *const *peers,
+               size_t count, uint64_t now)
 {
-    const struct member *peers[PEERS_MAX];
-    size_t count = collect_receivers(vs, true, peers);
     struct view_message m;
 
-    vs->announcing = false;
-    vs->next_announce = now + ANNOUNCE_MIN_INTERVAL_US;
     message_init(vs, &m, VIEW_ANNOUNCE);
     message_confirm(vs, &m, now);
-    m.relay_to_neighbors = true;
+    m.relay_to_neighbors = !fleet_is_small(vs);
     m.delta.to = forward_view_position(vs->view);
     m.delta.routes_position = forward_view_routes_position(vs->view);
     m.delta.routes_version = forward_view_routes_version(vs->view);
@@ -285,6 +283,58 @@
     view_delta_clear(&m.delta);
 }
 
+/* Announces the positions of this view to the pruned neighbors. */
+static void
+announce(struct view_sync *vs, uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    size_t count = collect_receivers(vs, true, peers);
+
+    vs->announcing = false;
+    vs->next_announce = now + ANNOUNCE_MIN_INTERVAL_US;
+    send_positions(vs, peers, count, now);
+}
+
+void
+view_sync_on_member(struct view_sync *vs, const struct member *member)
+{
+    list_for_each (it, &membership_table(vs->members)->all) {
+        struct member *m = container_of(it, struct member, link);
+
+        if (m == member && m->info.state == MEMBER_ALIVE) {
+            m->newcomer = true;
+            vs->newcomers = true;
+        }
+    }
+}
+
+/* Announces the positions of this view to new members, which may have missed
+ * changes that were sent before they were known. In a small fleet the balancer
+ * that got the store's last answer does, in a larger one each neighbor. */
+static void
+announce_to_newcomers(struct view_sync *vs, uint64_t now)
+{
+    const struct member *peers[PEERS_MAX];
+    bool watches = vs->answered.clock == vs->clocks.own_id;
+    bool small = fleet_is_small(vs);
+    size_t count = 0;
+
+    vs->newcomers = false;
+    list_for_each (it, &membership_table(vs->members)->all) {
+        struct member *m = container_of(it, struct member, link);
+
+        if (m->newcomer && (small ? watches : m->neighbor) &&
+            count < PEERS_MAX) {
+            peers[count] = m;
+            count++;
+        }
+        m->newcomer = false;
+    }
+    if (!store_position_is_none(forward_view_position(vs->view))) {
+        send_positions(vs, peers, count, now);
+    }
+}
+
 /* Whether the view enters a new era of the store with this delta. */
 static bool
 begins_era(const struct view_sync *vs, const struct view_delta *delta)
@@ -717,6 +767,9 @@
     if (vs->announcing && now >= vs->next_announce) {
         announce(vs, now);
     }
+    if (vs->newcomers) {
+        announce_to_newcomers(vs, now);
+    }
     if (now >= vs->next_pull &&
         (vs->behind || freshness_should_pull(vs->freshness, now))) {
         view_sync_pull(vs, now);
--- a/src/coordination/view-sync.h
+++ b/src/coordination/view-sync.h
@@ -94,6 +94,8 @@
 /* Asks one peer, which need not be a known member, for the same. */
 void view_sync_pull_from(struct view_sync *vs, uint32_t addr, uint16_t port,
                          uint64_t now);
+/* A member has been added or has changed its state. */
+void view_sync_on_member(struct view_sync *vs, const struct member *member);
 /* Sends announcements that are due, and pulls when the view is overdue. */
 void view_sync_tick(struct view_sync *vs, uint64_t now);
 
--- a/src/daemon/view-task.c
+++ b/src/daemon/view-task.c
@@ -221,6 +221,7 @@
     if (m->local) {
         task->cb.domain_peer_changed(task->cb.ctx);
     }
+    view_sync_on_member(task->sync, m);
     view_log_member(m);
 }
 
--- a/tests/unit/fake-fleet.c
+++ b/tests/unit/fake-fleet.c
@@ -166,6 +166,9 @@
 static void
 on_member_changed(void *ctx, const struct member *m)
 {
+    struct fleet_node *node = ctx;
+
+    view_sync_on_member(node->sync, m);
 }
 
 static void
