--- a/src/coordination/view-sync.c
+++ b/src/coordination/view-sync.c
@@ -113,6 +113,13 @@
     view_delta_init(&m->delta);
 }
 
+/* Messages have positions in whole steps; two are compared as such. */
+static uint32_t
+wire_position(double position)
+{
+    return (uint32_t)(position * VIEW_POSITION_END);
+}
+
 /* Fills in the age of the store's last known answer, and the position and time
  * of the balancer that got it. */
 static void
@@ -123,7 +130,7 @@
 
     m->confirmed = age != UINT64_MAX;
     m->age_us = m->confirmed ? age : 0;
-    m->position = (uint32_t)(vs->position * VIEW_POSITION_END);
+    m->position = wire_position(vs->position);
     if (m->confirmed) {
         m->answered = vs->answered;
         m->sent = (struct clock_time){vs->clocks.own_id, now};
@@ -492,8 +499,8 @@
 on_delta(struct view_sync *vs, const struct view_message *m, uint64_t now)
 {
     struct view_positions before = current_positions(vs);
-    double own_position =
-        watch_order_position(vs->members, now) * VIEW_POSITION_END;
+    uint32_t own_position =
+        wire_position(watch_order_position(vs->members, now));
     uint64_t confirmed;
     uint64_t at = 0;
     bool relay;
@@ -523,7 +530,7 @@
         vs->position = (double)m->position / VIEW_POSITION_END;
         vs->answered = m->answered;
     }
-    if (m->confirmed && (double)m->position < own_position) {
+    if (m->confirmed && m->position < own_position) {
         freshness_confirm_better_rank(vs->freshness, at);
     }
     relay = store_position_is_after(forward_view_position(vs->view),
