--- a/src/coordination/member-table.h
+++ b/src/coordination/member-table.h
@@ -40,7 +40,7 @@
     /* It gets view deltas sooner from other peers: this balancer sends it only
      * announcements. */
     bool pruned;
-    bool newcomer; /* it may have missed deltas that were sent before */
+    bool newcomer;   /* it may have missed deltas that were sent before */
     unsigned rumors; /* number of messages that still have to carry "info" */
     uint64_t next_ping;  /* earliest next heartbeat, us */
     uint64_t ping_nonce; /* nonce of the unanswered heartbeat; 0: none */
